--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := fescuestile fescuestile-api fescuestile-client \
+	fescuestile-daemon fescuestile-cli fescuestile-standins
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint schema
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps \
+		$(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m fescuestile_standins.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 packages tests measurements
+	$(BIN)/mypy packages/*/src tests measurements
+
+schema: setup
+	$(BIN)/python -m grpc_tools.protoc \
+		-I packages/fescuestile-api/src \
+		--python_out=packages/fescuestile-api/src \
+		--pyi_out=packages/fescuestile-api/src \
+		--grpc_python_out=packages/fescuestile-api/src \
+		packages/fescuestile-api/src/fescuestile_api/fescuestile.proto
--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of fescuestile, run by name and seed."""
--- /dev/null
+++ b/packages/fescuestile-api/src/fescuestile_api/__init__.py
@@ -0,0 +1,1 @@
+"""Schema, generated code and border models."""
--- /dev/null
+++ b/packages/fescuestile-cli/src/fescuestile_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/packages/fescuestile-client/src/fescuestile_client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Proxy daemon between callers and endpoints."""
--- /dev/null
+++ b/packages/fescuestile-standins/src/fescuestile_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, endpoints and callers."""
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts of a database proxy with session consistency."""
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/members.py
@@ -0,0 +1,53 @@
+"""Daemons as the membership sees them."""
+
+import dataclasses
+import enum
+
+
+class MemberState(enum.StrEnum):
+    """State of a daemon in the membership."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """One daemon.
+
+    :ivar id: unique name of the process, new at each start
+    :ivar zone: availability zone
+    :ivar link_address: ``IP:port`` for links from other daemons
+    :ivar caller_address: ``IP:port`` for callers
+    :ivar state: state as last agreed
+    :ivar incarnation: grows when the daemon refutes a suspicion
+    """
+
+    id: str
+    zone: str
+    link_address: str
+    caller_address: str
+    state: MemberState = MemberState.ALIVE
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipSnapshot:
+    """All daemons that one daemon knows of.
+
+    :ivar own: the daemon itself
+    :ivar members: all daemons, itself included
+    """
+
+    own: Member
+    members: tuple[Member, ...]
+
+    def list_serving(self) -> tuple[Member, ...]:
+        """Return the daemons that take new work."""
+        return tuple(
+            member
+            for member in self.members
+            if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        )
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/positions.py
@@ -0,0 +1,83 @@
+"""Log positions of database groups and the history of their terms."""
+
+import bisect
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Position:
+    """Place of an entry in a group's log.
+
+    :ivar term: term of the primary that wrote the entry
+    :ivar index: number of the entry in the log, from 1; 0 is before all
+    """
+
+    term: int = 0
+    index: int = 0
+
+
+START = Position()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermStart:
+    """First entry that a term wrote into a log.
+
+    :ivar term: the term
+    :ivar index: index of its first entry
+    """
+
+    term: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True)
+class TermHistory:
+    """Terms of a log in order, as one endpoint holds it.
+
+    :ivar starts: first entry of each term, ascending
+    :ivar last: last entry of the log
+    """
+
+    starts: tuple[TermStart, ...] = ()
+    last: Position = START
+
+    def find_term(self, index: int) -> int:
+        """Return the term of the entry at an index.
+
+        :param index: index from 1 to the last entry's
+        :returns: the term, 0 when the index is before the first entry
+        """
+        place = bisect.bisect_right(
+            self.starts, index, key=lambda start: start.index
+        )
+        return self.starts[place - 1].term if place else 0
+
+    def find_end(self, term: int) -> int:
+        """Return the index of the last entry of this term or before it."""
+        for start in self.starts:
+            if start.term > term:
+                return start.index - 1
+        return self.last.index
+
+    def clamp(self, position: Position) -> Position:
+        """Bound a position by the end of its term.
+
+        An entry past its term's end was never confirmed and is gone.
+
+        :param position: position from a session token
+        :returns: the last position that the session can still depend on
+        """
+        if position.term >= self.last.term:
+            return position
+        end = self.find_end(position.term)
+        return Position(position.term, min(position.index, end))
+
+    def covers(self, position: Position) -> bool:
+        """Tell whether this log holds all that a position depends on."""
+        if position.term > self.last.term:
+            return position.index == 0
+        return self.clamp(position).index <= self.last.index
+
+
+EMPTY_HISTORY = TermHistory()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fescuestile."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,33 @@
+"""Marks the tests that KNOWN-RED.txt lists and prints them."""
+
+import pathlib
+
+import pytest
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the listed entries by test id."""
+    entries = {}
+    for line in KNOWN_RED.read_text().splitlines():
+        if line.strip() and not line.startswith("#"):
+            entries[line.split("|")[0].strip()] = line
+    return entries
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect just the listed tests to fail."""
+    known = read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            mark = pytest.mark.xfail(reason=known[item.nodeid], strict=True)
+            item.add_marker(mark)
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Print the listed tests."""
+    for entry in read_known_red().values():
+        terminalreporter.write_line(f"known red: {entry}")
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of single parts."""
