--- a/packages/fescuestile-daemon/src/fescuestile_daemon/metrics.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/metrics.py
@@ -9,9 +9,9 @@
 
 import statsd
 
+from fescuestile import addresses
 from fescuestile import ports
 from fescuestile_daemon import settings
-from fescuestile_daemon import units
 
 MAX_TIMINGS_PER_FLUSH = 4096
 MILLISECONDS_PER_SECOND = 1000.0
@@ -123,7 +123,7 @@
     """
     if options is None:
         return NullSink()
-    host, port = units.split_address(options.address)
+    host, port = addresses.split_address(options.address)
     client = statsd.StatsClient(
         host, port, prefix=options.prefix, ipv6=":" in host
     )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/units.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/units.py
@@ -1,19 +1,17 @@
-"""Units of settings: durations, sizes and addresses as written in INI."""
+"""Units of settings as written in INI: durations, sizes and lists."""
 
-import ipaddress
 import re
 import typing
 
 import pydantic
 
+from fescuestile import addresses
+
 DURATION_FORM = "a duration with its unit, such as 200ms, 3s, 5min or 1h"
 SIZE_FORM = "a size with its unit, such as 512B, 64KiB or 4MiB"
-ADDRESS_FORM = "an address of the form IP:port, such as 10.1.1.10:7200"
-IP_FORM = "an IP number, such as 10.1.1.10"
 
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3}
-MAX_PORT = 65535
 
 _QUANTITY = re.compile(r"([0-9]+(?:\.[0-9]+)?) ?([A-Za-z]+)", re.ASCII)
 
@@ -43,40 +41,6 @@
     return int(size)
 
 
-def parse_ip(value: str) -> str:
-    """Return an IP number in its usual form.
-
-    :raises ValueError: the text is no IP number
-    """
-    try:
-        return str(ipaddress.ip_address(value))
-    except ValueError:
-        raise ValueError(f"expected {IP_FORM}") from None
-
-
-def parse_address(value: str) -> str:
-    """Return an ``IP:port`` in its usual form; IPv6 in brackets.
-
-    :raises ValueError: the text is no such address
-    """
-    host, _, port = value.rpartition(":")
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        raise ValueError(f"expected {ADDRESS_FORM}") from None
-    digits = port.isascii() and port.isdigit()
-    if bracketed != (ip.version == 6) or not digits or int(port) > MAX_PORT:
-        raise ValueError(f"expected {ADDRESS_FORM}")
-    return f"[{ip}]:{int(port)}" if bracketed else f"{ip}:{int(port)}"
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return IP and port of an address that was checked."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def split_list(value: object) -> object:
     """Return the items of a text separated by commas or new lines."""
     if not isinstance(value, str):
@@ -102,8 +66,10 @@
 Size = typing.Annotated[
     int, pydantic.BeforeValidator(parse_size), pydantic.Field(gt=0)
 ]
-Ip = typing.Annotated[str, pydantic.AfterValidator(parse_ip)]
-Address = typing.Annotated[str, pydantic.AfterValidator(parse_address)]
+Ip = typing.Annotated[str, pydantic.AfterValidator(addresses.parse_ip)]
+Address = typing.Annotated[
+    str, pydantic.AfterValidator(addresses.parse_address)
+]
 Addresses = typing.Annotated[
     tuple[Address, ...], pydantic.BeforeValidator(split_list)
 ]
--- a/packages/fescuestile/src/fescuestile/codec.py
+++ b/packages/fescuestile/src/fescuestile/codec.py
@@ -55,7 +55,7 @@
         tag, body = decoded
         adapter = self._adapters.get(tag) if isinstance(tag, str) else None
         if adapter is None:
-            return _refuse("tag", f"unknown message {tag!r}", peer)
+            return _refuse("tag", f"unknown message {tag!r:.40}", peer)
         try:
             return expression.Ok(adapter.validate_python(body))
         except pydantic.ValidationError as error:
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from fescuestile import addresses
 from fescuestile import errors
 from fescuestile_daemon import settings
 from fescuestile_daemon import units
@@ -73,9 +74,9 @@
         ("[limits]\nanswer_bytes = 1kb", "limits.answer_bytes", "64KiB"),
         ("[limits]\nchunk_bytes = 0.3B", "limits.chunk_bytes", "whole"),
         ("[limits]\ndefault_deadline = 2h", "limits", "maximum_deadline"),
-        ("[peers]\nseeds = host:1", "peers.seeds", units.ADDRESS_FORM),
-        ("[peers]\nseeds = 127.0.0.1", "peers.seeds", units.ADDRESS_FORM),
-        ("[peers]\nseeds = ::1:80", "peers.seeds", units.ADDRESS_FORM),
+        ("[peers]\nseeds = host:1", "peers.seeds", addresses.ADDRESS_FORM),
+        ("[peers]\nseeds = 127.0.0.1", "peers.seeds", addresses.ADDRESS_FORM),
+        ("[peers]\nseeds = ::1:80", "peers.seeds", addresses.ADDRESS_FORM),
         ("[statsd]\nprefix = x", "statsd.address", "required"),
         ("[logging]\nformat = xml", "logging.format", "'json' or 'console'"),
         ("[platform]\n", "platform", "already exists"),
@@ -92,7 +93,7 @@
 def test_a_host_name_is_no_ip():
     fault = refuse(MINIMAL.replace("ip = 127.0.1.1", "ip = localhost"))
     assert fault.field == "daemon.ip"
-    assert units.IP_FORM in fault.message
+    assert addresses.IP_FORM in fault.message
 
 
 def test_a_missing_file_is_named(tmp_path):
