--- /dev/null
+++ b/packages/fescuestile-api/src/fescuestile_api/models.py
@@ -0,0 +1,353 @@
+"""Border models: callers' frames and operators' plans, checked.
+
+Each function takes a generated message and returns the library's data
+class, or an ``InvalidInput`` that names the field at fault. Nothing ran
+when one is returned.
+"""
+
+import dataclasses
+import typing
+
+import expression
+from google.protobuf import message as protobuf_message
+import pydantic
+
+from fescuestile import addresses
+from fescuestile import errors
+from fescuestile import plans
+from fescuestile import positions
+from fescuestile import requests
+from fescuestile_api import fescuestile_pb2 as pb
+
+STEP = "decode"
+PLAN_STEP = "decode plan"
+MILLISECONDS_PER_SECOND = 1000
+MAX_NAME_LENGTH = 128
+MAX_TOKEN_BYTES = 4096
+MAX_GROUP_SIZE = 100
+
+T = typing.TypeVar("T")
+Checked = expression.Result[T, errors.InvalidInput]
+
+Name = typing.Annotated[
+    str,
+    pydantic.StringConstraints(
+        min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"^[!-~]+$"
+    ),
+]
+OptionalName = typing.Annotated[
+    str,
+    pydantic.StringConstraints(
+        max_length=MAX_NAME_LENGTH, pattern=r"^[!-~]*$"
+    ),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on one request.
+
+    :ivar request_bytes: largest request
+    :ivar default_deadline: seconds, for a request that names none
+    :ivar maximum_deadline: seconds
+    """
+
+    request_bytes: int
+    default_deadline: float
+    maximum_deadline: float
+
+
+class Model(pydantic.BaseModel):
+    """Base of the models, read from a message's attributes."""
+
+    model_config = pydantic.ConfigDict(from_attributes=True, frozen=True)
+
+
+class OpenModel(Model):
+    """First frame of a stream."""
+
+    caller: Name
+    token: typing.Annotated[
+        bytes, pydantic.Field(max_length=MAX_TOKEN_BYTES)
+    ] = b""
+
+
+class RequestModel(Model):
+    """Fields of a request that need no plan to be checked."""
+
+    sequence: int = pydantic.Field(gt=0)
+    request_id: Name
+    database: Name
+    kind: Name
+    rank: OptionalName
+    repeatable: bool
+    transaction: OptionalName
+
+
+class RankModel(Model):
+    """One rank of urgency."""
+
+    name: Name
+    floor: float = pydantic.Field(ge=0, le=1, allow_inf_nan=False)
+
+
+class KindModel(Model):
+    """One kind of work."""
+
+    name: Name
+    rank: Name
+    staleness_ms: int
+
+
+class EndpointModel(Model):
+    """One endpoint of a database group."""
+
+    name: Name
+    zone: Name
+    address: typing.Annotated[
+        str, pydantic.AfterValidator(addresses.parse_address)
+    ]
+    slots: int
+    connections: int
+    readable: bool
+
+
+Item = typing.TypeVar("Item")
+Items = typing.Annotated[
+    tuple[Item, ...],
+    pydantic.BeforeValidator(tuple),
+    pydantic.Field(max_length=MAX_GROUP_SIZE),
+]
+
+
+class PlanModel(Model):
+    """Plan of one database group."""
+
+    database: Name
+    endpoints: Items[EndpointModel]
+    ranks: Items[RankModel]
+    kinds: Items[KindModel]
+
+
+def decode_frame(data: bytes, peer: str = "") -> Checked[pb.CallerFrame]:
+    """Decode a caller's frame from its bytes.
+
+    :param data: bytes as received
+    :param peer: the caller, for the error
+    """
+    try:
+        frame = pb.CallerFrame.FromString(data)
+    except protobuf_message.DecodeError as error:
+        return refuse("frame", f"malformed frame: {error}", peer)
+    if frame.WhichOneof("frame") is None:
+        return refuse("frame", "neither open nor request", peer)
+    return expression.Ok(frame)
+
+
+def read_open(message: pb.Open, peer: str = "") -> Checked[OpenModel]:
+    """Check the first frame of a stream."""
+    try:
+        return expression.Ok(OpenModel.model_validate(message))
+    except pydantic.ValidationError as error:
+        return _explain(error, STEP, peer)
+
+
+def read_request(
+    message: pb.Request,
+    caller: str,
+    plan: plans.Plan | None,
+    limits: Limits,
+    now: float,
+    minimum: positions.Position = positions.START,
+) -> Checked[requests.Request]:
+    """Check a request against the plan of its database.
+
+    :param message: the request as decoded
+    :param caller: name of the caller
+    :param plan: plan of the database, None when there is none
+    :param limits: bounds
+    :param now: monotonic seconds
+    :param minimum: position that the session depends on
+    """
+    if message.ByteSize() > limits.request_bytes:
+        text = f"the request is over {limits.request_bytes} bytes"
+        return refuse("request", text, caller)
+    try:
+        model = RequestModel.model_validate(message)
+    except pydantic.ValidationError as error:
+        return _explain(error, STEP, caller)
+    if plan is None or plan.database != model.database:
+        text = f"unknown database {model.database!r}"
+        return refuse("database", text, caller)
+    kind = plan.kind_by_name.get(model.kind)
+    if kind is None:
+        return refuse("kind", f"unknown kind {model.kind!r}", caller)
+    staleness = _read_staleness(message, kind)
+    time_left = _read_time_left(message, limits)
+    action = message.WhichOneof("action")
+    fault = (
+        _check_rank(model, kind, plan)
+        or _check_staleness(staleness, kind)
+        or _check_deadline(time_left, limits)
+        or _check_action(message, action)
+    )
+    if fault is not None:
+        return refuse(fault.field, fault.message, caller)
+    return expression.Ok(
+        requests.Request(
+            request_id=model.request_id,
+            caller=caller,
+            database=model.database,
+            kind=model.kind,
+            level=plan.level_by_rank[model.rank or kind.rank],
+            staleness=staleness,
+            deadline=now + time_left,
+            repeatable=model.repeatable,
+            action=ACTIONS[action],
+            text=message.statement.text,
+            read_only=_is_read_only(message),
+            transaction=model.transaction,
+            minimum=minimum,
+        )
+    )
+
+
+def read_plan(message: pb.Plan) -> Checked[plans.Plan]:
+    """Check an operator's plan."""
+    try:
+        model = PlanModel.model_validate(message)
+    except pydantic.ValidationError as error:
+        return _explain(error, PLAN_STEP, "")
+    return plans.check_plan(
+        plans.Plan(
+            database=model.database,
+            endpoints=tuple(
+                plans.Endpoint(**dict(endpoint))
+                for endpoint in model.endpoints
+            ),
+            ranks=tuple(plans.Rank(**dict(rank)) for rank in model.ranks),
+            kinds=tuple(
+                plans.Kind(
+                    name=kind.name,
+                    rank=kind.rank,
+                    staleness=kind.staleness_ms / MILLISECONDS_PER_SECOND,
+                )
+                for kind in model.kinds
+            ),
+        )
+    )
+
+
+def write_plan(plan: plans.Plan) -> pb.Plan:
+    """Return the message of a plan."""
+    return pb.Plan(
+        database=plan.database,
+        endpoints=[
+            pb.Endpoint(**dataclasses.asdict(endpoint))
+            for endpoint in plan.endpoints
+        ],
+        ranks=[
+            pb.Rank(name=rank.name, floor=rank.floor) for rank in plan.ranks
+        ],
+        kinds=[
+            pb.Kind(
+                name=kind.name,
+                rank=kind.rank,
+                staleness_ms=round(kind.staleness * MILLISECONDS_PER_SECOND),
+            )
+            for kind in plan.kinds
+        ],
+    )
+
+
+def refuse(
+    field: str, message: str, peer: str = "", step: str = STEP
+) -> Checked[typing.Any]:
+    """Return the error of a bad input."""
+    return expression.Error(
+        errors.InvalidInput(message=message, step=step, peer=peer, field=field)
+    )
+
+
+ACTIONS: typing.Mapping[str | None, requests.Action] = {
+    action.value: action for action in requests.Action
+}
+TRANSACTION_ACTIONS = ("commit", "rollback")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fault:
+    """What is wrong with a request."""
+
+    field: str
+    message: str
+
+
+def _check_rank(
+    model: RequestModel, kind: plans.Kind, plan: plans.Plan
+) -> _Fault | None:
+    if not model.rank:
+        return None
+    level = plan.level_by_rank.get(model.rank)
+    if level is None:
+        return _Fault("rank", f"unknown rank {model.rank!r}")
+    if level < plan.level_by_rank[kind.rank]:
+        return _Fault("rank", f"kind {kind.name!r} is not that urgent")
+    return None
+
+
+def _check_staleness(staleness: float, kind: plans.Kind) -> _Fault | None:
+    if staleness > kind.staleness:
+        return _Fault(
+            "staleness_ms",
+            f"kind {kind.name!r} allows {kind.staleness:g} s at most",
+        )
+    return None
+
+
+def _check_deadline(time_left: float, limits: Limits) -> _Fault | None:
+    if time_left <= 0:
+        return _Fault("deadline_ms", "the deadline has expired")
+    if time_left > limits.maximum_deadline:
+        return _Fault(
+            "deadline_ms", f"over {limits.maximum_deadline:g} s away"
+        )
+    return None
+
+
+def _check_action(message: pb.Request, action: str | None) -> _Fault | None:
+    if action is None:
+        return _Fault("action", "no known action")
+    if action == "statement" and not message.statement.text:
+        return _Fault("statement.text", "the statement is empty")
+    if action in TRANSACTION_ACTIONS and not message.transaction:
+        return _Fault("transaction", f"{action} names no transaction")
+    if action == "begin" and message.transaction:
+        return _Fault("transaction", "a transaction is open already")
+    return None
+
+
+def _read_staleness(message: pb.Request, kind: plans.Kind) -> float:
+    if message.HasField("staleness_ms"):
+        return message.staleness_ms / MILLISECONDS_PER_SECOND
+    return kind.staleness
+
+
+def _read_time_left(message: pb.Request, limits: Limits) -> float:
+    if message.HasField("deadline_ms"):
+        return message.deadline_ms / MILLISECONDS_PER_SECOND
+    return limits.default_deadline
+
+
+def _is_read_only(message: pb.Request) -> bool:
+    return message.statement.read_only or message.begin.read_only
+
+
+def _explain(
+    error: pydantic.ValidationError, step: str, peer: str
+) -> Checked[typing.Any]:
+    """Return the first fault of a model as an error."""
+    first = error.errors(include_url=False)[0]
+    parts = [str(part) for part in first["loc"]]
+    text = first["msg"].removeprefix("Value error, ")
+    return refuse(".".join(parts), text, peer, step)
