--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -0,0 +1,310 @@
+"""Links to other daemons: websockets with CBOR frames."""
+
+import asyncio
+import collections.abc
+import itertools
+import typing
+
+import expression
+import structlog
+import websockets
+from websockets.asyncio import client as websocket_client
+from websockets.asyncio import connection as websocket_connection
+from websockets.asyncio import server as websocket_server
+
+from fescuestile import codec
+from fescuestile import errors
+from fescuestile import link_messages
+from fescuestile import members
+
+log = structlog.get_logger(__name__)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+GREETING_TIMEOUT_SECONDS = 1.0
+REDIAL_DELAY_SECONDS = 0.2
+WRITE_LIMIT_BYTES = 256 * 1024
+
+Handler = collections.abc.Callable[
+    [str, typing.Any], collections.abc.Awaitable[None]
+]
+Reply = expression.Result[typing.Any, errors.FescuestileError]
+
+
+class Link:
+    """One open websocket to another daemon, greeted on both sides."""
+
+    def __init__(
+        self,
+        socket: websocket_connection.Connection,
+        peer: members.Member,
+    ) -> None:
+        """Wrap a socket whose greeting has been read."""
+        self.peer = peer
+        self.socket = socket
+
+    async def send(self, frame: bytes) -> bool:
+        """Send a frame; return whether the link still stood."""
+        try:
+            await self.socket.send(frame)
+        except (websockets.ConnectionClosed, OSError):
+            return False
+        return True
+
+
+class Links:
+    """All links of one daemon, dialed on demand and accepted.
+
+    A link is used in both directions, whoever dialed it. Messages are
+    dispatched by class to one handler each.
+    """
+
+    def __init__(self, own: members.Member, ip: str) -> None:
+        """Prepare the links of a daemon.
+
+        :param own: the daemon itself
+        :param ip: IP that outgoing connections bind to
+        """
+        self._own = own
+        self._ip = ip
+        self._links: dict[str, Link] = {}
+        self._handlers: dict[type, Handler] = {}
+        self._waiting: dict[int, asyncio.Future[Reply]] = {}
+        self._waiting_peers: dict[int, str] = {}
+        self._ids = itertools.count(1)
+        self._dials: dict[str, asyncio.Task[Link | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._classes: list[type] = list(link_messages.CLASSES)
+        self._codec = codec.Codec(self._classes)
+        self._server: websocket_server.Server | None = None
+        self.on_connected: list[
+            collections.abc.Callable[[members.Member], None]
+        ] = []
+        self.on_lost: list[
+            collections.abc.Callable[[members.Member], None]
+        ] = []
+
+    def add_handler(self, cls: type, handler: Handler) -> None:
+        """Dispatch messages of a class to a handler.
+
+        :param cls: message dataclass; made known to the codec
+        :param handler: coroutine function of (sender id, message)
+        """
+        self._handlers[cls] = handler
+        if cls not in self._classes:
+            self._classes.append(cls)
+            self._codec = codec.Codec(self._classes)
+
+    def add_classes(self, classes: typing.Iterable[type]) -> None:
+        """Make further message classes known to the codec."""
+        for cls in classes:
+            if cls not in self._classes:
+                self._classes.append(cls)
+        self._codec = codec.Codec(self._classes)
+
+    def set_own(self, own: members.Member) -> None:
+        """Change what the daemon says of itself in greetings."""
+        self._own = own
+
+    async def start(self, ip: str, port: int) -> None:
+        """Accept links on an address."""
+        self._server = await websocket_server.serve(
+            self._accept,
+            ip,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=codec.MAX_FRAME_BYTES,
+        )
+
+    async def close(self) -> None:
+        """Close all links; requests in flight end as lost."""
+        if self._server is not None:
+            self._server.close()
+        for link in tuple(self._links.values()):
+            await link.socket.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def is_connected(self, member_id: str) -> bool:
+        """Tell whether a link to a daemon stands."""
+        return member_id in self._links
+
+    async def send(self, member: members.Member, message: object) -> bool:
+        """Send a one-way message, dialing first if need be.
+
+        :returns: whether the message was handed to a standing link
+        """
+        link = await self.dial(member)
+        if link is None:
+            return False
+        return await link.send(self._codec.encode(message))
+
+    async def request(
+        self,
+        member: members.Member,
+        make: collections.abc.Callable[[int], object],
+        timeout: float,
+    ) -> Reply:
+        """Send a request and wait for its reply.
+
+        :param member: daemon to ask
+        :param make: builds the message for the id it is given
+        :param timeout: seconds
+        :returns: the reply; NotRun when nothing was sent; ConnectionLost
+            when it was sent and no reply came
+        """
+        link = await self.dial(member)
+        if link is None:
+            return expression.Error(
+                errors.NotRun(
+                    message="no link to the daemon",
+                    step="link",
+                    peer=member.id,
+                )
+            )
+        number = next(self._ids)
+        future: asyncio.Future[Reply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[number] = future
+        self._waiting_peers[number] = member.id
+        try:
+            if not await link.send(self._codec.encode(make(number))):
+                return self._lose(member.id, "the link broke")
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            return self._lose(member.id, "no reply in time")
+        finally:
+            self._waiting.pop(number, None)
+            self._waiting_peers.pop(number, None)
+
+    def resolve(self, number: int, message: object) -> None:
+        """Hand a reply to the request that waits for it, if any."""
+        future = self._waiting.get(number)
+        if future is not None and not future.done():
+            future.set_result(expression.Ok(message))
+
+    async def dial(self, member: members.Member) -> Link | None:
+        """Return the link to a daemon, dialing it if there is none."""
+        link = self._links.get(member.id)
+        if link is not None:
+            return link
+        dialing = self._dials.get(member.id)
+        if dialing is None:
+            dialing = asyncio.create_task(
+                self.dial_address(member.link_address)
+            )
+            self._dials[member.id] = dialing
+            dialing.add_done_callback(
+                lambda _: self._dials.pop(member.id, None)
+            )
+        found = await asyncio.shield(dialing)
+        if found is None or found.peer.id != member.id:
+            return None
+        return found
+
+    async def dial_address(self, address: str) -> Link | None:
+        """Open a link to an address; None when it can't be had."""
+        try:
+            socket = await asyncio.wait_for(
+                websocket_client.connect(
+                    f"ws://{address}",
+                    compression=None,
+                    ping_interval=None,
+                    proxy=None,
+                    max_size=codec.MAX_FRAME_BYTES,
+                    local_addr=(self._ip, 0),
+                ),
+                CONNECT_TIMEOUT_SECONDS,
+            )
+        except (OSError, TimeoutError, websockets.WebSocketException):
+            return None
+        await socket.send(
+            self._codec.encode(link_messages.Greeting(self._own))
+        )
+        peer = await self._read_greeting(socket)
+        if peer is None:
+            await socket.close()
+            return None
+        link = self._register(Link(socket, peer))
+        self._spawn(self._receive(link))
+        return link
+
+    async def _accept(self, socket: websocket_server.ServerConnection) -> None:
+        peer = await self._read_greeting(socket)
+        if peer is None:
+            return
+        await socket.send(
+            self._codec.encode(link_messages.Greeting(self._own))
+        )
+        link = self._register(Link(socket, peer))
+        await self._receive(link)
+
+    async def _read_greeting(
+        self, socket: websocket_connection.Connection
+    ) -> members.Member | None:
+        try:
+            frame = await asyncio.wait_for(
+                socket.recv(decode=False), GREETING_TIMEOUT_SECONDS
+            )
+        except (TimeoutError, websockets.ConnectionClosed):
+            return None
+        result = self._codec.decode(frame)
+        if result.is_error():
+            log.warning("greeting refused", error=str(result.error))
+            return None
+        if not isinstance(result.ok, link_messages.Greeting):
+            return None
+        return result.ok.member
+
+    def _register(self, link: Link) -> Link:
+        self._links[link.peer.id] = link
+        log.info("link opened", peer=link.peer.id, zone=link.peer.zone)
+        for listener in self.on_connected:
+            listener(link.peer)
+        return link
+
+    async def _receive(self, link: Link) -> None:
+        try:
+            async for frame in link.socket:
+                if isinstance(frame, str):
+                    frame = frame.encode()
+                await self._dispatch(link.peer.id, frame)
+        except websockets.ConnectionClosed:
+            pass
+        finally:
+            self._drop(link)
+
+    async def _dispatch(self, peer: str, frame: bytes) -> None:
+        result = self._codec.decode(frame, peer)
+        if result.is_error():
+            log.warning("frame refused", peer=peer, error=str(result.error))
+            return
+        handler = self._handlers.get(type(result.ok))
+        if handler is None:
+            log.warning("no handler", message=type(result.ok).__name__)
+            return
+        await handler(peer, result.ok)
+
+    def _drop(self, link: Link) -> None:
+        if self._links.get(link.peer.id) is not link:
+            return
+        del self._links[link.peer.id]
+        for number, peer in tuple(self._waiting_peers.items()):
+            future = self._waiting.get(number)
+            if peer == link.peer.id and future and not future.done():
+                future.set_result(self._lose(peer, "the link broke"))
+        for listener in self.on_lost:
+            listener(link.peer)
+
+    def _lose(self, peer: str, message: str) -> Reply:
+        return expression.Error(
+            errors.ConnectionLost(message=message, step="link", peer=peer)
+        )
+
+    def _spawn(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
