--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders of test data with sensible defaults."""
 
+import typing
+
 from fescuestile import endpoint_messages
 from fescuestile import members
 from fescuestile import plans
@@ -11,7 +13,7 @@
 
 def build_endpoint(number: int = 1, **changes) -> plans.Endpoint:
     """Return the endpoint of a number, in the zone of that number."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "name": f"endpoint-{number}",
         "zone": ZONES[(number - 1) % len(ZONES)],
         "address": f"127.0.{number}.11:7{number:03}",
@@ -23,7 +25,7 @@
 
 def build_plan(database: str = "werkstatt-db", **changes) -> plans.Plan:
     """Return a plan with three endpoints, ranks and kinds."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "endpoints": tuple(build_endpoint(n) for n in (1, 2, 3)),
         "ranks": (
             plans.Rank("urgent", 0.0),
@@ -42,7 +44,7 @@
 
 def build_revision(revision: int = 1, **changes) -> plans.PlanRevision:
     """Return a plan revision."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "plan": build_plan(),
         "change_id": f"change-{revision}",
         "operator": "maria",
@@ -53,7 +55,7 @@
 
 def build_report(number: int = 1, **changes) -> endpoint_messages.Report:
     """Return the report of an endpoint, by default of term 1."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "id": 1,
         "endpoint": f"endpoint-{number}",
         "verdict": endpoint_messages.Verdict.DONE,
@@ -69,7 +71,7 @@
 
 def build_member(number: int = 1, **changes) -> members.Member:
     """Return a daemon in the zone of its number."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "id": f"daemon-{number}",
         "zone": ZONES[(number - 1) % len(ZONES)],
         "link_address": f"127.0.{number}.1:7001",
@@ -80,7 +82,7 @@
 
 def build_request(**changes) -> requests.Request:
     """Return a write of the urgent rank."""
-    fields = {
+    fields: dict[str, typing.Any] = {
         "request_id": "request-1",
         "caller": "station-7",
         "database": "werkstatt-db",
