Add sessions: signed tokens of the highest position per database

Cause: a session must be honoured by any daemon with no shared state but a key. The token lists at most 16 databases; beyond that the one that advanced longest ago is dropped and the session marked as overflowed, so that an unlisted database is read as current: forgetting costs a read at the primary, never a stale one. Refusing a 17th database was ruled out: it would fail a caller for what it read before.

--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/sessions.py
@@ -0,0 +1,208 @@
+"""Sessions and the signed tokens that carry them between daemons.
+
+A token is a CBOR array of key id, body and HMAC-SHA-256 of both. Callers
+hand it back as it is; any daemon that has the key can honour it.
+"""
+
+import dataclasses
+import hmac
+import types
+import typing
+
+import cbor2
+import expression
+
+from fescuestile import errors
+from fescuestile import positions
+
+STEP = "read token"
+MAX_DATABASES = 16
+MAX_TOKEN_BYTES = 8 * 1024
+MIN_SECRET_BYTES = 16
+_FORMAT = 1
+_DIGEST = "sha256"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SigningKey:
+    """Key that tokens are signed with.
+
+    :ivar id: name of the key, carried in each token
+    :ivar secret: at least 16 bytes
+    """
+
+    id: str
+    secret: bytes = dataclasses.field(repr=False)
+
+    def __post_init__(self) -> None:
+        """Refuse a key that is too short to protect anything.
+
+        :raises: InvalidInput when the id is empty or the secret short
+        """
+        if not self.id or len(self.secret) < MIN_SECRET_BYTES:
+            raise errors.InvalidInput(
+                message=f"a key needs an id and {MIN_SECRET_BYTES} bytes",
+                step="load signing key",
+                field="signing key",
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRing:
+    """Keys valid at one time.
+
+    :ivar current: key that signs new tokens
+    :ivar previous: key whose tokens are still accepted
+    """
+
+    current: SigningKey
+    previous: SigningKey | None = None
+
+    def find(self, key_id: str) -> SigningKey | None:
+        """Return the valid key with this id, None when there is none."""
+        for key in (self.current, self.previous):
+            if key is not None and key.id == key_id:
+                return key
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class Session:
+    """What a caller's session depends on.
+
+    :ivar caller: who the session belongs to
+    :ivar held: highest position written or read, by database,
+        the least recently advanced first
+    :ivar overflowed: positions of further databases were dropped, so a
+        database that is not listed has to be read as current
+    """
+
+    caller: str
+    held: typing.Mapping[str, positions.Position] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+    overflowed: bool = False
+
+    def find_minimum(self, database: str) -> positions.Position:
+        """Return the position that reads of a database have to cover."""
+        return self.held.get(database, positions.START)
+
+    def needs_current(self, database: str) -> bool:
+        """Tell whether a read may not be stale, whatever its kind says."""
+        return self.overflowed and database not in self.held
+
+    def observe(
+        self, database: str, position: positions.Position
+    ) -> "Session":
+        """Take in a position that the session wrote or read.
+
+        :returns: this session when it depended on as much already, else
+            a new one; at the limit the database that advanced longest ago
+            is dropped and the session marked as overflowed
+        """
+        if position <= self.find_minimum(database):
+            return self
+        kept = dict(self.held)
+        kept.pop(database, None)
+        kept[database] = position
+        overflowed = self.overflowed
+        if len(kept) > MAX_DATABASES:
+            del kept[next(iter(kept))]
+            overflowed = True
+        return Session(self.caller, types.MappingProxyType(kept), overflowed)
+
+
+class SessionTracker:
+    """Session of one open stream, with its token kept while unchanged."""
+
+    def __init__(self, session: Session) -> None:
+        """Start from a new session or one read from a token."""
+        self.session = session
+        self._signed: Session | None = None
+        self._key_id = ""
+        self._token = b""
+
+    def observe(self, database: str, position: positions.Position) -> None:
+        """Take in a position that an answer reported."""
+        self.session = self.session.observe(database, position)
+
+    def issue_token(self, ring: KeyRing) -> bytes:
+        """Return the session's token, signed anew only after a change."""
+        unchanged = self._signed is self.session
+        if not unchanged or self._key_id != ring.current.id:
+            self._token = issue(ring, self.session)
+            self._signed = self.session
+            self._key_id = ring.current.id
+        return self._token
+
+
+def issue(ring: KeyRing, session: Session) -> bytes:
+    """Return a session's token, signed with the current key."""
+    listed = [
+        (database, position.term, position.index)
+        for database, position in session.held.items()
+    ]
+    body = cbor2.dumps((_FORMAT, session.caller, listed, session.overflowed))
+    key = ring.current
+    return cbor2.dumps((key.id, body, _sign(key, body)))
+
+
+def read(
+    ring: KeyRing, token: bytes, caller: str
+) -> expression.Result[Session, errors.TokenRefused]:
+    """Return the session of a token.
+
+    :param ring: keys valid now
+    :param token: token as the caller sent it
+    :param caller: who sent it
+    :returns: the session, or why the token is refused
+    """
+    if len(token) > MAX_TOKEN_BYTES:
+        return _refuse("the token is too large", caller)
+    try:
+        key_id, body, signature = cbor2.loads(token)
+    except Exception:
+        return _refuse("the token is garbled", caller)
+    if not isinstance(body, bytes) or not isinstance(signature, bytes):
+        return _refuse("the token is garbled", caller)
+    key = ring.find(key_id) if isinstance(key_id, str) else None
+    if key is None:
+        return _refuse("the token's key is not valid", caller)
+    if not hmac.compare_digest(_sign(key, body), signature):
+        return _refuse("the token's signature is wrong", caller)
+    return _read_body(body, caller)
+
+
+def _read_body(
+    body: bytes, caller: str
+) -> expression.Result[Session, errors.TokenRefused]:
+    try:
+        version, owner, listed, overflowed = cbor2.loads(body)
+        if version != _FORMAT:
+            return _refuse("the token's format is unknown", caller)
+        found = {
+            str(database): positions.Position(int(term), int(index))
+            for database, term, index in listed
+        }
+    except (cbor2.CBORDecodeError, TypeError, ValueError):
+        return _refuse("the token is garbled", caller)
+    if owner != caller:
+        return _refuse("the token belongs to another caller", caller)
+    return expression.Ok(
+        Session(caller, types.MappingProxyType(found), bool(overflowed))
+    )
+
+
+def _sign(key: SigningKey, body: bytes) -> bytes:
+    message = key.id.encode() + b"\x00" + body
+    return hmac.digest(key.secret, message, _DIGEST)
+
+
+def _refuse(
+    message: str, caller: str
+) -> expression.Result[Session, errors.TokenRefused]:
+    return expression.Error(
+        errors.TokenRefused(
+            message=message, step=STEP, peer=caller, field="token"
+        )
+    )
