--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -0,0 +1,100 @@
+"""Waits of writes for the majority of their group."""
+
+import asyncio
+import dataclasses
+
+import expression
+
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from fescuestile import plans
+from fescuestile import positions
+
+STEP = "confirm"
+
+
+@dataclasses.dataclass(eq=False)
+class _Wait:
+    position: positions.Position
+    majority: int
+    endpoints: frozenset[str]
+    future: asyncio.Future[None]
+
+
+def counts_for(
+    report: endpoint_messages.Report, position: positions.Position
+) -> bool:
+    """Tell whether a report confirms a write.
+
+    It does while the endpoint works under the write's term and holds its
+    entry.
+    """
+    return (
+        report.term == position.term
+        and report.last.term == position.term
+        and report.last.index >= position.index
+    )
+
+
+class Confirmations:
+    """Latest report of each watched endpoint, and the waits on them."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reports: dict[tuple[str, str], endpoint_messages.Report] = {}
+        self._waits: dict[str, set[_Wait]] = {}
+
+    def observe(self, database: str, report: endpoint_messages.Report) -> None:
+        """Take a report and end the waits that it completes."""
+        self._reports[(database, report.endpoint)] = report
+        for wait in tuple(self._waits.get(database, ())):
+            if self._is_confirmed(database, wait) and not wait.future.done():
+                wait.future.set_result(None)
+
+    def forget(self, database: str) -> None:
+        """Drop the reports of a group that is no longer watched."""
+        for key in tuple(self._reports):
+            if key[0] == database:
+                del self._reports[key]
+
+    async def wait(
+        self, plan: plans.Plan, position: positions.Position, timeout: float
+    ) -> expression.Result[None, errors.UnknownOutcome]:
+        """Wait until a majority holds a write.
+
+        :param plan: plan of the write's group
+        :param position: position of the write
+        :param timeout: seconds
+        :returns: nothing, or UnknownOutcome when it was not confirmed
+        """
+        wait = _Wait(
+            position,
+            plan.majority,
+            frozenset(plan.endpoint_by_name),
+            asyncio.get_running_loop().create_future(),
+        )
+        if self._is_confirmed(plan.database, wait):
+            return expression.Ok(None)
+        waits = self._waits.setdefault(plan.database, set())
+        waits.add(wait)
+        try:
+            await asyncio.wait_for(wait.future, timeout)
+        except TimeoutError:
+            return expression.Error(
+                errors.UnknownOutcome(
+                    message="no majority confirmed the write in time",
+                    step=STEP,
+                    peer=plan.database,
+                )
+            )
+        finally:
+            waits.discard(wait)
+        return expression.Ok(None)
+
+    def _is_confirmed(self, database: str, wait: _Wait) -> bool:
+        held = 0
+        for endpoint in wait.endpoints:
+            report = self._reports.get((database, endpoint))
+            if report is not None and counts_for(report, wait.position):
+                held += 1
+        return held >= wait.majority
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/group_watch.py
@@ -0,0 +1,108 @@
+"""Control connections to the endpoints of the groups a daemon watches."""
+
+import asyncio
+import collections.abc
+
+import structlog
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import plans
+from fescuestile import ports
+
+log = structlog.get_logger(__name__)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+REDIAL_DELAY_SECONDS = 0.2
+HEARTBEAT_SECONDS = 0.25
+HEARTBEAT_TIMEOUT_SECONDS = 0.5
+
+Observer = collections.abc.Callable[
+    [str, endpoint_messages.Report, float], None
+]
+
+
+class EndpointWatch:
+    """Keeps one control connection to one endpoint and reads its reports.
+
+    A connection that gives no heartbeat is replaced.
+    """
+
+    def __init__(
+        self,
+        database: str,
+        endpoint: plans.Endpoint,
+        dialer: ports.EndpointDialer,
+        time_source: clock.Clock,
+        observe: Observer,
+        report_interval: float,
+    ) -> None:
+        """Prepare a watch.
+
+        :param observe: called with database, report and its time
+        :param report_interval: least seconds between two reports
+        """
+        self.database = database
+        self.endpoint = endpoint
+        self.connection: ports.EndpointConnection | None = None
+        self.answered_at = time_source.now()
+        self._dialer = dialer
+        self._clock = time_source
+        self._observe = observe
+        self._interval = report_interval
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to connect and read."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """End the watch and its connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self.connection is not None:
+            await self.connection.close()
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the endpoint last answered anything."""
+        return self._clock.now() - self.answered_at
+
+    async def _run(self) -> None:
+        while True:
+            result = await self._dialer.connect(
+                self.endpoint.address,
+                control=True,
+                timeout=CONNECT_TIMEOUT_SECONDS,
+            )
+            if result.is_ok():
+                self.connection = result.ok
+                await self._read(result.ok)
+                self.connection = None
+                await result.ok.close()
+            await asyncio.sleep(REDIAL_DELAY_SECONDS)
+
+    async def _read(self, connection: ports.EndpointConnection) -> None:
+        beats = asyncio.create_task(self._beat(connection))
+        try:
+            async for report in connection.subscribe(self._interval):
+                self.answered_at = self._clock.now()
+                self._observe(self.database, report, self.answered_at)
+        finally:
+            beats.cancel()
+
+    async def _beat(self, connection: ports.EndpointConnection) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            result = await connection.inspect(HEARTBEAT_TIMEOUT_SECONDS)
+            if result.is_error():
+                log.warning(
+                    "endpoint silent",
+                    endpoint=self.endpoint.name,
+                    error=str(result.error),
+                )
+                await connection.close()
+                return
+            self.answered_at = self._clock.now()
+            self._observe(self.database, result.ok, self.answered_at)
