--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -0,0 +1,390 @@
+"""Admission of work to one endpoint, at the endpoint's owner.
+
+More urgent ranks go first; a rank that waits is owed its floor of the
+service time before that. Within a rank, kinds and callers share fairly.
+Work that cannot make its deadline is refused at once, and only as much
+runs at a time as the endpoint has slots for.
+"""
+
+import collections
+import dataclasses
+import heapq
+import math
+import typing
+
+import expression
+
+from fescuestile import concurrency
+from fescuestile import errors
+from fescuestile import fair_queue
+from fescuestile import plans
+from fescuestile import requests
+
+STEP = "admit"
+MIN_RETRY_AFTER_SECONDS = 0.01
+# Entries of work that waits no longer, kept before they are cleared out.
+EXPIRIES_SLACK = 64
+
+Work = fair_queue.Work
+Ticket = fair_queue.Ticket
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionOptions:
+    """Limits of one endpoint's queue.
+
+    :ivar slots: statements that the endpoint runs at a time
+    :ivar floors: share of the service time owed to each rank while it
+        waits, most urgent rank first
+    :ivar rank_length: pieces of work that wait in one rank at most
+    :ivar initial_service: seconds that a kind not yet measured takes
+    :ivar service_weight: weight of a new sample in the service time
+    :ivar load_window: seconds over which a rank's load is averaged
+    """
+
+    slots: int
+    floors: tuple[float, ...]
+    rank_length: int = 1024
+    initial_service: float = 0.005
+    service_weight: float = 0.05
+    load_window: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drop:
+    """Work that waited and will not run."""
+
+    ticket: Ticket
+    error: errors.NotRun
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """What a queue hands out at one moment.
+
+    :ivar started: work to run now
+    :ivar dropped: work to answer with its error
+    """
+
+    started: tuple[Ticket, ...]
+    dropped: tuple[Drop, ...]
+
+
+class _Rank:
+    """Queue of one rank and what it is owed."""
+
+    def __init__(self, floor: float) -> None:
+        self.floor = floor
+        self.queue = fair_queue.FairQueue()
+        self.credit = 0.0
+        # Admitted service seconds a second and slot, and when as of.
+        self.load = 0.0
+        self.load_at = -math.inf
+
+
+def create_options(
+    plan: plans.Plan, endpoint: plans.Endpoint
+) -> AdmissionOptions:
+    """Return the options that a plan sets for an endpoint."""
+    floors = tuple(rank.floor for rank in plan.ranks)
+    return AdmissionOptions(slots=endpoint.slots, floors=floors)
+
+
+def describe_work(request: requests.Request) -> Work:
+    """Return what admission needs to know of a request."""
+    return Work(
+        level=request.level,
+        kind=request.kind,
+        caller=request.caller,
+        deadline=request.deadline,
+        continues=bool(request.transaction),
+    )
+
+
+_EMPTY_BATCH = Batch((), ())
+
+
+class AdmissionQueue:
+    """Admits work to one endpoint.
+
+    Call ``take`` after each ``offer``, ``release`` or ``withdraw``, and at
+    ``next_expiry``.
+    """
+
+    def __init__(self, options: AdmissionOptions, peer: str = "") -> None:
+        """Start empty.
+
+        :param options: limits
+        :param peer: endpoint, for errors
+        """
+        self._options = options
+        self._peer = peer
+        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._concurrency = concurrency.ConcurrencyLimit(options.slots)
+        self._service: dict[str, float] = {}
+        self._running = 0
+        self._running_cost = 0.0
+        self._waiting = 0
+        self._expiries: list[tuple[float, int, Ticket]] = []
+        self._sequence = 0
+        self._dropped: collections.deque[Drop] = collections.deque()
+
+    @property
+    def running(self) -> int:
+        """Pieces of work that hold a slot."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Pieces of work that wait."""
+        return self._waiting
+
+    @property
+    def limit(self) -> int:
+        """Pieces of work that may hold a slot now."""
+        return self._concurrency.limit
+
+    def offer(
+        self, work: Work, now: float
+    ) -> expression.Result[Ticket, errors.NotRun]:
+        """Queue work or refuse it.
+
+        :param work: the work
+        :param now: monotonic seconds
+        :returns: its ticket, which a later ``take`` hands out as started
+            or dropped, or why it will not run
+        """
+        rank = self._get_rank(work.level)
+        if work.deadline <= now:
+            return expression.Error(self._refuse("the deadline passed", 0.0))
+        if not self._can_start_at_once():
+            wait = self.expected_wait(work.level, now, work.kind, work.caller)
+            late = now + wait + self._get_service(work.kind) - work.deadline
+            if late > 0 and not work.continues:
+                message = f"expected wait of {wait:.3f} s passes the deadline"
+                return expression.Error(self._refuse(message, late))
+        if len(rank.queue) >= self._options.rank_length:
+            refused = self._make_room(rank, work)
+            if refused is not None:
+                return expression.Error(refused)
+        ticket = Ticket(work=work, offered_at=now)
+        self._enqueue(rank, ticket)
+        self._note_load(rank, now, self._get_service(work.kind))
+        return expression.Ok(ticket)
+
+    def take(self, now: float) -> Batch:
+        """Hand out the work that may start and the work that expired.
+
+        :param now: monotonic seconds
+        """
+        if not self._waiting and not self._dropped:
+            return _EMPTY_BATCH
+        self._expire(now)
+        started = []
+        while self._waiting and self._running < self._concurrency.limit:
+            ticket = self._start_next(now)
+            if ticket is not None:
+                started.append(ticket)
+        dropped = tuple(self._dropped)
+        self._dropped.clear()
+        return Batch(tuple(started), dropped)
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Give back the slot of work that ended.
+
+        :param ticket: a started ticket
+        :param now: monotonic seconds
+        """
+        if ticket.started_at is None:
+            raise ValueError("the work holds no slot")
+        seconds = max(0.0, now - ticket.started_at)
+        ticket.started_at = None
+        self._running -= 1
+        kind = ticket.work.kind
+        rank = self._get_rank(ticket.work.level)
+        rank.queue.charge(kind, seconds - ticket.cost)
+        self._running_cost -= ticket.cost
+        usual = self._service.get(kind, seconds)
+        weight = self._options.service_weight
+        self._service[kind] = usual + weight * (seconds - usual)
+        self._concurrency.observe(kind, seconds)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take back work that waits; tell whether it did."""
+        rank = self._get_rank(ticket.work.level)
+        if not rank.queue.remove(ticket):
+            return False
+        self._waiting -= 1
+        return True
+
+    def expected_wait(
+        self, level: int, now: float, kind: str = "", caller: str = ""
+    ) -> float:
+        """Return the seconds that new work is expected to wait.
+
+        :param level: urgency of the new work
+        :param now: monotonic seconds
+        :param kind: its kind; without one, it goes behind all of its rank
+        :param caller: its caller
+        """
+        if self._can_start_at_once():
+            return 0.0
+        rank = self._get_rank(level)
+        ahead = self._sum_service(
+            rank.queue.list_ahead(kind, caller)
+            if kind
+            else rank.queue.list_waiting()
+        )
+        # What runs is on average half done.
+        ahead += self._running_cost / 2
+        more_urgent, free_share = self._measure_others(level, now)
+        slots = self._concurrency.limit
+        wait = math.inf
+        if rank.floor > 0:
+            wait = ahead / (slots * rank.floor)
+        if free_share > 0:
+            wait = min(wait, (ahead + more_urgent) / (slots * free_share))
+        return wait
+
+    def next_expiry(self) -> float | None:
+        """Return the next deadline in the queue, in monotonic seconds."""
+        return self._expiries[0][0] if self._expiries else None
+
+    def configure(self, options: AdmissionOptions) -> None:
+        """Put other limits in force; work that waits keeps its order.
+
+        :param options: limits
+        """
+        waiting = [
+            entry for entry in self._expiries if self.withdraw(entry[2])
+        ]
+        waiting.sort(key=lambda entry: entry[1])
+        self._options = options
+        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._concurrency.set_cap(options.slots)
+        self._expiries.clear()
+        for _, _, ticket in waiting:
+            self._enqueue(self._get_rank(ticket.work.level), ticket)
+
+    def _clamp(self, level: int) -> int:
+        return min(level, len(self._ranks) - 1)
+
+    def _get_rank(self, level: int) -> _Rank:
+        return self._ranks[self._clamp(level)]
+
+    def _get_service(self, kind: str) -> float:
+        return self._service.get(kind, self._options.initial_service)
+
+    def _sum_service(self, counts: typing.Iterable[tuple[str, int]]) -> float:
+        return sum(self._get_service(kind) * count for kind, count in counts)
+
+    def _can_start_at_once(self) -> bool:
+        return not self._waiting and self._running < self._concurrency.limit
+
+    def _enqueue(self, rank: _Rank, ticket: Ticket) -> None:
+        rank.queue.push(ticket)
+        self._waiting += 1
+        self._sequence += 1
+        entry = (ticket.work.deadline, self._sequence, ticket)
+        heapq.heappush(self._expiries, entry)
+        if len(self._expiries) > 2 * self._waiting + EXPIRIES_SLACK:
+            self._compact_expiries()
+
+    def _compact_expiries(self) -> None:
+        self._expiries = [
+            entry
+            for entry in self._expiries
+            if entry[2] in self._get_rank(entry[2].work.level).queue
+        ]
+        heapq.heapify(self._expiries)
+
+    def _expire(self, now: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now:
+            ticket = heapq.heappop(self._expiries)[2]
+            if self.withdraw(ticket):
+                self._drop(ticket, "the deadline passed in the queue")
+
+    def _make_room(self, rank: _Rank, work: Work) -> errors.NotRun | None:
+        """Drop the newest of the longest line, or refuse the new work."""
+        newest = rank.queue.find_newest_of_longest()
+        line = (newest.work.kind, newest.work.caller)
+        if line == (work.kind, work.caller) and not work.continues:
+            return self._refuse("the rank's queue is full", 0.0)
+        self.withdraw(newest)
+        self._drop(newest, "the rank's queue is full")
+        return None
+
+    def _choose_rank(self, top: _Rank) -> _Rank:
+        """Return the rank that is owed most, or else the most urgent."""
+        chosen = top
+        credit = 0.0
+        for rank in self._ranks:
+            if rank is not top and rank.queue and rank.credit > credit:
+                chosen = rank
+                credit = rank.credit
+        return chosen
+
+    def _start_next(self, now: float) -> Ticket | None:
+        top = next(rank for rank in self._ranks if rank.queue)
+        rank = self._choose_rank(top)
+        ticket = rank.queue.pop()
+        self._waiting -= 1
+        cost = self._get_service(ticket.work.kind)
+        late = now + cost - ticket.work.deadline
+        # With nothing running it starts whatever the estimate, so that a
+        # wrong estimate is measured again.
+        if late > 0 and self._running and not ticket.work.continues:
+            self._drop(ticket, "waited too long for its deadline")
+            return None
+        rank.queue.charge(ticket.work.kind, cost)
+        self._note_credit(top, rank, cost)
+        ticket.started_at = now
+        ticket.cost = cost
+        self._running += 1
+        self._running_cost += cost
+        return ticket
+
+    def _note_credit(self, top: _Rank, served: _Rank, cost: float) -> None:
+        for rank in self._ranks:
+            if not rank.queue:
+                rank.credit = min(rank.credit, 0.0)
+            elif rank is not top:
+                rank.credit += rank.floor * cost
+        if served is not top:
+            served.credit -= cost
+        elif served.credit > 0:
+            served.credit = max(0.0, served.credit - cost)
+
+    def _note_load(self, rank: _Rank, now: float, cost: float) -> None:
+        window = self._options.load_window
+        share = cost / (window * self._options.slots)
+        rank.load = self._measure_load(rank, now) + share
+        rank.load_at = now
+
+    def _measure_load(self, rank: _Rank, now: float) -> float:
+        age = (now - rank.load_at) / self._options.load_window
+        return rank.load * math.exp(-age)
+
+    def _measure_others(self, level: int, now: float) -> tuple[float, float]:
+        """Return the more urgent seconds that wait and the share left."""
+        place = self._clamp(level)
+        more_urgent = 0.0
+        free_share = 1.0
+        for rank in self._ranks[:place]:
+            more_urgent += self._sum_service(rank.queue.list_waiting())
+            free_share -= self._measure_load(rank, now)
+        for rank in self._ranks[place + 1 :]:
+            if rank.queue:
+                free_share -= rank.floor
+        return more_urgent, free_share
+
+    def _drop(self, ticket: Ticket, message: str) -> None:
+        self._dropped.append(Drop(ticket, self._refuse(message, 0.0)))
+
+    def _refuse(self, message: str, retry_after: float) -> errors.NotRun:
+        return errors.NotRun(
+            message=message,
+            step=STEP,
+            peer=self._peer,
+            retry_after=max(retry_after, MIN_RETRY_AFTER_SECONDS),
+        )
--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,204 @@
+import dataclasses
+import random
+
+import pytest
+
+from fescuestile import admission
+
+SERVICE_SECONDS = 0.01
+FLOOR = 0.1
+OPTIONS = admission.AdmissionOptions(
+    slots=2, floors=(FLOOR, FLOOR, FLOOR), initial_service=SERVICE_SECONDS
+)
+
+
+def make_work(level=0, kind="", caller="anna", deadline=1.0, **fields):
+    return admission.Work(
+        level, kind or f"kind-{level}", caller, deadline, **fields
+    )
+
+
+def run_full(queue, seconds, works, now=0.0):
+    """Keep a queue busy; return the work that ran, in order."""
+    done = []
+    while now < seconds:
+        for work in works(now):
+            queue.offer(work, now)
+        started = queue.take(now).started
+        now += SERVICE_SECONDS
+        for ticket in started:
+            queue.release(ticket, now)
+            done.append(ticket.work)
+    return done
+
+
+def flood(*lines):
+    """Return a source of works: (level, kind, caller, count a round)."""
+
+    def offer(now):
+        return [
+            make_work(level, kind, caller, now + 1.0)
+            for level, kind, caller, count in lines
+            for _ in range(count)
+        ]
+
+    return offer
+
+
+def count_share(done, **fields):
+    matching = [
+        work
+        for work in done
+        if all(getattr(work, name) == value for name, value in fields.items())
+    ]
+    return len(matching) / len(done)
+
+
+def test_more_urgent_ranks_start_first():
+    queue = admission.AdmissionQueue(OPTIONS)
+    for level in (2, 1, 0):
+        queue.offer(make_work(level), 0.0)
+    levels = [ticket.work.level for ticket in queue.take(0.0).started]
+    assert levels[0] == 0
+    assert queue.running == OPTIONS.slots
+    assert queue.waiting == 1
+
+
+def test_each_rank_keeps_its_floor_in_a_flood_of_the_urgent_one():
+    queue = admission.AdmissionQueue(OPTIONS)
+    source = flood((0, "a", "x", 40), (1, "b", "y", 2), (2, "c", "z", 2))
+    done = run_full(queue, 10.0, source)
+    assert count_share(done, level=1) >= FLOOR * 0.98
+    assert count_share(done, level=2) >= FLOOR * 0.98
+    assert count_share(done, level=0) >= 1 - 2 * FLOOR - 0.02
+
+
+def test_a_flooding_kind_and_a_flooding_caller_pay_alone():
+    queue = admission.AdmissionQueue(OPTIONS)
+    source = flood(
+        (0, "storm", "x", 40), (0, "order", "loud", 9), (0, "order", "y", 1)
+    )
+    done = run_full(queue, 10.0, source)
+    assert count_share(done, kind="storm") <= 0.51
+    assert count_share(done, kind="order", caller="y") >= 0.24
+
+
+def test_work_that_cannot_make_its_deadline_is_refused_at_once():
+    queue = admission.AdmissionQueue(OPTIONS)
+    for _ in range(20):
+        queue.offer(make_work(), 0.0)
+        queue.take(0.0)
+    wait = queue.expected_wait(0, 0.0)
+    assert wait == pytest.approx(0.095, abs=0.02)
+    refusal = queue.offer(make_work(deadline=0.05), 0.0).error
+    assert refusal.retry_after == pytest.approx(
+        wait + SERVICE_SECONDS - 0.05, abs=0.001
+    )
+    assert refusal.step == "admit"
+
+
+def test_expired_work_is_dropped_and_never_starts():
+    queue = admission.AdmissionQueue(OPTIONS)
+    for _ in range(6):
+        queue.offer(make_work(deadline=0.2), 0.0)
+    queue.take(0.0)
+    assert queue.next_expiry() == 0.2
+    batch = queue.take(0.3)
+    assert not batch.started
+    assert len(batch.dropped) == 4
+    assert queue.waiting == 0
+
+
+def test_a_full_rank_drops_the_newest_of_the_flooding_kind():
+    options = dataclasses.replace(OPTIONS, rank_length=8)
+    queue = admission.AdmissionQueue(options)
+    tickets = [
+        queue.offer(make_work(kind="storm", caller="x"), 0.0).ok
+        for _ in range(8)
+    ]
+    assert queue.offer(make_work(kind="storm", caller="x"), 0.0).is_error()
+    assert queue.offer(make_work(kind="order"), 0.0).is_ok()
+    dropped = queue.take(0.0).dropped
+    assert [drop.ticket for drop in dropped] == [tickets[-1]]
+
+
+def test_running_work_follows_a_slow_endpoint_down_and_back():
+    options = dataclasses.replace(OPTIONS, slots=8)
+    queue = admission.AdmissionQueue(options)
+    now = 0.0
+
+    def run(seconds, count):
+        nonlocal now
+        for _ in range(count):
+            for _ in range(8):
+                queue.offer(make_work(deadline=now + 9.0), now)
+            started = queue.take(now).started
+            assert queue.running <= options.slots
+            now += seconds
+            for ticket in started:
+                queue.release(ticket, now)
+
+    run(0.01, 20)
+    assert queue.limit == 8
+    run(0.05, 10)
+    assert queue.limit <= 4
+    run(0.01, 100)
+    assert queue.limit == 8
+
+
+def test_a_wrong_estimate_does_not_shut_the_queue_for_good():
+    queue = admission.AdmissionQueue(OPTIONS)
+    queue.offer(make_work(deadline=100.0), 0.0)
+    (ticket,) = queue.take(0.0).started
+    queue.release(ticket, 60.0)
+    done = run_full(queue, 62.0, flood((0, "kind-0", "anna", 1)), 60.0)
+    assert len(done) >= 150
+
+
+def test_a_changed_plan_keeps_the_work_that_waits():
+    queue = admission.AdmissionQueue(OPTIONS)
+    for level in (0, 1, 2, 2):
+        queue.offer(make_work(level), 0.0)
+    running = queue.take(0.0).started
+    queue.configure(admission.AdmissionOptions(slots=4, floors=(0.5, 0.1)))
+    for ticket in running:
+        queue.release(ticket, 0.01)
+    assert len(queue.take(0.01).started) == 2
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_every_ticket_ends_once_and_slots_are_never_passed(seed):
+    source = random.Random(seed)
+    options = dataclasses.replace(OPTIONS, rank_length=16)
+    queue = admission.AdmissionQueue(options)
+    waiting: set[admission.Ticket] = set()
+    running: set[admission.Ticket] = set()
+    now = 0.0
+    for _ in range(3000):
+        now += source.expovariate(200)
+        step = source.random()
+        if step < 0.6:
+            work = make_work(
+                source.randrange(3),
+                source.choice("abc"),
+                source.choice("xyz"),
+                now + source.uniform(0.01, 0.5),
+                continues=source.random() < 0.1,
+            )
+            queue.offer(work, now).map(waiting.add)
+        elif step < 0.65 and waiting:
+            ticket = source.choice(sorted(waiting, key=id))
+            if queue.withdraw(ticket):
+                waiting.remove(ticket)
+        elif running:
+            ticket = running.pop()
+            queue.release(ticket, now)
+        batch = queue.take(now)
+        ended = {drop.ticket for drop in batch.dropped}
+        assert ended <= waiting
+        assert set(batch.started) <= waiting - ended
+        waiting -= ended | set(batch.started)
+        running |= set(batch.started)
+        assert len(running) == queue.running <= options.slots
+        assert len(waiting) == queue.waiting
+        assert all(ticket.work.deadline > now for ticket in waiting)
--- /dev/null
+++ b/tests/unit/test_ownership.py
@@ -0,0 +1,60 @@
+import collections
+
+from fescuestile import members
+from fescuestile import ownership
+from fescuestile import plans
+
+
+def make_members(count, zones=("z1", "z2")):
+    return tuple(
+        members.Member(f"d{number}", zones[number % len(zones)], "", "")
+        for number in range(count)
+    )
+
+
+def make_endpoint(number, zone="z1"):
+    return plans.Endpoint(f"e{number}", zone, "127.0.1.1:1", 2, 16)
+
+
+def find_owners(everyone, endpoints):
+    table = ownership.Ownership(
+        members.MembershipSnapshot(everyone[0], everyone)
+    )
+    return {
+        endpoint.name: table.find_owner(endpoint) for endpoint in endpoints
+    }
+
+
+def test_the_owner_stands_in_the_endpoints_zone_and_loads_are_even():
+    endpoints = [make_endpoint(number) for number in range(2000)]
+    owners = find_owners(make_members(20), endpoints)
+    assert {owner.zone for owner in owners.values()} == {"z1"}
+    counts = collections.Counter(owner.id for owner in owners.values())
+    assert len(counts) == 10
+    assert max(counts.values()) <= 1.25 * 200
+
+
+def test_a_lost_owner_moves_only_what_it_owned_and_to_the_next_candidate():
+    everyone = make_members(8)
+    endpoints = [make_endpoint(number) for number in range(50)]
+    before = find_owners(everyone, endpoints)
+    lost = before["e0"]
+    rest = tuple(member for member in everyone if member is not lost)
+    after = find_owners(rest, endpoints)
+    snapshot = members.MembershipSnapshot(everyone[0], everyone)
+    for endpoint in endpoints:
+        if before[endpoint.name] is lost:
+            candidates = ownership.list_candidates(endpoint, snapshot)
+            assert after[endpoint.name] is candidates[1]
+        else:
+            assert after[endpoint.name] is before[endpoint.name]
+
+
+def test_without_a_daemon_in_the_zone_any_serving_daemon_owns():
+    everyone = make_members(4)
+    endpoint = make_endpoint(1, zone="z9")
+    reordered = members.MembershipSnapshot(everyone[1], everyone[::-1])
+    owner = ownership.find_owner(endpoint, reordered)
+    assert owner == find_owners(everyone, [endpoint])["e1"]
+    nobody = members.MembershipSnapshot(everyone[0], ())
+    assert ownership.find_owner(endpoint, nobody) is None
