--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -40,6 +40,7 @@
     :ivar initial_service: seconds that a kind not yet measured takes
     :ivar service_weight: weight of a new sample in the service time
     :ivar load_window: seconds over which a rank's load is averaged
+    :ivar follows_latency: fewer run while work takes longer than usual
     """
 
     slots: int
@@ -48,6 +49,7 @@
     initial_service: float = 0.005
     service_weight: float = 0.05
     load_window: float = 1.0
+    follows_latency: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,11 +191,14 @@
         self._dropped.clear()
         return Batch(tuple(started), dropped)
 
-    def release(self, ticket: Ticket, now: float) -> None:
+    def release(
+        self, ticket: Ticket, now: float, measured: bool = True
+    ) -> None:
         """Give back the slot of work that ended.
 
         :param ticket: a started ticket
         :param now: monotonic seconds
+        :param measured: False for work that did not reach the endpoint
         """
         if ticket.started_at is None:
             raise ValueError("the work holds no slot")
@@ -204,10 +209,13 @@
         rank = self._get_rank(ticket.work.level)
         rank.queue.charge(kind, seconds - ticket.cost)
         self._running_cost -= ticket.cost
+        if not measured:
+            return
         usual = self._service.get(kind, seconds)
         weight = self._options.service_weight
         self._service[kind] = usual + weight * (seconds - usual)
-        self._concurrency.observe(kind, seconds)
+        if self._options.follows_latency:
+            self._concurrency.observe(kind, seconds)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take back work that waits; tell whether it did."""
--- a/tests/unit/test_ownership.py
+++ b/tests/unit/test_ownership.py
@@ -2,18 +2,18 @@
 
 from fescuestile import members
 from fescuestile import ownership
-from fescuestile import plans
+from tests import builders
 
 
 def make_members(count, zones=("z1", "z2")):
     return tuple(
-        members.Member(f"d{number}", zones[number % len(zones)], "", "")
+        builders.build_member(number, zone=zones[number % len(zones)])
         for number in range(count)
     )
 
 
 def make_endpoint(number, zone="z1"):
-    return plans.Endpoint(f"e{number}", zone, "127.0.1.1:1", 2, 16)
+    return builders.build_endpoint(number, zone=zone)
 
 
 def find_owners(everyone, endpoints):
@@ -38,7 +38,7 @@
     everyone = make_members(8)
     endpoints = [make_endpoint(number) for number in range(50)]
     before = find_owners(everyone, endpoints)
-    lost = before["e0"]
+    lost = before["endpoint-0"]
     rest = tuple(member for member in everyone if member is not lost)
     after = find_owners(rest, endpoints)
     snapshot = members.MembershipSnapshot(everyone[0], everyone)
@@ -55,6 +55,6 @@
     endpoint = make_endpoint(1, zone="z9")
     reordered = members.MembershipSnapshot(everyone[1], everyone[::-1])
     owner = ownership.find_owner(endpoint, reordered)
-    assert owner == find_owners(everyone, [endpoint])["e1"]
+    assert owner == find_owners(everyone, [endpoint])["endpoint-1"]
     nobody = members.MembershipSnapshot(everyone[0], ())
     assert ownership.find_owner(endpoint, nobody) is None
