--- a/packages/fescuestile/src/fescuestile/endpoint_messages.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_messages.py
@@ -18,6 +18,8 @@
     PRIMARY = "primary"
     REPLICA = "replica"
     FENCED = "fenced"
+    # It lost its log and its promises; it grants and confirms nothing.
+    REJOINING = "rejoining"
 
 
 class Verdict(enum.StrEnum):
