--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -0,0 +1,296 @@
+"""Adapter of the endpoint border: websockets with CBOR frames."""
+
+import asyncio
+import collections.abc
+import itertools
+import typing
+
+import expression
+import structlog
+from websockets.asyncio import client
+import websockets.exceptions
+
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from fescuestile import ports
+
+log = structlog.get_logger(__name__)
+STEP_CONNECT = "connect endpoint"
+STEP_SEND = "send command"
+STEP_REPLY = "await reply"
+CLOSE_SECONDS = 0.2
+FRAME_BYTES = 4 * 1024 * 1024
+
+Answered = endpoint_messages.Answered
+Report = endpoint_messages.Report
+
+
+class WebsocketConnection(ports.EndpointConnection):
+    """One websocket; replies are matched by command id.
+
+    :ivar generation: number of this connection among all of the dialer,
+        so that what belongs to an earlier connection is told apart
+    """
+
+    def __init__(
+        self, socket: client.ClientConnection, address: str, generation: int
+    ) -> None:
+        """Take an open websocket.
+
+        :param address: ``IP:port``, for errors
+        """
+        self.generation = generation
+        self._socket = socket
+        self._address = address
+        self._ids = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[typing.Any]] = {}
+        self._streams: dict[int, asyncio.Queue[Report | None]] = {}
+        self._closed = False
+        self._closing: asyncio.Task[None] | None = None
+        self._reader = asyncio.create_task(self._read())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection ended or was judged silent."""
+        return self._closed
+
+    def next_id(self) -> int:
+        """Return an id for the next command."""
+        return next(self._ids)
+
+    async def execute(
+        self, command: endpoint_messages.Execute, timeout: float
+    ) -> ports.Reply:
+        """Run a statement."""
+        return await self._ask(command, timeout)
+
+    async def begin(
+        self, command: endpoint_messages.Begin, timeout: float
+    ) -> ports.Reply:
+        """Open a transaction."""
+        return await self._ask(command, timeout)
+
+    async def commit(
+        self, command: endpoint_messages.Commit, timeout: float
+    ) -> ports.Reply:
+        """Commit the open transaction."""
+        return await self._ask(command, timeout)
+
+    async def rollback(
+        self, command: endpoint_messages.Rollback, timeout: float
+    ) -> ports.Reply:
+        """Roll the open transaction back."""
+        return await self._ask(command, timeout)
+
+    async def resolve(
+        self, command: endpoint_messages.Resolve, timeout: float
+    ) -> ports.Reply:
+        """Settle the outcome of a request id."""
+        return await self._ask(command, timeout)
+
+    async def heartbeat(self, timeout: float) -> bool:
+        """Tell whether the endpoint answers on this connection."""
+        command = endpoint_messages.Heartbeat(self.next_id())
+        reply: ports.Reply = await self._ask(command, timeout)
+        return reply.is_ok()
+
+    async def inspect(self, timeout: float) -> ports.ReportReply:
+        """Ask for a report."""
+        command = endpoint_messages.Inspect(self.next_id())
+        return await self._ask(command, timeout)
+
+    async def fence(
+        self, term: int, driver: str, timeout: float
+    ) -> ports.ReportReply:
+        """Ask the endpoint to promise a term to a driver."""
+        command = endpoint_messages.Fence(self.next_id(), term, driver)
+        return await self._ask(command, timeout)
+
+    async def promote(
+        self, term: int, driver: str, timeout: float
+    ) -> ports.ReportReply:
+        """Make the endpoint primary of a promised term."""
+        command = endpoint_messages.Promote(self.next_id(), term, driver)
+        return await self._ask(command, timeout)
+
+    async def follow(
+        self, term: int, primary: str, address: str, timeout: float
+    ) -> ports.ReportReply:
+        """Make the endpoint replicate from a primary."""
+        command = endpoint_messages.Follow(
+            self.next_id(), term, primary, address
+        )
+        return await self._ask(command, timeout)
+
+    async def subscribe(
+        self, interval: float
+    ) -> collections.abc.AsyncIterator[Report]:
+        """Yield reports until the connection ends."""
+        command = endpoint_messages.Subscribe(self.next_id(), interval)
+        queue: asyncio.Queue[Report | None] = asyncio.Queue()
+        self._streams[command.id] = queue
+        try:
+            if not await self._send(command):
+                return
+            while (report := await queue.get()) is not None:
+                yield report
+        finally:
+            self._streams.pop(command.id, None)
+
+    async def close(self) -> None:
+        """Close the connection; commands in flight end as lost."""
+        self._end()
+        await self._socket.close()
+        self._reader.cancel()
+
+    async def _send(self, command: typing.Any) -> bool:
+        if self._closed:
+            return False
+        try:
+            await self._socket.send(endpoint_messages.CODEC.encode(command))
+        except websockets.exceptions.ConnectionClosed:
+            self._end()
+            return False
+        return True
+
+    async def _ask(
+        self, command: typing.Any, timeout: float
+    ) -> expression.Result[typing.Any, errors.FescuestileError]:
+        if self._closed:
+            return expression.Error(
+                errors.NotRun(
+                    message="the connection has ended",
+                    step=STEP_SEND,
+                    peer=self._address,
+                )
+            )
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[command.id] = future
+        try:
+            async with asyncio.timeout(timeout):
+                if await self._send(command):
+                    return expression.Ok(await future)
+        except TimeoutError:
+            return expression.Error(
+                errors.UnknownOutcome(
+                    message=f"no reply within {timeout:.3f} s",
+                    step=STEP_REPLY,
+                    peer=self._address,
+                )
+            )
+        except errors.ConnectionLost as error:
+            return expression.Error(error)
+        finally:
+            self._waiting.pop(command.id, None)
+        return expression.Error(
+            self._make_loss(STEP_SEND, "the connection ended")
+        )
+
+    async def _read(self) -> None:
+        try:
+            async for frame in self._socket:
+                if isinstance(frame, str):
+                    break
+                decoded = endpoint_messages.CODEC.decode(frame, self._address)
+                if decoded.is_error():
+                    log.warning("frame refused", error=str(decoded.error))
+                    break
+                self._deliver(decoded.ok)
+        except websockets.exceptions.ConnectionClosed:
+            log.debug("connection lost", endpoint=self._address)
+        finally:
+            self._end()
+            self._closing = asyncio.create_task(self._socket.close())
+
+    def _deliver(self, message: typing.Any) -> None:
+        stream = self._streams.get(message.id)
+        if stream is not None:
+            stream.put_nowait(message)
+            return
+        future = self._waiting.get(message.id)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    def _end(self) -> None:
+        self._closed = True
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(
+                    self._make_loss(STEP_REPLY, "the connection ended")
+                )
+        for stream in self._streams.values():
+            stream.put_nowait(None)
+
+    def _make_loss(self, step: str, message: str) -> errors.ConnectionLost:
+        return errors.ConnectionLost(
+            message=message, step=step, peer=self._address
+        )
+
+
+class WebsocketDialer(ports.EndpointDialer):
+    """Opens connections bound to the daemon's own IP."""
+
+    def __init__(self, daemon: str, ip: str) -> None:
+        """Take who dials.
+
+        :param daemon: id of the daemon
+        :param ip: local IP that connections are bound to
+        """
+        self._daemon = daemon
+        self._ip = ip
+        self._generations = itertools.count(1)
+
+    async def connect(
+        self, address: str, control: bool, timeout: float
+    ) -> expression.Result[ports.EndpointConnection, errors.ConnectionLost]:
+        """Open a connection and wait until the endpoint accepts it.
+
+        :param address: ``IP:port``
+        :param control: carries no statements, see Hello
+        :param timeout: seconds
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._open(address)
+        except (
+            OSError,
+            TimeoutError,
+            websockets.exceptions.WebSocketException,
+        ) as error:
+            return expression.Error(_make_refusal(address, str(error)))
+        hello = endpoint_messages.Hello(self._daemon, control)
+        await connection.send(endpoint_messages.CODEC.encode(hello))
+        opened = WebsocketConnection(
+            connection, address, next(self._generations)
+        )
+        if await opened.heartbeat(timeout):
+            return expression.Ok(opened)
+        await opened.close()
+        reason = connection.close_reason or "the endpoint did not answer"
+        return expression.Error(_make_refusal(address, reason))
+
+    async def _open(self, address: str) -> client.ClientConnection:
+        return await client.connect(
+            f"ws://{address}",
+            proxy=None,
+            compression=None,
+            ping_interval=None,
+            max_size=FRAME_BYTES,
+            close_timeout=CLOSE_SECONDS,
+            local_addr=(self._ip, 0),
+        )
+
+
+def _make_refusal(address: str, message: str) -> errors.ConnectionLost:
+    return errors.ConnectionLost(
+        message=message or "no connection", step=STEP_CONNECT, peer=address
+    )
+
+
+def make_dialer(daemon: str, ip: str) -> WebsocketDialer:
+    """Return the dialer of a daemon.
+
+    :param daemon: id of the daemon
+    :param ip: local IP that connections are bound to
+    """
+    return WebsocketDialer(daemon, ip)
