Tell a settled request that never runs from a Resolve that did not run

Cause: both came as NOT_RUN. A caller that takes the refusal of its Resolve for the answer would send a non-repeatable request again under a new id while the first may still run.

--- a/packages/fescuestile/src/fescuestile/requests.py
+++ b/packages/fescuestile/src/fescuestile/requests.py
@@ -56,6 +56,8 @@
     :ivar replica: a replica served it
     :ivar repeated: answer of an earlier run with the same request id
     :ivar transaction: id of the transaction that Begin opened
+    :ivar never_runs: answer to Resolve, the request did not run and
+        never will
     """
 
     payload: bytes
@@ -64,3 +66,4 @@
     replica: bool = False
     repeated: bool = False
     transaction: str = ""
+    never_runs: bool = False
