--- /dev/null
+++ b/measurements/output.py
@@ -0,0 +1,55 @@
+"""Reports as a table or as JSON."""
+
+import collections.abc
+import dataclasses
+import json
+
+from measurements import frame
+
+
+def format_json(report: frame.Report) -> str:
+    """Return a report as JSON."""
+    content = {
+        "measurement": report.measurement,
+        "seed": report.seed,
+        "rows": [dataclasses.asdict(row) for row in report.rows],
+        "targets": [dataclasses.asdict(target) for target in report.targets],
+    }
+    return json.dumps(content, indent=2)
+
+
+def format_table(report: frame.Report) -> str:
+    """Return a report as aligned tables, one for each class of rows."""
+    lines = [f"{report.measurement}, seed {report.seed}"]
+    tables: dict[type, list[frame.Row]] = {}
+    for row in report.rows:
+        tables.setdefault(type(row), []).append(row)
+    for kind, rows in tables.items():
+        titles = [field.name for field in dataclasses.fields(kind)]
+        lines += ["", *_align(titles, map(dataclasses.astuple, rows))]
+    if report.targets:
+        titles = [field.name for field in dataclasses.fields(frame.Target)]
+        cells = (
+            (t.name, t.target, t.measured, "met" if t.met else "MISSED")
+            for t in report.targets
+        )
+        lines += ["", *_align(titles, cells)]
+    return "\n".join(lines)
+
+
+def _align(
+    titles: list[str],
+    rows: collections.abc.Iterable[tuple[object, ...]],
+) -> list[str]:
+    table = [titles, *([_format_cell(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in table
+    ]
+
+
+def _format_cell(cell: object) -> str:
+    return f"{cell:.4g}" if isinstance(cell, float) else str(cell)
