Carry a statement: callers' stream, routing, forwarding, owner's filters

Filters before the hop run on the entry daemon, those after it on the endpoint's owner. Transactions are pinned at the owner; a connection whose transaction ended unclear is closed.

--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
@@ -0,0 +1,398 @@
+"""Callers' border: one gRPC stream is one session."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import grpc
+import structlog
+
+from fescuestile import clock
+from fescuestile import errors
+from fescuestile import members
+from fescuestile import requests
+from fescuestile import sessions
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import models
+from fescuestile_daemon import caller_frames
+from fescuestile_daemon import entry
+from fescuestile_daemon import filters
+from fescuestile_daemon import group_board
+from fescuestile_daemon import published
+from fescuestile_daemon import settings
+from fescuestile_daemon import tasks
+
+log = structlog.get_logger(__name__)
+
+STEP = "session"
+STREAM_SEQUENCE = 0
+
+Frames = collections.abc.AsyncIterator[bytes]
+ServeStream = collections.abc.Callable[
+    [Frames, "grpc.aio.ServicerContext[bytes, bytes]"],
+    collections.abc.Awaitable[None],
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerParts:
+    """What the callers' border works with."""
+
+    run: filters.Proceed[entry.EntryExchange]
+    board: group_board.GroupBoard
+    keys: published.Published[sessions.KeyRing | None]
+    membership: published.Published[members.MembershipSnapshot]
+    limits: settings.LimitsOptions
+    time_source: clock.Clock
+
+
+class CallerServer:
+    """Serves sessions until it drains."""
+
+    def __init__(self, parts: CallerParts) -> None:
+        """Prepare to serve."""
+        self.parts = parts
+        self.draining = False
+        self._server: grpc.aio.Server | None = None
+        self._streams: set[CallerStream] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen on ``IP:port``.
+
+        :raises: ConnectionLost when the address can't be had
+        """
+        self._server = grpc.aio.server(
+            options=(
+                ("grpc.so_reuseport", 0),
+                (
+                    "grpc.max_receive_message_length",
+                    2 * self.parts.limits.request_bytes,
+                ),
+            )
+        )
+        self._server.add_generic_rpc_handlers((_make_handler(self._serve),))
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise errors.ConnectionLost(
+                message=str(error), step="listen", peer=address
+            ) from error
+        await self._server.start()
+
+    @property
+    def session_count(self) -> int:
+        """Number of open sessions."""
+        return len(self._streams)
+
+    async def drain(self, timeout: float) -> bool:
+        """Refuse new sessions, tell the open ones to roam, wait for them.
+
+        Requests in flight are answered. Streams that still stand after the
+        timeout are told nothing more.
+
+        :param timeout: seconds
+        :returns: whether no request was left in flight
+        """
+        self.draining = True
+        for stream in tuple(self._streams):
+            stream.roam("the daemon drains")
+        finished = await asyncio.gather(
+            *(stream.wait_idle(timeout) for stream in self._streams)
+        )
+        return all(finished)
+
+    async def close(self) -> None:
+        """End all streams."""
+        if self._server is not None:
+            await self._server.stop(grace=0.2)
+
+    async def _serve(
+        self,
+        frames: Frames,
+        context: "grpc.aio.ServicerContext[bytes, bytes]",
+    ) -> None:
+        stream = CallerStream(self, context)
+        self._streams.add(stream)
+        try:
+            await stream.serve(frames)
+        finally:
+            self._streams.discard(stream)
+            await stream.close()
+
+
+class CallerStream:
+    """One session's stream."""
+
+    def __init__(
+        self,
+        server: CallerServer,
+        context: "grpc.aio.ServicerContext[bytes, bytes]",
+    ) -> None:
+        """Serve on an open stream."""
+        self._server = server
+        self._parts = server.parts
+        self._context = context
+        self._outbox: asyncio.Queue[pb.DaemonFrame | None] = asyncio.Queue()
+        self._tasks = tasks.TaskSet()
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._caller = ""
+        self._tracker: sessions.SessionTracker | None = None
+        self._transactions: dict[str, requests.Request] = {}
+
+    async def serve(self, frames: Frames) -> None:
+        """Read requests and write answers until the caller ends."""
+        writer = asyncio.create_task(self._write())
+        try:
+            async for data in frames:
+                if not await self._take(data):
+                    break
+            await self._idle.wait()
+        finally:
+            self._outbox.put_nowait(None)
+            await writer
+
+    async def close(self) -> None:
+        """Roll open transactions back and end what still runs."""
+        await self._tasks.close()
+        for request in tuple(self._transactions.values()):
+            await self._roll_back(request)
+
+    def roam(self, reason: str) -> None:
+        """Tell the caller to go on at another daemon."""
+        self._outbox.put_nowait(pb.DaemonFrame(roam=pb.Roam(reason=reason)))
+
+    async def wait_idle(self, timeout: float) -> bool:
+        """Wait until no request and no transaction is open."""
+        end = self._parts.time_source.now() + timeout
+        while self._in_flight or self._transactions:
+            remaining = end - self._parts.time_source.now()
+            if remaining <= 0:
+                return False
+            await asyncio.sleep(min(remaining, 0.02))
+        return True
+
+    async def _write(self) -> None:
+        while True:
+            frame = await self._outbox.get()
+            if frame is None:
+                return
+            try:
+                await self._context.write(frame.SerializeToString())
+            except (asyncio.CancelledError, grpc.RpcError):
+                raise
+            except Exception as error:
+                log.info("stream broke", caller=self._caller, error=str(error))
+                return
+
+    async def _take(self, data: bytes) -> bool:
+        """Take one frame; tell whether the stream goes on."""
+        decoded = models.decode_frame(data, self._caller)
+        if decoded.is_error():
+            self._fail(STREAM_SEQUENCE, decoded.error)
+            return True
+        if decoded.ok.WhichOneof("frame") == "open":
+            return self._open(decoded.ok.open)
+        if self._tracker is None:
+            self._fail(
+                decoded.ok.request.sequence,
+                _refuse("the first frame has to open a session", "open"),
+            )
+            return True
+        self._start(decoded.ok.request, self._tracker)
+        return True
+
+    def _open(self, message: pb.Open) -> bool:
+        opened = models.read_open(message)
+        if opened.is_error():
+            self._fail(STREAM_SEQUENCE, opened.error)
+            return True
+        if self._server.draining:
+            self.roam("the daemon drains")
+            return True
+        ring = self._parts.keys.get()
+        if ring is None:
+            self._fail(
+                STREAM_SEQUENCE,
+                errors.NotRun(
+                    message="the daemon has no signing keys yet",
+                    step=STEP,
+                    retry_after=0.2,
+                ),
+            )
+            return True
+        caller = opened.ok.caller
+        session = sessions.Session(caller)
+        if opened.ok.token:
+            found = sessions.read(ring, opened.ok.token, caller)
+            if found.is_error():
+                self._fail(STREAM_SEQUENCE, found.error)
+                return True
+            session = found.ok
+        self._caller = caller
+        self._tracker = sessions.SessionTracker(session)
+        self._outbox.put_nowait(self._describe_opened())
+        return True
+
+    def _describe_opened(self) -> pb.DaemonFrame:
+        membership = self._parts.membership.get()
+        others = [
+            member.caller_address
+            for member in membership.list_serving()
+            if member.id != membership.own.id
+        ]
+        return pb.DaemonFrame(
+            opened=pb.Opened(daemon=membership.own.id, alternatives=others)
+        )
+
+    def _start(
+        self, message: pb.Request, tracker: sessions.SessionTracker
+    ) -> None:
+        limits = self._parts.limits
+        if self._in_flight >= limits.in_flight:
+            self._fail(
+                message.sequence,
+                errors.NotRun(
+                    message=f"over {limits.in_flight} requests in flight",
+                    step=STEP,
+                    peer=self._caller,
+                    field="sequence",
+                    retry_after=0.05,
+                ),
+            )
+            return
+        read = self._read(message, tracker)
+        if read.is_error():
+            self._fail(message.sequence, read.error)
+            return
+        self._in_flight += 1
+        self._idle.clear()
+        self._tasks.spawn(self._run(message.sequence, read.ok, tracker))
+
+    def _read(
+        self, message: pb.Request, tracker: sessions.SessionTracker
+    ) -> models.Checked[requests.Request]:
+        group = self._parts.board.get(message.database)
+        limits = self._parts.limits
+        return models.read_request(
+            message,
+            self._caller,
+            group.plan if group else None,
+            models.Limits(
+                request_bytes=limits.request_bytes,
+                default_deadline=limits.default_deadline,
+                maximum_deadline=limits.maximum_deadline,
+            ),
+            self._parts.time_source.now(),
+            tracker.session.find_minimum(message.database),
+        )
+
+    async def _run(
+        self,
+        sequence: int,
+        request: requests.Request,
+        tracker: sessions.SessionTracker,
+    ) -> None:
+        try:
+            outcome = await self._parts.run(
+                entry.EntryExchange(request, tracker)
+            )
+            self._note_transaction(request, outcome)
+            self._answer(sequence, outcome, tracker)
+        except Exception as error:
+            log.exception("request failed", request_id=request.request_id)
+            self._fail(
+                sequence,
+                errors.UnknownOutcome(message=repr(error), step=STEP),
+            )
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    def _answer(
+        self,
+        sequence: int,
+        outcome: filters.Outcome,
+        tracker: sessions.SessionTracker,
+    ) -> None:
+        if outcome.is_error():
+            self._fail(sequence, outcome.error)
+            return
+        limits = self._parts.limits
+        if len(outcome.ok.payload) > limits.answer_bytes:
+            self._fail(
+                sequence,
+                errors.StatementFailed(
+                    message=f"the answer is over {limits.answer_bytes} bytes",
+                    step=STEP,
+                    peer=outcome.ok.endpoint,
+                    field="answer",
+                ),
+            )
+            return
+        ring = self._parts.keys.get()
+        token = tracker.issue_token(ring) if ring else b""
+        for frame in caller_frames.split_answer(
+            sequence, outcome.ok, token, limits.chunk_bytes
+        ):
+            self._outbox.put_nowait(frame)
+
+    def _note_transaction(
+        self, request: requests.Request, outcome: filters.Outcome
+    ) -> None:
+        if request.action is requests.Action.BEGIN and outcome.is_ok():
+            name = outcome.ok.transaction
+            self._transactions[name] = dataclasses.replace(
+                request, action=requests.Action.ROLLBACK, transaction=name
+            )
+        elif request.transaction in self._transactions and _ends_transaction(
+            request, outcome
+        ):
+            del self._transactions[request.transaction]
+
+    async def _roll_back(self, request: requests.Request) -> None:
+        deadline = (
+            self._parts.time_source.now() + self._parts.limits.default_deadline
+        )
+        await self._parts.run(
+            entry.EntryExchange(
+                dataclasses.replace(request, deadline=deadline),
+                sessions.SessionTracker(sessions.Session(self._caller)),
+            )
+        )
+
+    def _fail(self, sequence: int, error: errors.FescuestileError) -> None:
+        self._outbox.put_nowait(caller_frames.make_failure(sequence, error))
+
+
+def _ends_transaction(
+    request: requests.Request, outcome: filters.Outcome
+) -> bool:
+    """Tell whether a transaction is over after one of its requests."""
+    ending = request.action in (
+        requests.Action.COMMIT,
+        requests.Action.ROLLBACK,
+    )
+    if outcome.is_ok():
+        return ending
+    if isinstance(outcome.error, errors.StatementFailed):
+        return ending
+    return not isinstance(outcome.error, errors.NotRun)
+
+
+def _refuse(message: str, field: str) -> errors.InvalidInput:
+    return errors.InvalidInput(message=message, step=STEP, field=field)
+
+
+def _make_handler(serve: ServeStream) -> grpc.GenericRpcHandler[bytes, bytes]:
+    """Return a handler that leaves decoding to the border models.
+
+    So a malformed frame is answered on its stream and ends nothing.
+    """
+    service = pb.DESCRIPTOR.services_by_name["CallerService"]
+    return grpc.method_handlers_generic_handler(
+        service.full_name,
+        {"Session": grpc.stream_stream_rpc_method_handler(serve)},
+    )
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -0,0 +1,184 @@
+"""One daemon: builds its parts, starts and closes them in order."""
+
+import asyncio
+import secrets
+
+import pykka
+import structlog
+
+from fescuestile import clock
+from fescuestile import link_messages
+from fescuestile import members
+from fescuestile import plans
+from fescuestile import sessions
+from fescuestile_daemon import caller_server
+from fescuestile_daemon import dispatch
+from fescuestile_daemon import endpoint_adapter
+from fescuestile_daemon import entry
+from fescuestile_daemon import filters
+from fescuestile_daemon import group_board
+from fescuestile_daemon import groups_actor
+from fescuestile_daemon import links
+from fescuestile_daemon import owner
+from fescuestile_daemon import published
+from fescuestile_daemon import report_buffer
+from fescuestile_daemon import settings
+from fescuestile_daemon import state_push
+from fescuestile_daemon import units
+
+log = structlog.get_logger(__name__)
+
+ID_BYTES = 4
+
+
+def make_member(options: settings.DaemonOptions) -> members.Member:
+    """Return the member that a daemon is, with an id new at each start."""
+    return members.Member(
+        id=f"{options.name}-{secrets.token_hex(ID_BYTES)}",
+        zone=options.zone,
+        link_address=options.link_address,
+        caller_address=options.caller_address,
+    )
+
+
+class Daemon:
+    """All parts of one daemon on one event loop."""
+
+    def __init__(self, options: settings.Settings) -> None:
+        """Build the parts; call on the loop that runs them."""
+        self.options = options
+        self.own = make_member(options.daemon)
+        self.time_source = clock.SystemClock()
+        self.loop = asyncio.get_running_loop()
+        self.membership = published.Published(
+            members.MembershipSnapshot(self.own, (self.own,))
+        )
+        self.plans: published.Published[dict[str, plans.PlanRevision]] = (
+            published.Published({})
+        )
+        self.keys: published.Published[sessions.KeyRing | None] = (
+            published.Published(None)
+        )
+        self.links = links.Links(self.own, options.daemon.ip)
+        self.board = group_board.GroupBoard(self.loop)
+        self.groups = groups_actor.GroupsActor.start(
+            self.board, self.membership.get(), self._assign_later
+        )
+        self.buffer = report_buffer.ReportBuffer(self.groups)
+        self.push = state_push.StatePush(
+            self.own.id,
+            self.links,
+            self.membership,
+            self.board,
+            self.time_source,
+        )
+        self.interest = state_push.InterestKeeper(
+            self.own.id,
+            self.links,
+            self.membership,
+            self.board,
+            self.time_source,
+        )
+        self.owner = owner.Owner(self._make_owner_parts())
+        self.dispatcher = dispatch.Dispatcher(
+            self.own.id,
+            self.owner,
+            self.links,
+            self.membership,
+            self.time_source,
+        )
+        self.callers = caller_server.CallerServer(self._make_caller_parts())
+        self.links.add_handler(link_messages.GroupState, self._take_state)
+        self.membership.subscribe(self._tell_membership)
+        self.plans.subscribe(self._tell_plans)
+
+    async def start(self) -> None:
+        """Listen and begin to work."""
+        ip, port = units.split_address(self.options.daemon.link_address)
+        await self.links.start(ip, port)
+        self.push.start()
+        self.interest.start()
+        self.owner.start()
+        await self.callers.start(self.options.daemon.caller_address)
+        log.info("daemon started", id=self.own.id, zone=self.own.zone)
+
+    async def drain(self) -> bool:
+        """Take no new sessions and finish what is in flight.
+
+        :returns: whether everything in flight was answered
+        """
+        return await self.callers.drain(self.options.daemon.drain_seconds)
+
+    async def close(self) -> None:
+        """Close all parts, callers first."""
+        await self.callers.close()
+        await self.interest.close()
+        await self.push.close()
+        await self.owner.close()
+        await self.links.close()
+        self.groups.stop()
+        pykka.ActorRegistry.stop_all()
+        log.info("daemon stopped", id=self.own.id)
+
+    def _make_owner_parts(self) -> owner.OwnerParts:
+        return owner.OwnerParts(
+            own_id=self.own.id,
+            dialer=endpoint_adapter.make_dialer(
+                self.own.id, self.options.daemon.ip
+            ),
+            time_source=self.time_source,
+            board=self.board,
+            link_pool=self.links,
+            membership=self.membership,
+            buffer=self.buffer,
+            push=self.push,
+            timing=self.options.timing,
+        )
+
+    def _make_caller_parts(self) -> caller_server.CallerParts:
+        chain = filters.create_chain(
+            (
+                entry.SessionFilter(),
+                entry.RouteFilter(
+                    self.board,
+                    self.dispatcher,
+                    self.interest,
+                    self.membership,
+                    self.time_source,
+                ),
+            )
+        )
+        return caller_server.CallerParts(
+            run=chain,
+            board=self.board,
+            keys=self.keys,
+            membership=self.membership,
+            limits=self.options.limits,
+            time_source=self.time_source,
+        )
+
+    def _assign_later(self, assignment: groups_actor.Assignment) -> None:
+        self.loop.call_soon_threadsafe(self.owner.assign, assignment)
+
+    def _tell_membership(self, snapshot: members.MembershipSnapshot) -> None:
+        self.groups.tell(groups_actor.MembershipChanged(snapshot))
+
+    def _tell_plans(self, revisions: dict[str, plans.PlanRevision]) -> None:
+        self.groups.tell(groups_actor.PlansChanged(dict(revisions)))
+
+    async def _take_state(
+        self, peer: str, message: link_messages.GroupState
+    ) -> None:
+        now = self.time_source.now()
+        for item in message.reports:
+            self.buffer.add_report(
+                groups_actor.Observation(
+                    message.database, item.report, now - item.age
+                )
+            )
+        for owned in message.owned:
+            self.buffer.add_wait(
+                groups_actor.WaitObservation(
+                    message.database, owned.endpoint, owned.expected_wait
+                )
+            )
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
@@ -0,0 +1,112 @@
+"""Runs a routed request at its endpoint's owner, here or over a link."""
+
+import expression
+
+from fescuestile import clock
+from fescuestile import errors
+from fescuestile import failures
+from fescuestile import link_messages
+from fescuestile import members
+from fescuestile import requests
+from fescuestile_daemon import filters
+from fescuestile_daemon import links
+from fescuestile_daemon import owner
+from fescuestile_daemon import published
+
+STEP = "forward"
+GRACE_SECONDS = 0.05
+
+
+class Dispatcher:
+    """Sends work to owners."""
+
+    def __init__(
+        self,
+        own_id: str,
+        local: owner.Owner,
+        link_pool: links.Links,
+        membership: published.Published[members.MembershipSnapshot],
+        time_source: clock.Clock,
+    ) -> None:
+        """Send work over links, or to this daemon's own endpoints."""
+        self._own_id = own_id
+        self._local = local
+        self._links = link_pool
+        self._membership = membership
+        self._clock = time_source
+        link_pool.add_handler(link_messages.ForwardReply, self._receive)
+
+    async def run(
+        self,
+        owner_id: str,
+        endpoint: str,
+        term: int,
+        request: requests.Request,
+    ) -> filters.Outcome:
+        """Run a request at an endpoint.
+
+        :param owner_id: daemon that owns the endpoint
+        :param endpoint: name of the endpoint
+        :param term: term that this daemon knows
+        :param request: the request
+        """
+        if owner_id == self._own_id:
+            return await self._local.run(endpoint, term, request)
+        member = self._find_member(owner_id)
+        if member is None:
+            return expression.Error(
+                errors.NotRun(
+                    message="the endpoint's owner is not known",
+                    step=STEP,
+                    peer=owner_id or endpoint,
+                )
+            )
+        remaining = request.deadline - self._clock.now()
+        reply = await self._links.request(
+            member,
+            lambda number: link_messages.Forward(
+                number, endpoint, term, remaining, request
+            ),
+            remaining + GRACE_SECONDS,
+        )
+        if reply.is_error():
+            return expression.Error(_read_loss(reply.error, owner_id))
+        return read_reply(reply.ok, owner_id)
+
+    def _find_member(self, member_id: str) -> members.Member | None:
+        for member in self._membership.get().members:
+            if member.id == member_id:
+                return member
+        return None
+
+    async def _receive(
+        self, peer: str, message: link_messages.ForwardReply
+    ) -> None:
+        self._links.resolve(message.id, message)
+
+
+def read_reply(
+    reply: link_messages.ForwardReply, peer: str
+) -> filters.Outcome:
+    """Return the outcome that an owner replied."""
+    if reply.answer is not None:
+        return expression.Ok(reply.answer)
+    if reply.failure is not None:
+        return expression.Error(failures.restore_error(reply.failure))
+    return expression.Error(
+        errors.UnknownOutcome(
+            message="the owner's reply is empty", step=STEP, peer=peer
+        )
+    )
+
+
+def _read_loss(
+    error: errors.FescuestileError, peer: str
+) -> errors.FescuestileError:
+    if isinstance(error, errors.NotRun):
+        return error
+    return errors.UnknownOutcome(
+        message=f"the owner did not answer: {error.message}",
+        step=STEP,
+        peer=peer,
+    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -16,6 +16,7 @@
 from fescuestile import errors
 from fescuestile import link_messages
 from fescuestile import members
+from fescuestile_daemon import tasks
 
 log = structlog.get_logger(__name__)
 
@@ -72,7 +73,7 @@
         self._waiting_peers: dict[int, str] = {}
         self._ids = itertools.count(1)
         self._dials: dict[str, asyncio.Task[Link | None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.TaskSet()
         self._classes: list[type] = list(link_messages.CLASSES)
         self._codec = codec.Codec(self._classes)
         self._server: websocket_server.Server | None = None
@@ -122,8 +123,7 @@
             self._server.close()
         for link in tuple(self._links.values()):
             await link.socket.close()
-        for task in tuple(self._tasks):
-            task.cancel()
+        await self._tasks.close()
 
     def is_connected(self, member_id: str) -> bool:
         """Tell whether a link to a daemon stands."""
@@ -178,6 +178,17 @@
             self._waiting.pop(number, None)
             self._waiting_peers.pop(number, None)
 
+    async def reply(self, peer: str, message: object) -> bool:
+        """Send a reply on the link that stands to a daemon.
+
+        :param peer: id of the daemon
+        :returns: whether it was handed to a standing link
+        """
+        link = self._links.get(peer)
+        if link is None:
+            return False
+        return await link.send(self._codec.encode(message))
+
     def resolve(self, number: int, message: object) -> None:
         """Hand a reply to the request that waits for it, if any."""
         future = self._waiting.get(number)
@@ -227,7 +238,7 @@
             await socket.close()
             return None
         link = self._register(Link(socket, peer))
-        self._spawn(self._receive(link))
+        self._tasks.spawn(self._receive(link))
         return link
 
     async def _accept(self, socket: websocket_server.ServerConnection) -> None:
@@ -301,10 +312,3 @@
         return expression.Error(
             errors.ConnectionLost(message=message, step="link", peer=peer)
         )
-
-    def _spawn(
-        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -0,0 +1,234 @@
+"""Work at the endpoints that this daemon owns."""
+
+import asyncio
+import dataclasses
+
+import expression
+import structlog
+
+from fescuestile import admission
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from fescuestile import failures
+from fescuestile import link_messages
+from fescuestile import members
+from fescuestile import ports
+from fescuestile import requests
+from fescuestile_daemon import confirmations
+from fescuestile_daemon import endpoint_pool
+from fescuestile_daemon import execution
+from fescuestile_daemon import filters
+from fescuestile_daemon import group_board
+from fescuestile_daemon import group_watch
+from fescuestile_daemon import groups_actor
+from fescuestile_daemon import links
+from fescuestile_daemon import published
+from fescuestile_daemon import report_buffer
+from fescuestile_daemon import settings
+from fescuestile_daemon import state_push
+from fescuestile_daemon import tasks
+from fescuestile_daemon import transactions
+
+log = structlog.get_logger(__name__)
+
+STEP = "own"
+WAIT_REPORT_SECONDS = 0.1
+NOT_OWNER_RETRY_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerParts:
+    """What an owner works with."""
+
+    own_id: str
+    dialer: ports.EndpointDialer
+    time_source: clock.Clock
+    board: group_board.GroupBoard
+    link_pool: links.Links
+    membership: published.Published[members.MembershipSnapshot]
+    buffer: report_buffer.ReportBuffer
+    push: state_push.StatePush
+    timing: settings.TimingOptions
+
+
+class Owner:
+    """Pools, watches and transactions of the owned endpoints."""
+
+    def __init__(self, parts: OwnerParts) -> None:
+        """Own nothing yet."""
+        self._parts = parts
+        self._pools: dict[tuple[str, str], endpoint_pool.EndpointPool] = {}
+        self._watches: dict[tuple[str, str], group_watch.EndpointWatch] = {}
+        self._groups: dict[str, groups_actor.OwnedGroup] = {}
+        self._tasks = tasks.TaskSet()
+        self.confirmations = confirmations.Confirmations()
+        self._chain = filters.create_chain(
+            (
+                execution.ConfirmFilter(
+                    self.confirmations,
+                    parts.time_source,
+                    parts.timing.confirm_timeout,
+                ),
+                execution.LeaseFilter(),
+                execution.ExecuteFilter(parts.time_source),
+            )
+        )
+        self.transactions = transactions.Transactions(
+            parts.own_id, parts.time_source, self._chain
+        )
+        parts.link_pool.add_handler(link_messages.Forward, self._receive)
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        self.transactions.start()
+        self._tasks.spawn(self._report_waits())
+
+    async def close(self) -> None:
+        """End all work and close all connections."""
+        await self._tasks.close()
+        await self.transactions.close()
+        await asyncio.gather(
+            *(watch.close() for watch in self._watches.values()),
+            *(pool.close() for pool in self._pools.values()),
+        )
+
+    @property
+    def groups(self) -> dict[str, groups_actor.OwnedGroup]:
+        """Groups with an owned endpoint, by database."""
+        return self._groups
+
+    def find_watch(
+        self, database: str, endpoint: str
+    ) -> group_watch.EndpointWatch | None:
+        """Return the watch of an endpoint, None when it is not watched."""
+        return self._watches.get((database, endpoint))
+
+    def assign(self, assignment: groups_actor.Assignment) -> None:
+        """Take up and give up endpoints; call on the loop."""
+        self._groups = dict(assignment.groups)
+        self._change_pools()
+        self._change_watches()
+
+    async def run(
+        self, endpoint: str, term: int, request: requests.Request
+    ) -> filters.Outcome:
+        """Run a request at an owned endpoint.
+
+        :param endpoint: name of the endpoint
+        :param term: term that the entry daemon knows
+        :param request: the request
+        """
+        snapshot = self._parts.board.get(request.database)
+        pool = self._pools.get((request.database, endpoint))
+        view = snapshot.endpoints.get(endpoint) if snapshot else None
+        if pool is None or view is None or snapshot is None:
+            return expression.Error(self._refuse(endpoint))
+        exchange = execution.WorkExchange(
+            request=request,
+            plan=snapshot.plan,
+            endpoint=endpoint,
+            replica=view.role is not endpoint_messages.Role.PRIMARY,
+            term=max(term, view.term),
+            pool=pool,
+        )
+        if request.action is requests.Action.BEGIN:
+            return await self.transactions.begin(exchange)
+        if request.transaction:
+            return await self.transactions.run(exchange)
+        return await self._chain(exchange)
+
+    def _change_pools(self) -> None:
+        wanted = {
+            (database, name)
+            for database, group in self._groups.items()
+            for name in group.owned
+        }
+        for key in self._pools.keys() - wanted:
+            log.info("endpoint given up", database=key[0], endpoint=key[1])
+            self._tasks.spawn(self._pools.pop(key).close())
+        for key in wanted:
+            plan = self._groups[key[0]].revision.plan
+            endpoint = plan.endpoint_by_name[key[1]]
+            pool = self._pools.get(key)
+            if pool is not None:
+                options = admission.create_options(plan, endpoint)
+                pool.configure(endpoint, options)
+                continue
+            log.info("endpoint taken up", database=key[0], endpoint=key[1])
+            pool = endpoint_pool.create_pool(
+                plan, endpoint, self._parts.dialer, self._parts.time_source
+            )
+            pool.start()
+            self._pools[key] = pool
+
+    def _change_watches(self) -> None:
+        wanted = {
+            (database, endpoint.name): endpoint
+            for database, group in self._groups.items()
+            for endpoint in group.revision.plan.endpoints
+        }
+        for key, watch in tuple(self._watches.items()):
+            if wanted.get(key) != watch.endpoint:
+                self._tasks.spawn(self._watches.pop(key).close())
+        kept = {database for database, _ in wanted}
+        for database in {key[0] for key in self._watches} - kept:
+            self._parts.push.forget(database)
+            self.confirmations.forget(database)
+        for key, endpoint in wanted.items():
+            if key not in self._watches:
+                watch = group_watch.EndpointWatch(
+                    key[0],
+                    endpoint,
+                    self._parts.dialer,
+                    self._parts.time_source,
+                    self._observe,
+                    self._parts.timing.report_interval,
+                )
+                watch.start()
+                self._watches[key] = watch
+
+    def _observe(
+        self, database: str, report: endpoint_messages.Report, at: float
+    ) -> None:
+        self.confirmations.observe(database, report)
+        self._parts.push.observe(database, report, at)
+        self._parts.buffer.add_report(
+            groups_actor.Observation(database, report, at)
+        )
+
+    async def _report_waits(self) -> None:
+        while True:
+            await asyncio.sleep(WAIT_REPORT_SECONDS)
+            for (database, name), pool in self._pools.items():
+                plan = self._groups[database].revision.plan
+                level = len(plan.ranks) // 2
+                self._parts.buffer.add_wait(
+                    groups_actor.WaitObservation(
+                        database, name, pool.estimate_wait(level)
+                    )
+                )
+
+    async def _receive(
+        self, peer: str, message: link_messages.Forward
+    ) -> None:
+        self._tasks.spawn(self._serve(peer, message))
+
+    async def _serve(self, peer: str, message: link_messages.Forward) -> None:
+        deadline = self._parts.time_source.now() + message.remaining
+        request = dataclasses.replace(message.request, deadline=deadline)
+        outcome = await self.run(message.endpoint, message.term, request)
+        if outcome.is_ok():
+            reply = link_messages.ForwardReply(message.id, answer=outcome.ok)
+        else:
+            failure = failures.describe_error(outcome.error)
+            reply = link_messages.ForwardReply(message.id, failure=failure)
+        await self._parts.link_pool.reply(peer, reply)
+
+    def _refuse(self, endpoint: str) -> errors.NotRun:
+        return errors.NotRun(
+            message=f"this daemon does not own {endpoint}",
+            step=STEP,
+            peer=self._parts.own_id,
+            retry_after=NOT_OWNER_RETRY_SECONDS,
+        )
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/transactions.py
@@ -0,0 +1,196 @@
+"""Open transactions at the owner of their endpoint."""
+
+import asyncio
+import dataclasses
+import itertools
+
+import expression
+
+from fescuestile import clock
+from fescuestile import errors
+from fescuestile import requests
+from fescuestile_daemon import endpoint_pool
+from fescuestile_daemon import execution
+from fescuestile_daemon import filters
+
+STEP = "transaction"
+IDLE_SECONDS = 30.0
+SWEEP_SECONDS = 1.0
+SEPARATOR = "|"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionName:
+    """What a transaction's id says.
+
+    :ivar owner: id of the daemon that holds its connection
+    :ivar endpoint: endpoint it runs on
+    :ivar number: number among the owner's transactions
+    """
+
+    owner: str
+    endpoint: str
+    number: int
+
+    def __str__(self) -> str:
+        """Return the id that callers give."""
+        return SEPARATOR.join((self.owner, self.endpoint, str(self.number)))
+
+
+def parse_name(
+    text: str,
+) -> expression.Result[TransactionName, errors.InvalidInput]:
+    """Return the name that a transaction's id says."""
+    parts = text.split(SEPARATOR)
+    if len(parts) != 3 or not parts[2].isdecimal():
+        return expression.Error(
+            errors.InvalidInput(
+                message="not the id of a transaction",
+                step=STEP,
+                field="transaction",
+            )
+        )
+    return expression.Ok(TransactionName(parts[0], parts[1], int(parts[2])))
+
+
+@dataclasses.dataclass(eq=False)
+class _Transaction:
+    name: TransactionName
+    caller: str
+    database: str
+    term: int
+    lease: endpoint_pool.Lease
+    used_at: float
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+
+class Transactions:
+    """Transactions whose connections this daemon holds.
+
+    Each is pinned to one connection until it ends. A connection whose
+    transaction ended unclear is closed, never returned.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        time_source: clock.Clock,
+        run: filters.Proceed[execution.WorkExchange],
+    ) -> None:
+        """Start without transactions.
+
+        :param run: chain that runs an exchange
+        """
+        self._own_id = own_id
+        self._clock = time_source
+        self._run = run
+        self._numbers = itertools.count(1)
+        self._open: dict[str, _Transaction] = {}
+        self._sweeper: asyncio.Task[None] | None = None
+
+    @property
+    def count(self) -> int:
+        """Number of open transactions."""
+        return len(self._open)
+
+    def start(self) -> None:
+        """Start to end transactions that are idle for too long."""
+        self._sweeper = asyncio.create_task(self._sweep())
+
+    async def close(self) -> None:
+        """End all transactions by closing their connections."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            await asyncio.gather(self._sweeper, return_exceptions=True)
+        for transaction in tuple(self._open.values()):
+            self._end(transaction, healthy=False)
+
+    async def begin(self, exchange: execution.WorkExchange) -> filters.Outcome:
+        """Open a transaction on a connection of its own."""
+        outcome = await self._run(exchange)
+        if outcome.is_error():
+            return outcome
+        assert exchange.lease is not None
+        name = TransactionName(
+            self._own_id, exchange.endpoint, next(self._numbers)
+        )
+        self._open[str(name)] = _Transaction(
+            name,
+            exchange.request.caller,
+            exchange.plan.database,
+            exchange.term,
+            exchange.lease,
+            self._clock.now(),
+        )
+        return expression.Ok(
+            dataclasses.replace(outcome.ok, transaction=str(name))
+        )
+
+    async def run(self, exchange: execution.WorkExchange) -> filters.Outcome:
+        """Run a request of an open transaction, in order of arrival."""
+        request = exchange.request
+        transaction = self._open.get(request.transaction)
+        if transaction is None or not _belongs(transaction, request):
+            return expression.Error(_refuse_unknown(self._own_id))
+        async with transaction.lock:
+            if request.transaction not in self._open:
+                return expression.Error(_refuse_unknown(self._own_id))
+            return await self._run_locked(transaction, exchange)
+
+    async def _run_locked(
+        self, transaction: _Transaction, exchange: execution.WorkExchange
+    ) -> filters.Outcome:
+        exchange.lease = transaction.lease
+        exchange.term = transaction.term
+        outcome: filters.Outcome | None = None
+        try:
+            outcome = await self._run(exchange)
+        finally:
+            transaction.used_at = self._clock.now()
+            if outcome is None:
+                self._end(transaction, healthy=False)
+        ends = exchange.request.action in (
+            requests.Action.COMMIT,
+            requests.Action.ROLLBACK,
+        )
+        if outcome.is_ok():
+            if ends:
+                self._end(transaction, healthy=True)
+        elif (
+            isinstance(outcome.error, errors.TermRefused)
+            or not isinstance(
+                outcome.error, (errors.NotRun, errors.StatementFailed)
+            )
+            or (ends and isinstance(outcome.error, errors.StatementFailed))
+        ):
+            self._end(transaction, healthy=False)
+        return outcome
+
+    def _end(self, transaction: _Transaction, healthy: bool) -> None:
+        self._open.pop(str(transaction.name), None)
+        transaction.lease.release(healthy)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            oldest = self._clock.now() - IDLE_SECONDS
+            for transaction in tuple(self._open.values()):
+                idle = transaction.used_at < oldest
+                if idle and not transaction.lock.locked():
+                    self._end(transaction, healthy=False)
+
+
+def _belongs(transaction: _Transaction, request: requests.Request) -> bool:
+    return (
+        transaction.caller == request.caller
+        and transaction.database == request.database
+    )
+
+
+def _refuse_unknown(peer: str) -> errors.InvalidInput:
+    return errors.InvalidInput(
+        message="no such transaction is open; it ended or its daemon did",
+        step=STEP,
+        peer=peer,
+        field="transaction",
+    )
