--- a/packages/fescuestile/src/fescuestile/retries.py
+++ b/packages/fescuestile/src/fescuestile/retries.py
@@ -115,12 +115,15 @@
     :ivar rank: rank whose budget pays for the retry
     :ivar repeatable: running the request twice does no harm
     :ivar deadline: monotonic seconds at which the caller gives up
+    :ivar charged: the retry may add to a failing endpoint's load; not so
+        when only the connection to a daemon was lost
     """
 
     number: int
     rank: typing.Hashable
     repeatable: bool
     deadline: float
+    charged: bool = True
 
 
 def is_safe(error: errors.FescuestileError, repeatable: bool) -> bool:
@@ -168,6 +171,7 @@
             delay += error.retry_after or 0.0
         if self._clock.now() + delay >= attempt.deadline:
             return None
-        if not paced and not self._budget.withdraw(attempt.rank):
+        free = paced or not attempt.charged
+        if not free and not self._budget.withdraw(attempt.rank):
             return None
         return delay
--- /dev/null
+++ b/tests/fake_daemon.py
@@ -0,0 +1,127 @@
+"""A daemon without a fleet behind it, for tests of the callers' library.
+
+Its requests are handled by a function of the test; its writes are kept in
+a log that several fakes can share.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import grpc
+
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
+
+Send = typing.Callable[[pb.DaemonFrame], typing.Awaitable[None]]
+Handler = typing.Callable[
+    ["FakeDaemon", pb.Request, Send], typing.Awaitable[None]
+]
+
+
+@dataclasses.dataclass
+class Log:
+    """Writes by request id, and the ids that may not run any more."""
+
+    ran: dict[str, str] = dataclasses.field(default_factory=dict)
+    barred: set[str] = dataclasses.field(default_factory=set)
+
+
+def build_chunk(request: pb.Request, payload=b"", **fields) -> pb.DaemonFrame:
+    """Return the only chunk of an answer unless told otherwise."""
+    chunk = {"chunk": 0, "last": True} | fields
+    answer = pb.AnswerChunk(
+        sequence=request.sequence, payload=payload, **chunk
+    )
+    return pb.DaemonFrame(answer=answer)
+
+
+def build_failure(request, code, retry_after_ms=0) -> pb.DaemonFrame:
+    """Return the answer of a request that failed."""
+    failure = pb.Failure(
+        code=code, message="no", step="admit", retry_after_ms=retry_after_ms
+    )
+    return build_chunk(request, failure=failure)
+
+
+async def run_write(daemon, request: pb.Request, send: Send) -> None:
+    """Run a write or settle one, as the log of the fake stands."""
+    log = daemon.log
+    if request.WhichOneof("action") == "resolve":
+        ran = request.request_id in log.ran
+        if not ran:
+            log.barred.add(request.request_id)
+        execution = pb.Execution(repeated=ran, never_runs=not ran)
+    elif request.request_id in log.barred:
+        await send(build_failure(request, pb.NOT_RUN))
+        return
+    else:
+        log.ran[request.request_id] = request.statement.text
+        execution = pb.Execution(transaction=request.transaction)
+    if request.WhichOneof("action") == "begin":
+        execution.transaction = f"t-{request.request_id}"
+    token = daemon.name.encode()
+    await send(build_chunk(request, execution=execution, token=token))
+
+
+class FakeDaemon(pb_grpc.CallerServiceServicer):
+    """Serves the callers' stream on a port from the OS."""
+
+    def __init__(self, name="daemon-1", handler=run_write, log=None):
+        """Take the function that answers requests."""
+        self.name = name
+        self.handler = handler
+        self.log = log or Log()
+        self.alternatives: list[str] = []
+        self.opens: list[pb.Open] = []
+        self.requests: list[pb.Request] = []
+        self.sends: list[Send] = []
+        self.silent = False
+        self.address = ""
+        self._server = grpc.aio.server()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self):
+        """Listen."""
+        pb_grpc.add_CallerServiceServicer_to_server(self, self._server)
+        port = self._server.add_insecure_port("127.0.0.1:0")
+        self.address = f"127.0.0.1:{port}"
+        await self._server.start()
+        return self
+
+    async def __aexit__(self, *_):
+        """Stop listening; streams end."""
+        await self.stop()
+
+    async def stop(self):
+        """End all streams at once, as a killed daemon would."""
+        await self._server.stop(None)
+
+    async def roam(self):
+        """Tell all sessions to roam."""
+        for send in self.sends:
+            await send(pb.DaemonFrame(roam=pb.Roam(reason="drain")))
+
+    async def Session(self, frames, context):  # noqa: N802
+        """Serve one session."""
+        opening = (await anext(aiter(frames))).open
+        self.opens.append(opening)
+        if opening.token == b"garbled":
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "garbled")
+        if self.silent:
+            await asyncio.Event().wait()
+        opened = pb.Opened(daemon=self.name, alternatives=self.alternatives)
+        await context.write(pb.DaemonFrame(opened=opened))
+        lock = asyncio.Lock()
+
+        async def send(frame):
+            async with lock:
+                await context.write(frame)
+
+        self.sends.append(send)
+        async for frame in frames:
+            self.requests.append(frame.request)
+            work = self.handler(self, frame.request, send)
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
