--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
@@ -57,6 +57,44 @@
 CODEC = codec.Codec((Pull, Batch))
 
 
+async def inspect_peers(
+    addresses: collections.abc.Iterable[str], ip: str
+) -> list[endpoint_messages.Report]:
+    """Return the reports of the endpoints that answer.
+
+    :param addresses: ``IP:port`` of each
+    :param ip: local IP that connections are bound to
+    """
+    asked = (_inspect(address, ip) for address in addresses)
+    reports = await asyncio.gather(*asked, return_exceptions=True)
+    return [r for r in reports if isinstance(r, endpoint_messages.Report)]
+
+
+async def _inspect(address: str, ip: str) -> endpoint_messages.Report:
+    encode = endpoint_messages.CODEC.encode
+    async with asyncio.timeout(OPEN_SECONDS), _open(address, ip) as peer:
+        await peer.send(encode(endpoint_messages.Hello("endpoint", True)))
+        await peer.send(encode(endpoint_messages.Inspect(1)))
+        frame = await peer.recv(decode=False)
+        report: endpoint_messages.Report = endpoint_messages.CODEC.decode(
+            frame
+        ).ok
+        return report
+
+
+def _open(address: str, ip: str) -> client.connect:
+    return client.connect(
+        f"ws://{address}",
+        proxy=None,
+        compression=None,
+        max_size=None,
+        ping_interval=None,
+        close_timeout=OPEN_SECONDS,
+        open_timeout=OPEN_SECONDS,
+        local_addr=(ip, 0),
+    )
+
+
 class Notifier:
     """Wakes all who wait for a change of the endpoint's state."""
 
@@ -164,16 +202,7 @@
 
     async def _pull_once(self, address: str) -> None:
         state = self._state
-        async with client.connect(
-            f"ws://{address}",
-            proxy=None,
-            compression=None,
-            max_size=None,
-            ping_interval=None,
-            close_timeout=OPEN_SECONDS,
-            open_timeout=OPEN_SECONDS,
-            local_addr=(self._ip, 0),
-        ) as connection:
+        async with _open(address, self._ip) as connection:
             history = state.log.history
             pull = Pull(state.name, state.term, history.starts, history.last)
             await connection.send(CODEC.encode(pull))
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 import typing
 
 import structlog
@@ -13,11 +14,13 @@
 from fescuestile_standins import endpoint_replication
 from fescuestile_standins import endpoint_state
 from fescuestile_standins import endpoint_store
+from fescuestile_standins import rejoining
 
 log = structlog.get_logger(__name__)
 Runner = endpoint_commands.CommandRunner
 Verdict = endpoint_messages.Verdict
 IDLE_REPORT_SECONDS = 0.25
+REJOIN_SECONDS = 0.2
 CLOSE_REFUSED = 1013
 CLOSE_INVALID = 1003
 FRAME_BYTES = 4 * 1024 * 1024
@@ -39,6 +42,8 @@
     :ivar service_seconds: time that a statement takes
     :ivar connect_seconds: time that opening a connection takes
     :ivar replication_seconds: delay of what it replicates
+    :ivar quarantine_seconds: least time from a start without state until
+        it counts again
     """
 
     name: str
@@ -52,6 +57,7 @@
     service_seconds: float = 0.002
     connect_seconds: float = 0.01
     replication_seconds: float = 0.0
+    quarantine_seconds: float = rejoining.QUARANTINE_SECONDS
 
 
 class EndpointServer:
@@ -71,6 +77,7 @@
             self.state, self.changed, ip, options.replication_seconds
         )
         self._server: server.Server | None = None
+        self._rejoining: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> str:
@@ -94,10 +101,14 @@
             self.state.bootstrap(primary)
             if primary != self.options.name:
                 self.puller.follow(self.options.peers[primary])
+        else:
+            self._rejoining = asyncio.create_task(self._rejoin())
 
     async def close(self) -> None:
         """Stop listening and drop all connections."""
         self.puller.stop()
+        if self._rejoining is not None:
+            self._rejoining.cancel()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -130,6 +141,19 @@
             finally:
                 self.running -= 1
 
+    async def _rejoin(self) -> None:
+        await asyncio.sleep(self.options.quarantine_seconds)
+        size = len(self.options.peers) + 1
+        while self.state.role is endpoint_messages.Role.REJOINING:
+            others = await endpoint_replication.inspect_peers(
+                self.options.peers.values(), self._ip
+            )
+            if rejoining.may_rejoin(self.report(0), others, size):
+                self.state.rejoin()
+                self.changed.notify()
+                log.info("rejoined", endpoint=self.options.name)
+            await asyncio.sleep(REJOIN_SECONDS)
+
     def _find_duration(self, work: endpoint_messages.Execute) -> float:
         parsed = endpoint_store.parse_statement(work.text)
         extra = parsed.ok.sleep_seconds if parsed.is_ok() else 0.0
@@ -229,11 +253,13 @@
         verdict = Verdict.DONE
         if isinstance(message, endpoint_messages.Fence):
             before = state.term
-            verdict = state.fence(message.term, message.driver)
+            now = time.monotonic()
+            verdict = state.fence(message.term, message.driver, now)
             if state.term != before:
                 endpoint.puller.stop()
         elif isinstance(message, endpoint_messages.Promote):
-            verdict = state.promote(message.term, message.driver)
+            now = time.monotonic()
+            verdict = state.promote(message.term, message.driver, now)
         elif isinstance(message, endpoint_messages.Follow):
             known = (state.term, state.primary)
             verdict = state.follow(message.term, message.primary)
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_state.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_state.py
@@ -1,6 +1,7 @@
 """Rules of an endpoint: terms, roles, replication and statements.
 
-Pure: no clock and no I/O, so that tests and the model check drive it.
+Pure: takes the time and does no I/O, so that tests and the model check
+drive it.
 """
 
 import typing
@@ -13,6 +14,7 @@
 Role = endpoint_messages.Role
 Verdict = endpoint_messages.Verdict
 FIRST_TERM = 1
+PROMOTION_WINDOW_SECONDS = 5.0
 
 
 class EndpointState:
@@ -27,6 +29,7 @@
         self.term = 0
         self.driver = ""
         self.primary = ""
+        self._promised_at = 0.0
 
     def bootstrap(self, primary: str) -> None:
         """Take part in a new group whose first primary is given."""
@@ -54,8 +57,11 @@
             starts=self.log.history.starts,
         )
 
-    def fence(self, term: int, driver: str) -> Verdict:
-        """Promise a term to one driver."""
+    def fence(self, term: int, driver: str, now: float = 0.0) -> Verdict:
+        """Promise a term to one driver.
+
+        :param now: monotonic seconds
+        """
         if self.role is Role.REJOINING:
             return Verdict.TERM_REFUSED
         if (term, driver) == (self.term, self.driver):
@@ -66,17 +72,25 @@
         self.driver = driver
         self.role = Role.FENCED
         self.primary = ""
+        self._promised_at = now
         return Verdict.DONE
 
-    def promote(self, term: int, driver: str) -> Verdict:
-        """Become primary of a promised term."""
+    def promote(self, term: int, driver: str, now: float = 0.0) -> Verdict:
+        """Become primary of a promised term.
+
+        A promotion that comes long after the promise is refused: another
+        endpoint that promised the term may have lost its state since.
+
+        :param now: monotonic seconds
+        """
         if self.role is Role.REJOINING:
             return Verdict.TERM_REFUSED
         if (term, driver) != (self.term, self.driver):
             return Verdict.TERM_REFUSED
         if self.role is Role.PRIMARY:
             return Verdict.DONE
-        if self.primary:
+        late = now - self._promised_at > PROMOTION_WINDOW_SECONDS
+        if self.primary or late:
             return Verdict.TERM_REFUSED
         self.role = Role.PRIMARY
         self.primary = self.name
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -0,0 +1,346 @@
+"""Rules of a failover's driver: fence, choose, promote, follow, publish.
+
+A step takes the driver's state, an event and the time, and gives the next
+state and the actions to take. Every action may be repeated; a driver that
+was paused finds its term refused. Any daemon resumes a failover that its
+driver left, under a higher term.
+"""
+
+import dataclasses
+import random
+import types
+import typing
+
+from fescuestile import endpoint_messages
+from fescuestile import failover_steps as steps
+from fescuestile import plans
+
+RANK_DELAY_SECONDS = 0.3
+JITTER_SECONDS = 0.1
+RESEND_SECONDS = 0.15
+STEP_TIMEOUT_SECONDS = 0.6
+REFUSED_TIMEOUT_SECONDS = 0.15
+RETRY_SECONDS = 0.3
+FOLLOW_SECONDS = 1.0
+CATCH_UP_SECONDS = 5.0
+# An endpoint that lost its promises counts again only after this time and
+# the time for which a promotion is taken have passed.
+GRANT_LIFETIME_SECONDS = 2.0
+
+Verdict = endpoint_messages.Verdict
+Role = endpoint_messages.Role
+Report = endpoint_messages.Report
+
+
+def rank_log(report: Report) -> tuple[int, int]:
+    """Return how advanced an endpoint's log is.
+
+    The last entry's term decides before the length: a longer log of an
+    older term holds entries that were never confirmed.
+    """
+    return (report.last.term, report.last.index)
+
+
+def choose_endpoint(
+    plan: plans.Plan,
+    grants: typing.Mapping[str, Report],
+    target: str = "",
+) -> str:
+    """Return the endpoint to promote among those that granted the term.
+
+    :param grants: reports of at least a majority
+    :param target: endpoint to prefer
+    :returns: the target, when a majority's logs are no more advanced than
+        its own, else the most advanced; ties go by name
+    """
+    wanted = grants.get(target)
+    if wanted is not None:
+        behind = [
+            report
+            for report in grants.values()
+            if rank_log(report) <= rank_log(wanted)
+        ]
+        if len(behind) >= plan.majority:
+            return target
+    return max(grants, key=lambda name: (rank_log(grants[name]), name))
+
+
+class FailoverRules:
+    """Steps of the drivers of one group."""
+
+    def __init__(self, plan: plans.Plan, source: random.Random) -> None:
+        """Take the group's plan and a source of jitter."""
+        self.plan = plan
+        self._random = source
+
+    def advance(
+        self, driver: steps.Driver, event: steps.Event, now: float
+    ) -> steps.Outcome:
+        """Return the next state and the actions to take.
+
+        :param now: monotonic seconds
+        """
+        match event:
+            case steps.Suspected():
+                return self._suspect(driver, event, now)
+            case steps.Cleared():
+                return self._clear(driver)
+            case steps.SwitchoverAsked():
+                return self._ask_switchover(driver, event, now)
+            case steps.CaughtUp():
+                return self._start_switchover(driver, now)
+            case steps.Reported():
+                return self._note_report(driver, event.report, now)
+            case steps.FenceReplied():
+                return self._take_grant(driver, event, now)
+            case steps.PromoteReplied():
+                return self._take_promotion(driver, event, now)
+            case steps.FollowReplied():
+                return self._take_follower(driver, event)
+            case steps.Ticked():
+                return self._tick(driver, now)
+
+    def _suspect(
+        self, driver: steps.Driver, event: steps.Suspected, now: float
+    ) -> steps.Outcome:
+        if driver.step is not steps.Step.IDLE:
+            return driver, ()
+        jitter = self._random.uniform(0, JITTER_SECONDS)
+        wait = event.rank * RANK_DELAY_SECONDS + jitter
+        return self._wait(driver, wait, now), ()
+
+    def _wait(
+        self, driver: steps.Driver, wait: float, now: float
+    ) -> steps.Driver:
+        return dataclasses.replace(
+            driver, step=steps.Step.WAITING, since=now, wait=wait
+        )
+
+    def _clear(self, driver: steps.Driver) -> steps.Outcome:
+        if driver.step is not steps.Step.WAITING:
+            return driver, ()
+        return _rest(driver), ()
+
+    def _ask_switchover(
+        self, driver: steps.Driver, event: steps.SwitchoverAsked, now: float
+    ) -> steps.Outcome:
+        if driver.step not in (steps.Step.IDLE, steps.Step.WAITING):
+            return driver, (
+                steps.Abandon(driver.term, "a failover is under way"),
+            )
+        return (
+            dataclasses.replace(
+                driver,
+                step=steps.Step.CATCHING_UP,
+                target=event.target,
+                since=now,
+                wait=CATCH_UP_SECONDS,
+            ),
+            (),
+        )
+
+    def _start_switchover(
+        self, driver: steps.Driver, now: float
+    ) -> steps.Outcome:
+        if driver.step is not steps.Step.CATCHING_UP:
+            return driver, ()
+        return self.start_fencing(driver, now)
+
+    def _note_report(
+        self, driver: steps.Driver, report: Report, now: float
+    ) -> steps.Outcome:
+        if report.term <= driver.highest:
+            return driver, ()
+        driver = dataclasses.replace(driver, highest=report.term)
+        if driver.step is steps.Step.WAITING:
+            wait = RETRY_SECONDS + self._random.uniform(0, JITTER_SECONDS)
+            return self._wait(driver, wait, now), ()
+        if driver.step in (
+            steps.Step.FENCING,
+            steps.Step.PROMOTING,
+            steps.Step.FOLLOWING,
+        ):
+            return self._abandon(driver, "a higher term was promised", now)
+        return driver, ()
+
+    def start_fencing(self, driver: steps.Driver, now: float) -> steps.Outcome:
+        """Take the next term and ask all endpoints to promise it."""
+        term = driver.highest + 1
+        driver = dataclasses.replace(
+            driver,
+            step=steps.Step.FENCING,
+            term=term,
+            highest=term,
+            grants=types.MappingProxyType({}),
+            refused=False,
+            chosen="",
+            followed=frozenset(),
+            since=now,
+            sent_at=now,
+        )
+        return driver, self._list_sends(driver)
+
+    def _take_grant(
+        self, driver: steps.Driver, event: steps.FenceReplied, now: float
+    ) -> steps.Outcome:
+        report = event.report
+        if driver.step is not steps.Step.FENCING or event.term != driver.term:
+            return driver, ()
+        if report.verdict is not Verdict.DONE:
+            driver = dataclasses.replace(driver, refused=True)
+            return self._note_report(driver, report, now)
+        grants = {**driver.grants, report.endpoint: report}
+        driver = dataclasses.replace(
+            driver, grants=types.MappingProxyType(grants)
+        )
+        if not self._is_fenced(driver):
+            return driver, ()
+        if now - driver.since > GRANT_LIFETIME_SECONDS:
+            return self._abandon(driver, "the grants are too old", now)
+        chosen = choose_endpoint(self.plan, grants, driver.target)
+        driver = dataclasses.replace(
+            driver,
+            step=steps.Step.PROMOTING,
+            chosen=chosen,
+            since=now,
+            sent_at=now,
+        )
+        return driver, self._list_sends(driver)
+
+    def _is_fenced(self, driver: steps.Driver) -> bool:
+        known = self.plan.endpoint_by_name
+        return len(driver.grants.keys() & known.keys()) >= self.plan.majority
+
+    def _take_promotion(
+        self, driver: steps.Driver, event: steps.PromoteReplied, now: float
+    ) -> steps.Outcome:
+        if (
+            driver.step is not steps.Step.PROMOTING
+            or event.term != driver.term
+        ):
+            return driver, ()
+        if event.report.verdict is not Verdict.DONE:
+            return self._abandon(driver, "the promotion was refused", now)
+        driver = dataclasses.replace(
+            driver, step=steps.Step.FOLLOWING, since=now, sent_at=now
+        )
+        published = steps.Publish(driver.term, driver.chosen)
+        return driver, (published, *self._list_sends(driver))
+
+    def _take_follower(
+        self, driver: steps.Driver, event: steps.FollowReplied
+    ) -> steps.Outcome:
+        if (
+            driver.step is not steps.Step.FOLLOWING
+            or event.term != driver.term
+        ):
+            return driver, ()
+        if event.report.verdict is not Verdict.DONE:
+            return driver, ()
+        followed = driver.followed | {event.report.endpoint}
+        driver = dataclasses.replace(driver, followed=followed)
+        if self._list_sends(driver):
+            return driver, ()
+        return _rest(driver), ()
+
+    def _tick(self, driver: steps.Driver, now: float) -> steps.Outcome:
+        elapsed = now - driver.since
+        match driver.step:
+            case steps.Step.IDLE:
+                return driver, ()
+            case steps.Step.WAITING:
+                if elapsed >= driver.wait:
+                    return self.start_fencing(driver, now)
+                return driver, ()
+            case steps.Step.CATCHING_UP:
+                if elapsed >= driver.wait:
+                    return self._abandon(
+                        driver, "the target did not catch up", now
+                    )
+                return driver, ()
+            case steps.Step.FOLLOWING:
+                if elapsed >= FOLLOW_SECONDS:
+                    return _rest(driver), ()
+            case steps.Step.FENCING | steps.Step.PROMOTING:
+                if elapsed >= _find_timeout(driver):
+                    reason = f"{driver.step} took too long"
+                    return self._abandon(driver, reason, now)
+        if now - driver.sent_at < RESEND_SECONDS:
+            return driver, ()
+        driver = dataclasses.replace(driver, sent_at=now)
+        return driver, self._list_sends(driver)
+
+    def _abandon(
+        self, driver: steps.Driver, reason: str, now: float
+    ) -> steps.Outcome:
+        """End the attempt; the next one takes a higher term."""
+        action = steps.Abandon(driver.term, reason)
+        if driver.target:
+            return _rest(driver), (action,)
+        wait = RETRY_SECONDS + self._random.uniform(0, RETRY_SECONDS)
+        return self._wait(driver, wait, now), (action,)
+
+    def _list_sends(self, driver: steps.Driver) -> tuple[steps.Action, ...]:
+        """Return the step's commands that have no reply yet."""
+        names = self.plan.endpoint_by_name
+        term = driver.term
+        if driver.step is steps.Step.FENCING:
+            return tuple(
+                steps.SendFence(name, term)
+                for name in names
+                if name not in driver.grants
+            )
+        if driver.step is steps.Step.PROMOTING:
+            return (steps.SendPromote(driver.chosen, term),)
+        return tuple(
+            steps.SendFollow(name, term, driver.chosen)
+            for name in names
+            if name != driver.chosen and name not in driver.followed
+        )
+
+
+def _find_timeout(driver: steps.Driver) -> float:
+    """Return how long the step may take; a duel is left early."""
+    if driver.step is steps.Step.FENCING and driver.refused:
+        return REFUSED_TIMEOUT_SECONDS
+    return STEP_TIMEOUT_SECONDS
+
+
+def _rest(driver: steps.Driver) -> steps.Driver:
+    return dataclasses.replace(
+        driver, step=steps.Step.IDLE, target="", chosen=""
+    )
+
+
+def has_caught_up(primary: Report, target: Report) -> bool:
+    """Tell whether a switchover's target holds the primary's log."""
+    return target.role is Role.REPLICA and target.history.covers(primary.last)
+
+
+def find_strays(
+    plan: plans.Plan, reports: typing.Mapping[str, Report]
+) -> tuple[steps.SendFollow, ...]:
+    """Return follows for endpoints that do not follow the primary.
+
+    An old primary that comes back, or an endpoint that was away during
+    the failover, is told of the primary that reports itself.
+
+    :param reports: latest report of each endpoint, by name
+    """
+    primaries = [r for r in reports.values() if r.role is Role.PRIMARY]
+    if not primaries:
+        return ()
+    primary = max(primaries, key=_find_term)
+    if any(report.term > primary.term for report in reports.values()):
+        return ()
+    return tuple(
+        steps.SendFollow(name, primary.term, primary.endpoint)
+        for name, report in reports.items()
+        if name in plan.endpoint_by_name
+        and name != primary.endpoint
+        and (report.term, report.primary) != (primary.term, primary.endpoint)
+    )
+
+
+def _find_term(report: Report) -> int:
+    return report.term
