--- a/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -5,6 +5,7 @@
 
 import expression
 
+from fescuestile import confirmation
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import plans
@@ -21,21 +22,6 @@
     future: asyncio.Future[None]
 
 
-def counts_for(
-    report: endpoint_messages.Report, position: positions.Position
-) -> bool:
-    """Tell whether a report confirms a write.
-
-    It does while the endpoint works under the write's term and holds its
-    entry.
-    """
-    return (
-        report.term == position.term
-        and report.last.term == position.term
-        and report.last.index >= position.index
-    )
-
-
 class Confirmations:
     """Latest report of each watched endpoint, and the waits on them."""
 
@@ -95,6 +81,6 @@
         held = 0
         for endpoint in wait.endpoints:
             report = self._reports.get((database, endpoint))
-            if report is not None and counts_for(report, wait.position):
+            if report is not None and confirmation.counts_for(report, wait.position):
                 held += 1
         return held >= wait.majority
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,98 @@
+"""Daemons and a group of endpoint stand-ins inside the test's process."""
+
+import asyncio
+import collections.abc
+import contextlib
+import socket
+
+from fescuestile import members
+from fescuestile import plans
+from fescuestile import sessions
+from fescuestile_client import session as client_session
+from fescuestile_daemon import daemon
+from fescuestile_daemon import settings
+from tests import builders
+from tests import endpoint_groups
+
+DATABASE = "werkstatt-db"
+KEYS = sessions.KeyRing(sessions.SigningKey("k1", b"0123456789abcdef"))
+
+
+def find_port(ip: str = endpoint_groups.HOST) -> int:
+    """Return a free port of the OS."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
+def build_settings(number: int, **daemon_changes) -> settings.Settings:
+    """Return the settings of a daemon on this machine."""
+    host = endpoint_groups.HOST
+    options = {
+        "name": f"host-{number}",
+        "zone": builders.ZONES[(number - 1) % len(builders.ZONES)],
+        "ip": host,
+        "caller_address": f"{host}:{find_port()}",
+        "link_address": f"{host}:{find_port()}",
+        "operator_address": f"{host}:{find_port()}",
+    }
+    return settings.Settings.model_validate(
+        {
+            "daemon": options | daemon_changes,
+            "platform": {"addresses": [f"{host}:1"]},
+        }
+    )
+
+
+def build_group_plan(
+    group: collections.abc.Mapping[str, endpoint_groups.EndpointServer],
+) -> plans.Plan:
+    """Return the plan of a group of stand-ins."""
+    return builders.build_plan(
+        DATABASE,
+        endpoints=tuple(
+            builders.build_endpoint(
+                number, name=name, address=endpoint.address
+            )
+            for number, (name, endpoint) in enumerate(group.items(), 1)
+        ),
+    )
+
+
+def publish(
+    daemons: collections.abc.Sequence[daemon.Daemon], plan: plans.Plan
+) -> None:
+    """Give daemons the membership, keys and plan that they share."""
+    listed = tuple(each.own for each in daemons)
+    for each in daemons:
+        each.keys.publish(KEYS)
+        each.membership.publish(members.MembershipSnapshot(each.own, listed))
+        each.plans.publish({DATABASE: builders.build_revision(plan=plan)})
+
+
+@contextlib.asynccontextmanager
+async def serve_daemons(
+    count: int, plan: plans.Plan
+) -> collections.abc.AsyncIterator[list[daemon.Daemon]]:
+    """Run daemons that know each other and a plan, ready for work."""
+    daemons = [daemon.Daemon(build_settings(n + 1)) for n in range(count)]
+    try:
+        for each in daemons:
+            await each.start()
+        publish(daemons, plan)
+        yield daemons
+    finally:
+        await asyncio.gather(*(each.close() for each in daemons))
+
+
+@contextlib.asynccontextmanager
+async def open_session(
+    served: daemon.Daemon, caller: str = "station-7", token: bytes = b""
+) -> collections.abc.AsyncIterator[client_session.Session]:
+    """Open a caller's session on a daemon."""
+    session = client_session.Session(
+        [served.options.daemon.caller_address], caller, token
+    )
+    async with session:
+        yield session
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole paths inside one process."""
--- /dev/null
+++ b/tests/integration/test_path.py
@@ -0,0 +1,77 @@
+import asyncio
+
+import pytest
+
+from fescuestile import errors
+from tests import endpoint_groups
+from tests import fleets
+
+
+@pytest.fixture
+async def group():
+    async with endpoint_groups.serve_group() as group:
+        yield group
+
+
+@pytest.fixture
+async def daemons(group):
+    plan = fleets.build_group_plan(group)
+    async with fleets.serve_daemons(3, plan) as daemons:
+        yield daemons
+
+
+async def test_a_write_is_read_after_roaming(daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        written = await session.execute(
+            fleets.DATABASE, "fault-report", "PUT pump broken"
+        )
+        token = session.token
+    async with fleets.open_session(daemons[1], token=token) as session:
+        read = await session.execute(
+            fleets.DATABASE, "history", "GET pump", read_only=True
+        )
+    assert read.payload == b"broken"
+    assert read.position >= written.position
+
+
+async def test_requests_of_one_session_are_pipelined(daemons):
+    async with fleets.open_session(daemons[2]) as session:
+        answers = await asyncio.gather(
+            *(
+                session.execute(
+                    fleets.DATABASE, "fault-report", f"ADD count-{n} {n}"
+                )
+                for n in range(50)
+            )
+        )
+    assert [answer.payload for answer in answers] == [
+        str(n).encode() for n in range(50)
+    ]
+
+
+async def test_a_transaction_is_seen_whole_or_not_at_all(daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        async with session.transaction(
+            fleets.DATABASE, "dispatch"
+        ) as transaction:
+            await transaction.execute("PUT a 1")
+            hidden = await session.execute(
+                fleets.DATABASE, "dispatch", "GET a", read_only=True
+            )
+            await transaction.execute("PUT b 2")
+        seen = await session.execute(
+            fleets.DATABASE, "dispatch", "GET b", read_only=True
+        )
+    assert hidden.payload == b""
+    assert seen.payload == b"2"
+
+
+async def test_an_unknown_kind_is_refused_by_name(daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        with pytest.raises(errors.InvalidInput) as refused:
+            await session.execute(fleets.DATABASE, "poem", "GET a")
+        assert refused.value.field == "kind"
+        answer = await session.execute(
+            fleets.DATABASE, "dispatch", "GET a", read_only=True
+        )
+    assert answer.payload == b""
