--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -232,6 +232,7 @@
             slow = asyncio.create_task(write(caller))
             await wait_for(lambda: first.requests)
             await first.roam()
+            await wait_for(lambda: caller.draining)
             queued = asyncio.create_task(write(caller))
             assert caller.daemon == "daemon-1"
             release.set()
