--- a/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
@@ -386,7 +386,9 @@
     return errors.InvalidInput(message=message, step=STEP, field=field)
 
 
-def _make_handler(serve: ServeStream) -> grpc.GenericRpcHandler[bytes, bytes]:
+def _make_handler(
+    serve: ServeStream,
+) -> "grpc.GenericRpcHandler[bytes, bytes]":
     """Return a handler that leaves decoding to the border models.
 
     So a malformed frame is answered on its stream and ends nothing.
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -11,6 +11,7 @@
 from fescuestile_client import session as client_session
 from fescuestile_daemon import daemon
 from fescuestile_daemon import settings
+from fescuestile_standins import endpoint_server
 from tests import builders
 from tests import endpoint_groups
 
@@ -46,7 +47,7 @@
 
 
 def build_group_plan(
-    group: collections.abc.Mapping[str, endpoint_groups.EndpointServer],
+    group: collections.abc.Mapping[str, endpoint_server.EndpointServer],
 ) -> plans.Plan:
     """Return the plan of a group of stand-ins."""
     return builders.build_plan(
