--- /dev/null
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -0,0 +1,224 @@
+"""A small deployment of real processes, as scenarios and the demo use it."""
+
+import asyncio
+import configparser
+import dataclasses
+import typing
+
+from fescuestile import plans
+from fescuestile_standins import launcher as launchers
+
+ZONES = ("muenchen", "ingolstadt", "landshut")
+FIRST_ENDPOINT_HOST = 11
+PLATFORM_MODULE = "fescuestile_standins.platform"
+ENDPOINT_MODULE = "fescuestile_standins.endpoint"
+DAEMON_BINARY = "fescuestiled"
+
+SettingsChanges = typing.Mapping[str, typing.Mapping[str, str]]
+
+
+@dataclasses.dataclass(frozen=True)
+class GroupOptions:
+    """How the endpoints of one database group behave.
+
+    :ivar size: endpoints, one zone after the other
+    :ivar service_ms: milliseconds that a statement takes
+    :ivar connect_ms: milliseconds until a connection is accepted
+    :ivar replication_ms: milliseconds that replicas lag
+    """
+
+    database: str = "werkstatt-db"
+    size: int = 3
+    slots: int = 2
+    connections: int = 16
+    service_ms: float = 2.0
+    connect_ms: float = 10.0
+    replication_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class Group:
+    """Processes of one database group.
+
+    :ivar plan: plan that names the endpoints
+    :ivar endpoints: processes by endpoint name
+    """
+
+    plan: plans.Plan
+    endpoints: dict[str, launchers.Process]
+
+    @property
+    def first_primary(self) -> str:
+        """Name of the endpoint that the group began with as primary."""
+        return self.plan.endpoints[0].name
+
+
+@dataclasses.dataclass
+class DaemonProcess:
+    """One ``fescuestiled`` and where it listens."""
+
+    name: str
+    zone: str
+    caller_address: str
+    link_address: str
+    operator_address: str
+    process: launchers.Process
+
+
+class Fleet:
+    """Platform, groups and daemons, started by one launcher."""
+
+    def __init__(
+        self,
+        launcher: launchers.Launcher,
+        zones: typing.Sequence[str] = ZONES,
+    ) -> None:
+        """Start nothing yet; zones are numbered from 1."""
+        self.launcher = launcher
+        self.zones = tuple(zones)
+        self.platform: launchers.Process | None = None
+        self.groups: dict[str, Group] = {}
+        self.daemons: dict[str, DaemonProcess] = {}
+
+    async def start_platform(self) -> launchers.Process:
+        """Start the platform and wait until it serves."""
+        address = launchers.choose_address(0, 2)
+        self.platform = self.launcher.start_module(
+            "platform", PLATFORM_MODULE, ("--address", address), address
+        )
+        await self.platform.wait_ready()
+        return self.platform
+
+    async def start_group(self, options: GroupOptions) -> Group:
+        """Start the endpoints of a group and wait until they serve."""
+        endpoints = self._place_endpoints(options)
+        plan = make_plan(options.database, endpoints)
+        group = Group(plan, {})
+        for endpoint in endpoints:
+            group.endpoints[endpoint.name] = self.launcher.start_module(
+                endpoint.name,
+                ENDPOINT_MODULE,
+                make_endpoint_arguments(plan, endpoint, options),
+                endpoint.address,
+            )
+        await asyncio.gather(
+            *(process.wait_ready() for process in group.endpoints.values())
+        )
+        self.groups[options.database] = group
+        return group
+
+    def _place_endpoints(
+        self, options: GroupOptions
+    ) -> tuple[plans.Endpoint, ...]:
+        placed = []
+        for number in range(options.size):
+            zone = number % len(self.zones)
+            host = FIRST_ENDPOINT_HOST + number // len(self.zones)
+            placed.append(
+                plans.Endpoint(
+                    name=f"{options.database}-{number + 1}",
+                    zone=self.zones[zone],
+                    address=launchers.choose_address(zone + 1, host),
+                    slots=options.slots,
+                    connections=options.connections,
+                )
+            )
+        return tuple(placed)
+
+    async def start_daemon(
+        self,
+        name: str,
+        zone: str,
+        changes: SettingsChanges | None = None,
+        seeds: typing.Sequence[str] = (),
+    ) -> DaemonProcess:
+        """Start a daemon and wait until it takes callers.
+
+        :param changes: settings by section and key, besides the needed
+        :param seeds: link addresses to start from, by default those of
+            the daemons that run
+        """
+        zone_number = self.zones.index(zone) + 1
+        host = 1 + len(self.daemons)
+        caller, link, operator = (
+            launchers.choose_address(zone_number, host) for _ in range(3)
+        )
+        seeds = seeds or tuple(
+            daemon.link_address
+            for daemon in self.daemons.values()
+            if daemon.process.running
+        )
+        sections: dict[str, dict[str, str]] = {
+            "daemon": {
+                "name": name,
+                "zone": zone,
+                "ip": caller.rpartition(":")[0],
+                "caller_address": caller,
+                "link_address": link,
+                "operator_address": operator,
+            },
+            "platform": {"addresses": self._find_platform()},
+            "peers": {"seeds": ", ".join(seeds)},
+        }
+        for section, keys in (changes or {}).items():
+            sections.setdefault(section, {}).update(keys)
+        path = self.launcher.directory / f"{name}.ini"
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+        process = self.launcher.start_binary(
+            name, DAEMON_BINARY, ("--config", str(path)), caller
+        )
+        daemon = DaemonProcess(name, zone, caller, link, operator, process)
+        self.daemons[name] = daemon
+        await process.wait_ready()
+        return daemon
+
+    def _find_platform(self) -> str:
+        if self.platform is None:
+            return launchers.choose_address(0, 2)
+        return self.platform.address
+
+
+def make_plan(
+    database: str, endpoints: tuple[plans.Endpoint, ...]
+) -> plans.Plan:
+    """Return a plan with the ranks and kinds of a repair shop."""
+    return plans.Plan(
+        database=database,
+        endpoints=endpoints,
+        ranks=(
+            plans.Rank("urgent", 0.1),
+            plans.Rank("dispatch", 0.1),
+            plans.Rank("billing", 0.1),
+        ),
+        kinds=(
+            plans.Kind("fault-report", "urgent", 0.0),
+            plans.Kind("dispatch", "dispatch", 0.0),
+            plans.Kind("history", "dispatch", 5.0),
+            plans.Kind("ledger", "billing", 5.0),
+        ),
+    )
+
+
+def make_endpoint_arguments(
+    plan: plans.Plan, endpoint: plans.Endpoint, options: GroupOptions
+) -> list[str]:
+    """Return the command line of an endpoint stand-in."""
+    arguments = [
+        *("--name", endpoint.name),
+        *("--zone", endpoint.zone),
+        *("--address", endpoint.address),
+        *("--database", plan.database),
+        *("--primary", plan.endpoints[0].name),
+        *("--slots", str(options.slots)),
+        *("--connections", str(options.connections)),
+        *("--service-ms", str(options.service_ms)),
+        *("--connect-ms", str(options.connect_ms)),
+        *("--replication-ms", str(options.replication_ms)),
+    ]
+    for peer in plan.endpoints:
+        if peer is not endpoint:
+            arguments += ["--peer", f"{peer.name}={peer.address}"]
+    return arguments
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios in Gherkin against real processes."""
--- /dev/null
+++ b/tests/unit/test_launcher.py
@@ -0,0 +1,47 @@
+import asyncio
+import signal
+
+import pytest
+
+from fescuestile import errors
+from fescuestile_standins import fleet as fleets
+from fescuestile_standins import launcher as launchers
+
+
+async def test_a_process_is_frozen_woken_and_stopped(tmp_path):
+    async with launchers.Launcher(tmp_path) as launcher:
+        platform = await fleets.Fleet(launcher).start_platform()
+        platform.freeze()
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(connect(platform.address), 0.3)
+        platform.wake()
+        await asyncio.wait_for(connect(platform.address), 5)
+        assert await platform.stop() == 0
+
+
+async def connect(address):
+    """Open a websocket's TCP connection and wait for a byte."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\n\r\n")
+    await reader.read(1)
+    writer.close()
+
+
+async def test_closing_ends_all_that_was_started(tmp_path):
+    async with launchers.Launcher(tmp_path) as launcher:
+        fleet = fleets.Fleet(launcher)
+        group = await fleet.start_group(fleets.GroupOptions())
+        processes = list(group.endpoints.values())
+        processes[0].freeze()
+        processes[1].kill()
+        assert await processes[1].wait_exit() == -signal.SIGKILL
+    assert not any(process.running for process in processes)
+
+
+async def test_a_process_that_cannot_start_shows_its_log(tmp_path):
+    async with launchers.Launcher(tmp_path) as launcher:
+        address = launchers.choose_address(1, 1)
+        process = launcher.start_module("none", "no_such_module", (), address)
+        with pytest.raises(errors.ConnectionLost, match="no_such_module"):
+            await process.wait_ready()
