--- a/packages/fescuestile/src/fescuestile/members.py
+++ b/packages/fescuestile/src/fescuestile/members.py
@@ -11,6 +11,8 @@
     SUSPECT = "suspect"
     LEAVING = "leaving"
     DEAD = "dead"
+    # Its whole zone is out of reach; its state there is not known.
+    UNREACHABLE = "unreachable"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
