Ping links, end their requests with them, and free lost transactions

A silent link kept its requests waiting until their deadlines, and a transaction whose entry daemon was gone kept its connection for the idle time of 30 s. Links ping and are closed when a ping goes unanswered; requests end with the link they were sent on; the owner ends the transactions that came through a lost daemon.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
@@ -51,7 +51,7 @@
         :param request: the request
         """
         if owner_id == self._own_id:
-            return await self._local.run(endpoint, term, request)
+            return await self._local.run(endpoint, term, request, self._own_id)
         member = self._find_member(owner_id)
         if member is None:
             return expression.Error(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -27,6 +27,7 @@
     :ivar endpoint: name of the endpoint
     :ivar replica: the endpoint is a replica
     :ivar term: term that the command names
+    :ivar peer: daemon that the request came through
     :ivar lease: connection and slot, once leased
     """
 
@@ -36,6 +37,7 @@
     replica: bool
     term: int
     pool: endpoint_pool.EndpointPool
+    peer: str
     lease: endpoint_pool.Lease | None = None
 
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import itertools
 import typing
 
@@ -22,8 +23,9 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 GREETING_TIMEOUT_SECONDS = 1.0
-REDIAL_DELAY_SECONDS = 0.2
-WRITE_LIMIT_BYTES = 256 * 1024
+PING_INTERVAL_SECONDS = 0.75
+PING_TIMEOUT_SECONDS = 1.0
+CLOSE_TIMEOUT_SECONDS = 0.5
 
 Handler = collections.abc.Callable[
     [str, typing.Any], collections.abc.Awaitable[None]
@@ -52,11 +54,20 @@
         return True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A request that waits for its reply on a link."""
+
+    link: Link
+    future: asyncio.Future[Reply]
+
+
 class Links:
     """All links of one daemon, dialed on demand and accepted.
 
     A link is used in both directions, whoever dialed it. Messages are
-    dispatched by class to one handler each.
+    dispatched by class to one handler each. A link whose pings go
+    unanswered is closed, and the next message dials a new one.
     """
 
     def __init__(self, own: members.Member, ip: str) -> None:
@@ -69,8 +80,7 @@
         self._ip = ip
         self._links: dict[str, Link] = {}
         self._handlers: dict[type, Handler] = {}
-        self._waiting: dict[int, asyncio.Future[Reply]] = {}
-        self._waiting_peers: dict[int, str] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self._ids = itertools.count(1)
         self._dials: dict[str, asyncio.Task[Link | None]] = {}
         self._tasks = tasks.TaskSet()
@@ -113,7 +123,9 @@
             ip,
             port,
             compression=None,
-            ping_interval=None,
+            ping_interval=PING_INTERVAL_SECONDS,
+            ping_timeout=PING_TIMEOUT_SECONDS,
+            close_timeout=CLOSE_TIMEOUT_SECONDS,
             max_size=codec.MAX_FRAME_BYTES,
         )
 
@@ -166,8 +178,7 @@
         future: asyncio.Future[Reply] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiting[number] = future
-        self._waiting_peers[number] = member.id
+        self._waiting[number] = _Waiting(link, future)
         try:
             if not await link.send(self._codec.encode(make(number))):
                 return self._lose(member.id, "the link broke")
@@ -176,7 +187,6 @@
             return self._lose(member.id, "no reply in time")
         finally:
             self._waiting.pop(number, None)
-            self._waiting_peers.pop(number, None)
 
     async def reply(self, peer: str, message: object) -> bool:
         """Send a reply on the link that stands to a daemon.
@@ -191,9 +201,9 @@
 
     def resolve(self, number: int, message: object) -> None:
         """Hand a reply to the request that waits for it, if any."""
-        future = self._waiting.get(number)
-        if future is not None and not future.done():
-            future.set_result(expression.Ok(message))
+        waiting = self._waiting.get(number)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(expression.Ok(message))
 
     async def dial(self, member: members.Member) -> Link | None:
         """Return the link to a daemon, dialing it if there is none."""
@@ -221,7 +231,9 @@
                 websocket_client.connect(
                     f"ws://{address}",
                     compression=None,
-                    ping_interval=None,
+                    ping_interval=PING_INTERVAL_SECONDS,
+                    ping_timeout=PING_TIMEOUT_SECONDS,
+                    close_timeout=CLOSE_TIMEOUT_SECONDS,
                     proxy=None,
                     max_size=codec.MAX_FRAME_BYTES,
                     local_addr=(self._ip, 0),
@@ -298,13 +310,14 @@
         await handler(peer, result.ok)
 
     def _drop(self, link: Link) -> None:
+        lost = self._lose(link.peer.id, "the link broke")
+        for waiting in tuple(self._waiting.values()):
+            if waiting.link is link and not waiting.future.done():
+                waiting.future.set_result(lost)
         if self._links.get(link.peer.id) is not link:
             return
         del self._links[link.peer.id]
-        for number, peer in tuple(self._waiting_peers.items()):
-            future = self._waiting.get(number)
-            if peer == link.peer.id and future and not future.done():
-                future.set_result(self._lose(peer, "the link broke"))
+        log.info("link lost", peer=link.peer.id)
         for listener in self.on_lost:
             listener(link.peer)
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -78,6 +78,7 @@
             parts.own_id, parts.time_source, self._chain
         )
         parts.link_pool.add_handler(link_messages.Forward, self._receive)
+        parts.link_pool.on_lost.append(self._lose_peer)
 
     def start(self) -> None:
         """Start the periodic work."""
@@ -111,13 +112,14 @@
         self._change_watches()
 
     async def run(
-        self, endpoint: str, term: int, request: requests.Request
+        self, endpoint: str, term: int, request: requests.Request, peer: str
     ) -> filters.Outcome:
         """Run a request at an owned endpoint.
 
         :param endpoint: name of the endpoint
         :param term: term that the entry daemon knows
         :param request: the request
+        :param peer: id of the entry daemon
         """
         snapshot = self._parts.board.get(request.database)
         pool = self._pools.get((request.database, endpoint))
@@ -131,6 +133,7 @@
             replica=view.role is not endpoint_messages.Role.PRIMARY,
             term=max(term, view.term),
             pool=pool,
+            peer=peer,
         )
         if request.action is requests.Action.BEGIN:
             return await self.transactions.begin(exchange)
@@ -138,6 +141,9 @@
             return await self.transactions.run(exchange)
         return await self._chain(exchange)
 
+    def _lose_peer(self, member: members.Member) -> None:
+        self.transactions.end_all_of(member.id)
+
     def _change_pools(self) -> None:
         wanted = {
             (database, name)
@@ -217,7 +223,7 @@
     async def _serve(self, peer: str, message: link_messages.Forward) -> None:
         deadline = self._parts.time_source.now() + message.remaining
         request = dataclasses.replace(message.request, deadline=deadline)
-        outcome = await self.run(message.endpoint, message.term, request)
+        outcome = await self.run(message.endpoint, message.term, request, peer)
         if outcome.is_ok():
             reply = link_messages.ForwardReply(message.id, answer=outcome.ok)
         else:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/transactions.py
@@ -59,6 +59,7 @@
     caller: str
     database: str
     term: int
+    peer: str
     lease: endpoint_pool.Lease
     used_at: float
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
@@ -105,6 +106,12 @@
         for transaction in tuple(self._open.values()):
             self._end(transaction, healthy=False)
 
+    def end_all_of(self, peer: str) -> None:
+        """End the transactions that came through a daemon that is lost."""
+        for transaction in tuple(self._open.values()):
+            if transaction.peer == peer:
+                self._end(transaction, healthy=False)
+
     async def begin(self, exchange: execution.WorkExchange) -> filters.Outcome:
         """Open a transaction on a connection of its own."""
         outcome = await self._run(exchange)
@@ -119,6 +126,7 @@
             exchange.request.caller,
             exchange.plan.database,
             exchange.term,
+            exchange.peer,
             exchange.lease,
             self._clock.now(),
         )
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -75,3 +75,15 @@
             fleets.DATABASE, "dispatch", "GET a", read_only=True
         )
     assert answer.payload == b""
+
+
+async def test_a_lost_entry_daemon_frees_its_transactions(daemons):
+    owner, entry, _ = daemons
+    async with fleets.open_session(entry) as session:
+        transaction = session.transaction(fleets.DATABASE, "dispatch")
+        await transaction.__aenter__()
+        assert owner.owner.transactions.count == 1
+        await entry.links.close()
+        await endpoint_groups.wait_until(
+            lambda: not owner.owner.transactions.count
+        )
