Add wire: relays that cut, delay, silence and drop connections

Rules name two sides as IP networks, so a zone is 127.0.z.0/24. A daemon may advertise other addresses than it listens on, so that a relay can stand between.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -36,8 +36,9 @@
     return members.Member(
         id=f"{options.name}-{secrets.token_hex(ID_BYTES)}",
         zone=options.zone,
-        link_address=options.link_address,
-        caller_address=options.caller_address,
+        link_address=options.advertised_link_address or options.link_address,
+        caller_address=options.advertised_caller_address
+        or options.caller_address,
     )
 
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
@@ -34,6 +34,10 @@
     :ivar caller_address: ``IP:port`` for callers
     :ivar link_address: ``IP:port`` for links from other daemons
     :ivar operator_address: ``IP:port`` for operators
+    :ivar advertised_caller_address: ``IP:port`` that callers are told to
+        roam to, where it is not ``caller_address``
+    :ivar advertised_link_address: ``IP:port`` that other daemons are told,
+        where it is not ``link_address``
     :ivar drain_seconds: longest time a planned stop waits for work in
         flight
     """
@@ -45,6 +49,8 @@
     caller_address: units.Address
     link_address: units.Address
     operator_address: units.Address
+    advertised_caller_address: units.Address | None = None
+    advertised_link_address: units.Address | None = None
     drain_seconds: units.Duration = 20.0
 
 
--- /dev/null
+++ b/tests/unit/test_wire.py
@@ -0,0 +1,168 @@
+"""Tests of the network stand-in, on loopback."""
+
+import asyncio
+import contextlib
+import sys
+
+import pytest
+
+from fescuestile import errors
+from fescuestile_standins import wire
+from fescuestile_standins import wire_messages
+
+ANY_PORT = "127.0.9.1:0"
+QUIET_SECONDS = 0.15
+ZONE_1 = wire_messages.make_zone_side(1)
+ZONE_2 = wire_messages.make_zone_side(2)
+ZONE_3 = wire_messages.make_zone_side(3)
+
+
+async def echo(reader, writer):
+    with contextlib.suppress(OSError):
+        while data := await reader.read(1000):
+            writer.write(data)
+    writer.close()
+
+
+@pytest.fixture
+async def control():
+    served = wire.Wire()
+    client = await wire.connect(await served.start(ANY_PORT))
+    yield client
+    await client.close()
+    await served.close()
+
+
+@pytest.fixture
+async def relay(control):
+    """Address of a relay to an echo server in zone 2."""
+    server = await asyncio.start_server(echo, "127.0.2.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    yield await control.add_relay(ANY_PORT, f"127.0.2.1:{port}")
+    server.close()
+
+
+class Caller:
+    """A connection from a zone to the echo server."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.reader = reader
+        self.writer = writer
+
+    async def say(self, text: bytes) -> None:
+        self.writer.write(text)
+        await self.writer.drain()
+
+    async def hear(self, count: int) -> bytes:
+        async with asyncio.timeout(5):
+            return await self.reader.readexactly(count)
+
+    async def is_quiet(self) -> bool:
+        try:
+            async with asyncio.timeout(QUIET_SECONDS):
+                await self.reader.read(1)
+        except TimeoutError:
+            return True
+        return False
+
+
+async def call(relay: str, zone: int) -> Caller:
+    ip, port = relay.split(":")
+    return Caller(
+        *await asyncio.open_connection(
+            ip, int(port), local_addr=(f"127.0.{zone}.1", 0)
+        )
+    )
+
+
+async def test_bytes_pass_in_both_directions(relay):
+    caller = await call(relay, 1)
+    await caller.say(b"hello")
+    assert await caller.hear(5) == b"hello"
+
+
+async def test_a_cut_stalls_its_zones_only_until_it_heals(control, relay):
+    near, far = await call(relay, 1), await call(relay, 3)
+    await near.say(b"a")
+    assert await near.hear(1) == b"a"
+    assert await control.cut(ZONE_1, ZONE_2) == 1
+    fresh = await call(relay, 1)
+    for caller in (near, fresh, far):
+        await caller.say(b"b")
+    assert await far.hear(1) == b"b"
+    assert await near.is_quiet()
+    assert await fresh.is_quiet()
+    await control.heal(ZONE_1, ZONE_2)
+    assert await near.hear(1) == b"b"
+    assert await fresh.hear(1) == b"b"
+
+
+async def test_silenced_connections_stay_silent_and_new_ones_work(
+    control, relay
+):
+    old = await call(relay, 1)
+    await old.say(b"a")
+    await old.hear(1)
+    assert await control.silence(ZONE_1) == 1
+    await old.say(b"b")
+    fresh = await call(relay, 1)
+    await fresh.say(b"c")
+    assert await fresh.hear(1) == b"c"
+    assert await old.is_quiet()
+
+
+async def test_a_delay_holds_each_way(control, relay):
+    caller = await call(relay, 1)
+    await control.delay(0.1, ZONE_2, ZONE_1)
+    start = asyncio.get_running_loop().time()
+    await caller.say(b"a")
+    await caller.hear(1)
+    assert asyncio.get_running_loop().time() - start >= 0.2
+    await control.delay(0, ZONE_2, ZONE_1)
+
+
+async def test_a_drop_resets_open_connections(control, relay):
+    caller, other = await call(relay, 1), await call(relay, 3)
+    for each in (caller, other):
+        await each.say(b"a")
+        await each.hear(1)
+    assert await control.drop("127.0.1.1", "127.0.2.1") == 1
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        await caller.hear(1)
+    await other.say(b"b")
+    assert await other.hear(1) == b"b"
+
+
+async def test_an_end_passes_on(relay):
+    caller = await call(relay, 1)
+    await caller.say(b"a")
+    caller.writer.write_eof()
+    async with asyncio.timeout(5):
+        assert await caller.reader.read() == b"a"
+
+
+async def test_bad_commands_are_refused(control):
+    with pytest.raises(errors.InvalidInput, match="expected an address"):
+        await control.add_relay("localhost:1", "127.0.2.1:1")
+    with pytest.raises(errors.InvalidInput, match="does not appear"):
+        await control.cut("zone 1")
+
+
+async def test_it_runs_as_a_process():
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "fescuestile_standins.wire"),
+        *("--address", ANY_PORT),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        async with asyncio.timeout(20):
+            assert process.stdout is not None
+            line = await process.stdout.readline()
+        client = await wire.connect(line.decode().split()[1])
+        assert await client.cut(ZONE_1) == 0
+        await client.close()
+    finally:
+        process.kill()
+        await process.wait()
