Add joining daemons, leaving marks and bridges of their own

A daemon without a configuration is a member but takes no work; when all of a zone start anew, its joining daemons choose watchers among themselves. A leaving mark holds at once and is taken back only after the lagging list has denied it for 10 s, since watchers see different ages of the list.

--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -53,11 +53,17 @@
 
     def add(self, name: str, zone: str, ready: bool = True) -> None:
         """Start a daemon that knows nobody."""
-        own = members.Member(name, zone, f"{name}:1", f"{name}:2")
+        own = members.Member(
+            name,
+            zone,
+            f"{name}:1",
+            f"{name}:2",
+            members.MemberState.JOINING,
+        )
         source = random.Random(self._random.random())
-        node = membership.Membership(own, source)
-        node.gossip.ready = ready
-        self.nodes[name] = node
+        self.nodes[name] = membership.Membership(own, source)
+        if ready:
+            self.become_ready(name)
         phase = self._random.uniform(0, TICK_SECONDS)
         self._schedule(self.now + phase, name, lambda: self._tick(name))
 
@@ -72,6 +78,10 @@
         """Let an entry arise on a daemon."""
         self._carry_out(name, self.nodes[name].announce(entry, self.now))
 
+    def become_ready(self, name: str) -> None:
+        """Let a daemon serve."""
+        self._carry_out(name, self.nodes[name].become_ready(self.now))
+
     def leave(self, name: str) -> None:
         """Let a daemon tell that it leaves."""
         self._carry_out(name, self.nodes[name].leave(self.now))
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/leaving.py
@@ -0,0 +1,127 @@
+"""Leaving marks of hosts and endpoints, from the platform's host list.
+
+Watchers of the platform turn the list into gossip entries. A mark takes
+effect at once; since the list lags and watchers see different ages of it,
+a mark is taken back only after the list has denied it for a while.
+"""
+
+import dataclasses
+import typing
+
+import cbor2
+import pydantic
+
+from fescuestile import gossip_messages
+from fescuestile import members
+from fescuestile import ports
+
+PREFIX = "leaving/"
+CLEAR_AFTER_SECONDS = 10.0
+DAEMON_ROLE = "daemon"
+
+_ADAPTER = pydantic.TypeAdapter(ports.HostEntry)
+
+
+def decode(entry: gossip_messages.Entry) -> ports.HostEntry | None:
+    """Return the host of an entry, None for a garbled one."""
+    try:
+        host = _ADAPTER.validate_python(cbor2.loads(entry.value))
+    except (cbor2.CBORDecodeError, ValueError):
+        return None
+    return host if entry.key == PREFIX + host.name else None
+
+
+def encode(host: ports.HostEntry, version: int) -> gossip_messages.Entry:
+    """Return the entry of a host; of one version, leaving holds."""
+    return gossip_messages.Entry(
+        key=PREFIX + host.name,
+        version=version,
+        rank=int(host.leaving),
+        value=cbor2.dumps(_ADAPTER.dump_python(host)),
+    )
+
+
+class Marks:
+    """Marks in force, and what a list that was read changes in them."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, gossip_messages.Entry] = {}
+        self._hosts: dict[str, ports.HostEntry] = {}
+        self._denied_at: dict[str, float] = {}
+
+    def take(self, entry: gossip_messages.Entry) -> bool:
+        """Take an entry of the gossip; tell whether it was above."""
+        host = decode(entry)
+        held = self._held.get(entry.key)
+        if host is None or (held and held.order >= entry.order):
+            return False
+        self._held[entry.key] = entry
+        self._hosts[host.name] = host
+        self._denied_at.pop(host.name, None)
+        return True
+
+    def compare(
+        self, hosts: typing.Iterable[ports.HostEntry], now: float
+    ) -> list[gossip_messages.Entry]:
+        """Return the entries that a list calls for.
+
+        :param hosts: the list as read now
+        """
+        return [
+            encode(host, self._find_version(host.name) + 1)
+            for host in hosts
+            if self._is_due(host, now)
+        ]
+
+    def list_endpoints(self) -> frozenset[str]:
+        """Return the names of the endpoints that are leaving."""
+        return frozenset(
+            host.name
+            for host in self._hosts.values()
+            if host.leaving and host.role != DAEMON_ROLE
+        )
+
+    def list_daemons(self) -> frozenset[str]:
+        """Return the link addresses of the daemons that are leaving."""
+        return frozenset(
+            host.address
+            for host in self._hosts.values()
+            if host.leaving and host.role == DAEMON_ROLE
+        )
+
+    def _is_due(self, host: ports.HostEntry, now: float) -> bool:
+        held = self._hosts.get(host.name)
+        marked = held is not None and held.leaving
+        if host.leaving or not marked:
+            self._denied_at.pop(host.name, None)
+            return host.leaving and not marked
+        since = self._denied_at.setdefault(host.name, now)
+        return now - since >= CLEAR_AFTER_SECONDS
+
+    def _find_version(self, name: str) -> int:
+        held = self._held.get(PREFIX + name)
+        return held.version if held else 0
+
+
+def mark_members(
+    snapshot: members.MembershipSnapshot, addresses: frozenset[str]
+) -> members.MembershipSnapshot:
+    """Return a snapshot in which daemons of leaving hosts are leaving.
+
+    :param addresses: link addresses of the leaving daemons
+    """
+    if not addresses:
+        return snapshot
+
+    def mark(member: members.Member) -> members.Member:
+        serving = member.state in (
+            members.MemberState.ALIVE,
+            members.MemberState.SUSPECT,
+        )
+        if not serving or member.link_address not in addresses:
+            return member
+        return dataclasses.replace(member, state=members.MemberState.LEAVING)
+
+    return members.MembershipSnapshot(
+        mark(snapshot.own), tuple(mark(m) for m in snapshot.members)
+    )
--- a/packages/fescuestile/src/fescuestile/members.py
+++ b/packages/fescuestile/src/fescuestile/members.py
@@ -7,6 +7,8 @@
 class MemberState(enum.StrEnum):
     """State of a daemon in the membership."""
 
+    # Has no configuration yet.
+    JOINING = "joining"
     ALIVE = "alive"
     SUSPECT = "suspect"
     LEAVING = "leaving"
--- a/packages/fescuestile/src/fescuestile/membership.py
+++ b/packages/fescuestile/src/fescuestile/membership.py
@@ -11,9 +11,11 @@
 import random
 import typing
 
+from fescuestile import bridges
 from fescuestile import gossip
 from fescuestile import gossip_messages
 from fescuestile import members
+from fescuestile import own_record
 from fescuestile import probes
 from fescuestile import roster
 from fescuestile import suspicions
@@ -57,15 +59,14 @@
         self._random = random_source
         self._timing = timing or probes.Timing()
         self._accept = accept or (lambda entry: True)
-        self._record = gossip_messages.MemberRecord(own)
+        self._own = own_record.OwnRecord(own)
         self._roster = roster.Roster(own)
         self._table = gossip.EntryTable()
         self.gossip = gossip.Gossip(self._table, random_source)
         self._sequences = itertools.count(1)
         self._prober = probes.Prober(self._timing, self._sequences)
-        self._zone_watch = probes.ZoneWatch(self._timing)
+        self._bridge = bridges.Bridge(self._timing, random_source)
         self._near_round = probes.Round(random_source)
-        self._far_round = probes.Round(random_source)
         self._relayed: dict[int, tuple[str, int]] = {}
         self._suspicions = suspicions.Suspicions(
             self._timing.suspicion, own.zone
@@ -90,7 +91,7 @@
     @property
     def own(self) -> members.Member:
         """The own daemon, as it describes itself."""
-        return self._record.member
+        return self._own.member
 
     @property
     def table(self) -> gossip.EntryTable:
@@ -101,10 +102,6 @@
         """Tell whether this daemon should watch the platform."""
         return self._roster.is_watcher()
 
-    def find_topology(self) -> gossip.Topology:
-        """Return whom this daemon gossips with."""
-        return self._roster.find_topology()
-
     def get_member(self, member_id: str) -> members.Member | None:
         """Return a member by id."""
         return self._roster.get(member_id)
@@ -126,18 +123,20 @@
         self._offer(entry, now, "")
         return self._finish()
 
+    def become_ready(self, now: float) -> Outcome:
+        """Tell all that this daemon has a configuration and serves."""
+        self.gossip.ready = True
+        if self.own.state is MemberState.JOINING:
+            return self._change_state(MemberState.ALIVE, now)
+        return self._finish()
+
     def leave(self, now: float) -> Outcome:
         """Tell all that this daemon takes no new work."""
-        if self.own.state is not MemberState.LEAVING:
-            self._change_own(now, state=MemberState.LEAVING)
-        self._sends += self.gossip.flush()
-        return self._finish()
+        return self._change_state(MemberState.LEAVING, now)
 
     def end(self, now: float) -> Outcome:
         """Tell all that this daemon ends now."""
-        self._change_own(now, state=MemberState.DEAD)
-        self._sends += self.gossip.flush()
-        return self._finish()
+        return self._change_state(MemberState.DEAD, now)
 
     def receive(self, sender: str, message: object, now: float) -> Outcome:
         """Take a message of another daemon."""
@@ -155,56 +154,37 @@
         if now >= self._next_probe_at:
             self._next_probe_at = now + self._timing.probe_interval
             self._probe_neighbour(now)
-            self._probe_zone(now)
+            self._ping_once(self._bridge.choose_target(now))
         self._repeat_probes(now)
         self._judge(now)
         self._drop_tombstones(now)
         self._sends += self.gossip.flush()
         return self._finish()
 
-    # Own record
+    def _change_state(self, state: MemberState, now: float) -> Outcome:
+        if self.own.state is not state:
+            self._own.set_state(state)
+            self._announce_own(now)
+        self._sends += self.gossip.flush()
+        return self._finish()
 
     def _announce_own(self, now: float) -> None:
-        entry = roster.encode(self._record)
-        self._roster.take(self._record)
+        entry = roster.encode(self._own.record)
+        self._roster.take(self._own.record)
         self.gossip.offer(entry, now)
         self._dirty = True
 
-    def _change_own(
-        self,
-        now: float,
-        state: MemberState | None = None,
-        above: int | None = None,
-        unreachable: tuple[str, ...] | None = None,
-    ) -> None:
-        member = self._record.member
-        incarnation = max(member.incarnation, above or 0) + 1
-        self._record = gossip_messages.MemberRecord(
-            dataclasses.replace(
-                member, state=state or member.state, incarnation=incarnation
-            ),
-            self._record.unreachable if unreachable is None else unreachable,
-        )
-        self._announce_own(now)
-
     def _update_role(self, now: float) -> None:
         topology = self._roster.find_topology()
-        was_bridge = self.gossip.topology.is_bridge
         self.gossip.topology = topology
-        self._zone_watch.keep_zones(set(topology.bridges))
-        if topology.is_bridge and not was_bridge:
-            self._zone_watch.unreachable = self._roster.list_unreachable()
-        if not topology.is_bridge:
-            self._zone_watch.unreachable = frozenset()
-            self._zone_watch.reset()
+        self._bridge.set_topology(topology, self._roster.list_unreachable)
         self._publish_zones(now)
 
     def _publish_zones(self, now: float) -> None:
-        unreachable = tuple(sorted(self._zone_watch.unreachable))
-        if unreachable != self._record.unreachable:
-            self._change_own(now, unreachable=unreachable)
-
-    # Entries
+        unreachable = self._bridge.unreachable
+        if unreachable != self._own.record.unreachable:
+            self._own.set_unreachable(unreachable)
+            self._announce_own(now)
 
     def _offer(self, entry: Entry, now: float, source: str) -> None:
         if not self._table.is_newer(entry):
@@ -236,45 +216,23 @@
             self.gossip.forget(member.id)
         else:
             self._roster.take(record)
-            self._doubt_with(record, now)
-
-    def _doubt_with(
-        self, record: gossip_messages.MemberRecord, now: float
-    ) -> None:
-        """Probe at once the zones that another bridge has lost."""
-        if not self.gossip.topology.is_bridge:
-            return
-        if record.member.zone == self.own.zone:
-            known = set(self.gossip.topology.bridges)
-            lost = set(record.unreachable) - self._zone_watch.unreachable
-            for zone in sorted(lost & known):
-                self._zone_watch.ask(zone, now)
+            if member.zone == self.own.zone:
+                self._bridge.doubt_with(record, now)
 
     def _refute(self, entry: Entry, now: float) -> None:
         if self.own.state is not MemberState.DEAD:
-            self._change_own(now, above=entry.version)
+            self._own.refute(entry.version)
+            self._announce_own(now)
 
     def _is_abroad(self, source: str) -> bool:
         sender = self._roster.get(source)
         return sender is not None and sender.zone != self.own.zone
 
-    # Probes
-
     def _probe_neighbour(self, now: float) -> None:
         target = self._near_round.pick(self.gossip.topology.neighbours)
         if target is not None:
             self._ping(target, self._prober.open(target, now))
 
-    def _probe_zone(self, now: float) -> None:
-        if not self.gossip.topology.is_bridge:
-            return
-        bridges = self.gossip.topology.bridges
-        zone = self._far_round.pick(tuple(bridges))
-        if zone is not None:
-            self._zone_watch.ask(zone, now)
-            target = self._random.choice(bridges[zone])
-            self._ping(target, next(self._sequences))
-
     def _repeat_probes(self, now: float) -> None:
         neighbours = self.gossip.topology.neighbours
         for sequence, probe in self._prober.list_doubtful(now):
@@ -283,17 +241,16 @@
             message = gossip_messages.IndirectPing(sequence, probe.target)
             for helper in self._random.sample(others, count):
                 self._send(helper, message)
-        for zone in self._zone_watch.list_doubtful(now):
-            for target in self.gossip.topology.bridges.get(zone, ()):
-                self._ping(target, next(self._sequences))
+        for target in self._bridge.list_repeats(now):
+            self._ping_once(target)
 
     def _judge(self, now: float) -> None:
         for target in self._prober.take_failed(now):
             self._suspect(target, now)
         for target in self._suspicions.list_expired(now):
             self._declare(target, MemberState.DEAD, now)
-        if self._zone_watch.take_lost(now):
-            self._publish_zones(now)
+        self._bridge.judge(now)
+        self._publish_zones(now)
 
     def _suspect(self, target: str, now: float) -> None:
         member = self._roster.get(target)
@@ -301,7 +258,7 @@
             return
         if member.state is MemberState.ALIVE:
             self._declare(target, MemberState.SUSPECT, now)
-        elif member.state is MemberState.LEAVING:
+        else:
             self._suspicions.suspect(member, now)
 
     def _declare(self, target: str, state: MemberState, now: float) -> None:
@@ -315,24 +272,23 @@
         if before is None or now - before <= self._timing.pause_limit:
             return
         self._prober.reset()
-        self._zone_watch.reset()
+        self._bridge.reset()
         self._suspicions.restart(now)
 
     def _drop_tombstones(self, now: float) -> None:
         for member_id in self._suspicions.take_forgotten(now):
             self._table.remove(roster.PREFIX + member_id)
 
-    # Messages
-
     def _hear(self, sender: str, now: float) -> None:
         self._prober.answer(sender)
         member = self._roster.get(sender)
         if member is None:
             self._tell_verdict(sender)
             return
-        if member.state is MemberState.LEAVING:
+        if member.state is not MemberState.SUSPECT:
             self._suspicions.clear(sender)
-        if member.zone != self.own.zone and self._zone_watch.hear(member.zone):
+        if member.zone != self.own.zone:
+            self._bridge.hear(member.zone)
             self._publish_zones(now)
 
     def _tell_verdict(self, sender: str) -> None:
@@ -340,6 +296,10 @@
         if held is not None:
             self._send(sender, gossip_messages.Push((held,)))
 
+    def _ping_once(self, target: str | None) -> None:
+        if target is not None:
+            self._ping(target, next(self._sequences))
+
     def _ping(self, target: str, sequence: int) -> None:
         entries = self.gossip.take_piggyback()
         held = self._table.get(roster.PREFIX + target)
--- a/packages/fescuestile/src/fescuestile/roster.py
+++ b/packages/fescuestile/src/fescuestile/roster.py
@@ -22,6 +22,7 @@
     members.MemberState.ALIVE: 0,
     members.MemberState.SUSPECT: 1,
     members.MemberState.LEAVING: 2,
+    members.MemberState.JOINING: 3,
     members.MemberState.DEAD: gossip_messages.TOMBSTONE_RANK,
 }
 STATE_BY_RANK = {rank: state for state, rank in RANK_BY_STATE.items()}
@@ -110,23 +111,26 @@
             if record.member.state in states
         ]
 
+    def list_eligible(self, zone: str) -> list[str]:
+        """Return the daemons of a zone that may be bridge or watcher."""
+        eligible = self.list_zone(zone, SERVING) or self.list_zone(
+            zone, (members.MemberState.JOINING,)
+        )
+        return [member.id for member in eligible]
+
     def find_bridges(self, zone: str) -> tuple[str, ...]:
         """Return the ids of a zone's bridges."""
         if zone not in self._bridges:
-            serving = self.list_zone(zone, SERVING)
             self._bridges[zone] = rendezvous.choose(
-                f"bridge/{zone}",
-                (member.id for member in serving),
-                BRIDGES_PER_ZONE,
+                f"bridge/{zone}", self.list_eligible(zone), BRIDGES_PER_ZONE
             )
         return self._bridges[zone]
 
     def is_watcher(self) -> bool:
         """Tell whether this daemon is one that watches the platform."""
-        serving = self.list_zone(self._own.zone, SERVING)
         chosen = rendezvous.choose(
             f"watch/{self._own.zone}",
-            (member.id for member in serving),
+            self.list_eligible(self._own.zone),
             WATCHERS_PER_ZONE,
         )
         return self._own.id in chosen
@@ -159,7 +163,11 @@
         )
 
     def _build_topology(self) -> gossip.Topology:
-        present = (*SERVING, members.MemberState.LEAVING)
+        present = (
+            *SERVING,
+            members.MemberState.LEAVING,
+            members.MemberState.JOINING,
+        )
         neighbours = tuple(
             member.id
             for member in self.list_zone(self._own.zone, present)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -127,6 +127,21 @@
         lambda: "a-2" in fleet.nodes["new"].gossip.synced, 1.0
     )
     assert fleet.knows("new", "plan/werkstatt-db", 4)
+    fleet.run(1.0)
+    assert "new" not in fleet.list_serving("a-1")
+    fleet.become_ready("new")
+    assert fleet.run_until(lambda: "new" in fleet.list_serving("a-1"), 1.0)
+
+
+def test_daemons_that_all_start_anew_have_a_watcher():
+    fleet = fleets.Fleet(1)
+    for name in "abc":
+        fleet.add(name, "zone", ready=False)
+    fleet.join("b", "a")
+    fleet.join("c", "a")
+    fleet.run(5.0)
+    watching = [node.is_watcher() for node in fleet.nodes.values()]
+    assert sum(watching) == roster.WATCHERS_PER_ZONE
 
 
 def test_a_paused_daemon_blames_nobody_when_it_wakes():
