--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/fleet_status.py
@@ -0,0 +1,192 @@
+"""Status of all daemons and endpoints, and drains of other daemons."""
+
+import asyncio
+import collections.abc
+
+import expression
+
+from fescuestile import clock
+from fescuestile import errors
+from fescuestile import members
+from fescuestile import plans
+from fescuestile import snapshots
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_daemon import control_messages
+from fescuestile_daemon import group_board
+from fescuestile_daemon import links
+from fescuestile_daemon import published
+
+QUERY_TIMEOUT_SECONDS = 1.0
+QUERIES_AT_A_TIME = 32
+MILLISECONDS_PER_SECOND = 1000
+MAX_LAG_MILLISECONDS = 2**32 - 1
+
+Drain = collections.abc.Callable[[str], None]
+
+
+class FleetStatus:
+    """Asks daemons over links and answers when asked."""
+
+    def __init__(
+        self,
+        membership: published.Published[members.MembershipSnapshot],
+        revisions: published.Published[dict[str, plans.PlanRevision]],
+        board: group_board.GroupBoard,
+        link_pool: links.Links,
+        time_source: clock.Clock,
+        on_drain: Drain,
+    ) -> None:
+        """Register with the links.
+
+        :param on_drain: begins this daemon's drain for an operator
+        """
+        self._membership = membership
+        self._revisions = revisions
+        self._board = board
+        self._links = link_pool
+        self._clock = time_source
+        self._on_drain = on_drain
+        link_pool.add_handler(control_messages.StatusQuery, self._answer)
+        link_pool.add_handler(control_messages.StatusReply, self._resolve)
+        link_pool.add_handler(control_messages.DrainOrder, self._obey)
+        link_pool.add_handler(control_messages.DrainReply, self._resolve)
+
+    async def list_daemons(self, database: str) -> list[pb.DaemonStatus]:
+        """Return the state of each daemon and its revisions.
+
+        A daemon that does not answer is listed without revisions.
+
+        :param database: empty for all
+        """
+        limit = asyncio.Semaphore(QUERIES_AT_A_TIME)
+
+        async def ask(member: members.Member) -> pb.DaemonStatus:
+            async with limit:
+                return await self._ask(member, database)
+
+        known = sorted(
+            self._membership.get().members,
+            key=lambda member: (member.zone, member.id),
+        )
+        return list(await asyncio.gather(*(ask(one) for one in known)))
+
+    def list_endpoints(self, database: str) -> list[pb.EndpointStatus]:
+        """Return the endpoints as this daemon sees them."""
+        now = self._clock.now()
+        names = [database] if database else self._board.list_databases()
+        found = (self._board.get(name) for name in sorted(names))
+        return [
+            _describe(group.plan.database, view, now)
+            for group in found
+            if group is not None
+            for view in group.endpoints.values()
+        ]
+
+    async def drain(
+        self, daemon: str, operator: str
+    ) -> expression.Result[str, errors.FescuestileError]:
+        """Begin the drain of a daemon.
+
+        :param daemon: id or name; empty for this one
+        :returns: the daemon's state
+        """
+        own = self._membership.get().own
+        if not daemon or _is_named(own, daemon):
+            self._on_drain(operator)
+            return expression.Ok(members.MemberState.LEAVING.value)
+        for member in self._membership.get().members:
+            if _is_named(member, daemon):
+                reply = await self._links.request(
+                    member,
+                    lambda number: control_messages.DrainOrder(
+                        number, operator
+                    ),
+                    QUERY_TIMEOUT_SECONDS,
+                )
+                return reply.map(lambda message: message.state)
+        return expression.Error(
+            errors.InvalidInput(
+                f"unknown daemon {daemon!r}", "drain", field="daemon"
+            )
+        )
+
+    async def _ask(
+        self, member: members.Member, database: str
+    ) -> pb.DaemonStatus:
+        status = pb.DaemonStatus(
+            daemon=member.id, zone=member.zone, state=member.state.value
+        )
+        if member.id == self._membership.get().own.id:
+            in_force = self._list_in_force(database)
+        else:
+            reply = await self._links.request(
+                member,
+                lambda number: control_messages.StatusQuery(number, database),
+                QUERY_TIMEOUT_SECONDS,
+            )
+            in_force = reply.ok.revisions if reply.is_ok() else ()
+        for item in in_force:
+            status.revisions[item.database] = item.revision
+        return status
+
+    def _list_in_force(
+        self, database: str
+    ) -> tuple[control_messages.RevisionInForce, ...]:
+        return tuple(
+            control_messages.RevisionInForce(name, revision.revision)
+            for name, revision in sorted(self._revisions.get().items())
+            if database in ("", name)
+        )
+
+    async def _answer(
+        self, peer: str, message: control_messages.StatusQuery
+    ) -> None:
+        own = self._membership.get().own
+        await self._links.reply(
+            peer,
+            control_messages.StatusReply(
+                message.id,
+                own.state.value,
+                self._list_in_force(message.database),
+            ),
+        )
+
+    async def _obey(
+        self, peer: str, message: control_messages.DrainOrder
+    ) -> None:
+        self._on_drain(message.operator)
+        await self._links.reply(
+            peer,
+            control_messages.DrainReply(
+                message.id, members.MemberState.LEAVING.value
+            ),
+        )
+
+    async def _resolve(
+        self,
+        peer: str,
+        message: control_messages.StatusReply | control_messages.DrainReply,
+    ) -> None:
+        self._links.resolve(message.id, message)
+
+
+def _is_named(member: members.Member, name: str) -> bool:
+    """Tell whether a name is a daemon's id, or its host's name."""
+    return name in (member.id, member.id.rpartition("-")[0])
+
+
+def _describe(
+    database: str, view: snapshots.EndpointView, now: float
+) -> pb.EndpointStatus:
+    lag = max(0.0, now - view.current_at) * MILLISECONDS_PER_SECOND
+    return pb.EndpointStatus(
+        endpoint=view.endpoint.name,
+        database=database,
+        role=view.role.value,
+        position=pb.Position(
+            term=view.history.last.term, index=view.history.last.index
+        ),
+        owner=view.owner,
+        lag_ms=round(min(lag, MAX_LAG_MILLISECONDS)),
+        connections=view.endpoint.connections,
+    )
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/key_keeper.py
@@ -0,0 +1,85 @@
+"""Creates and rotates the keys of session tokens at the platform."""
+
+import asyncio
+import collections.abc
+import random
+import secrets
+import time
+
+import structlog
+
+from fescuestile import gossip_messages
+from fescuestile import ports
+from fescuestile import session_keys
+from fescuestile import sessions
+from fescuestile_daemon import membership_actor
+from fescuestile_daemon import published
+
+log = structlog.get_logger(__name__)
+
+CHECK_SECONDS = 30.0
+SECRET_BYTES = 32
+ID_BYTES = 4
+
+
+def make_key() -> sessions.SigningKey:
+    """Return a new random key."""
+    return sessions.SigningKey(
+        secrets.token_hex(ID_BYTES), secrets.token_bytes(SECRET_BYTES)
+    )
+
+
+class KeyKeeper:
+    """Steps the rotation while this daemon watches the platform."""
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        status: published.Published[membership_actor.GossipStatus],
+        announce: collections.abc.Callable[
+            [tuple[gossip_messages.Entry, ...]], None
+        ],
+        random_source: random.Random,
+    ) -> None:
+        """Prepare to keep the keys."""
+        self._platform = platform
+        self._status = status
+        self._announce = announce
+        self._random = random_source
+
+    async def run(self) -> None:
+        """Check from time to time, with jitter, for ever."""
+        while True:
+            if self._status.get().watcher:
+                await self.step(time.time())
+            await asyncio.sleep(self._random.uniform(0.5, 1.5) * CHECK_SECONDS)
+
+    async def step(self, now: float) -> None:
+        """Write the next keys if a change is due.
+
+        :param now: seconds since the epoch
+        """
+        read = await self._platform.read(session_keys.PATH)
+        if read.is_error():
+            return
+        stored = read.ok
+        held = None
+        if stored is not None:
+            decoded = session_keys.decode(stored.value, stored.path)
+            if decoded.is_error():
+                log.error("session keys refused", error=str(decoded.error))
+                return
+            held = decoded.ok
+        content = session_keys.rotate(held, make_key(), now)
+        if content is not None:
+            written = await self._platform.write(
+                session_keys.PATH,
+                session_keys.encode(content),
+                stored.version if stored else 0,
+                secrets.token_hex(16),
+            )
+            if written.is_ok():
+                held = content
+                log.info("session keys changed", number=content.number)
+        if held is not None:
+            self._announce((session_keys.make_entry(held),))
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/membership_actor.py
@@ -0,0 +1,187 @@
+"""Actor that owns the membership and the gossip of one daemon."""
+
+import collections.abc
+import dataclasses
+import random
+
+import pykka
+
+from fescuestile import clock
+from fescuestile import gossip_messages
+from fescuestile import leaving
+from fescuestile import members
+from fescuestile import membership
+from fescuestile import probes
+from fescuestile_daemon import published
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message of another daemon."""
+
+    sender: str
+    message: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Met:
+    """A link to another daemon was opened."""
+
+    peer: members.Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announced:
+    """Entries that arose on this daemon."""
+
+    entries: tuple[gossip_messages.Entry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ready:
+    """The daemon has a configuration."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """The daemon takes no new work from now on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """The daemon ends now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsLeaving:
+    """Link addresses of the daemons whose hosts are leaving."""
+
+    addresses: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class GossipStatus:
+    """How far this daemon's gossip is.
+
+    :ivar ready: it holds a configuration it can answer for
+    :ivar synced: daemons that were ready and have been compared with
+    :ivar watcher: this daemon should watch the platform
+    :ivar state: own state, as this daemon says it
+    """
+
+    ready: bool = False
+    synced: frozenset[str] = frozenset()
+    watcher: bool = False
+    state: members.MemberState = members.MemberState.JOINING
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to a daemon; ``member`` is None while it is not known."""
+
+    to: str
+    member: members.Member | None
+    message: object
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipParts:
+    """What the actor works with.
+
+    :ivar send: takes the messages to send; called in the actor's thread
+    :ivar on_changed: takes entries that are not members', likewise
+    :ivar accept: tells whether such an entry is well formed
+    """
+
+    own: members.Member
+    time_source: clock.Clock
+    random_source: random.Random
+    timing: probes.Timing
+    snapshots: published.Published[members.MembershipSnapshot]
+    status: published.Published[GossipStatus]
+    send: collections.abc.Callable[[tuple[Outgoing, ...]], None]
+    on_changed: collections.abc.Callable[
+        [tuple[gossip_messages.Entry, ...]], None
+    ]
+    accept: collections.abc.Callable[[gossip_messages.Entry], bool]
+
+
+class MembershipActor(pykka.ThreadingActor):
+    """Steps the membership and carries its actions out."""
+
+    def __init__(self, parts: MembershipParts) -> None:
+        """Start as the only member known."""
+        super().__init__()
+        self._parts = parts
+        self._membership = membership.Membership(
+            parts.own, parts.random_source, parts.timing, parts.accept
+        )
+        self._seen = parts.snapshots.get()
+        self._addresses: frozenset[str] = frozenset()
+
+    def on_receive(self, message: object) -> None:
+        """Take one message."""
+        now = self._parts.time_source.now()
+        state = self._membership
+        match message:
+            case Tick():
+                self._carry_out(state.tick(now))
+            case Received():
+                self._carry_out(
+                    state.receive(message.sender, message.message, now)
+                )
+            case Met():
+                self._carry_out(state.meet(message.peer, now))
+            case Announced():
+                for entry in message.entries:
+                    self._carry_out(state.announce(entry, now))
+            case Ready():
+                self._carry_out(state.become_ready(now))
+            case Leaving():
+                self._carry_out(state.leave(now))
+            case Ending():
+                self._carry_out(state.end(now))
+            case HostsLeaving():
+                self._addresses = message.addresses
+                self._publish()
+            case _:
+                raise TypeError(f"unknown message {message!r}")
+
+    def _carry_out(self, outcome: membership.Outcome) -> None:
+        if outcome.changed:
+            self._parts.on_changed(outcome.changed)
+        if outcome.snapshot is not None:
+            self._seen = outcome.snapshot
+            self._publish()
+        if outcome.sends:
+            self._parts.send(
+                tuple(
+                    Outgoing(
+                        send.to,
+                        self._membership.get_member(send.to),
+                        send.message,
+                    )
+                    for send in outcome.sends
+                )
+            )
+        self._publish_status()
+
+    def _publish(self) -> None:
+        marked = leaving.mark_members(self._seen, self._addresses)
+        if marked != self._parts.snapshots.get():
+            self._parts.snapshots.publish(marked)
+
+    def _publish_status(self) -> None:
+        status = GossipStatus(
+            ready=self._membership.gossip.ready,
+            synced=frozenset(self._membership.gossip.synced),
+            watcher=self._membership.is_watcher(),
+            state=self._membership.own.state,
+        )
+        if status != self._parts.status.get():
+            self._parts.status.publish(status)
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/operator_server.py
@@ -0,0 +1,342 @@
+"""Operators' border: the gRPC service that the command line calls.
+
+An error travels as a Failure in the trailing metadata, so that clients see
+its step, peer and field.
+"""
+
+import collections.abc
+import datetime
+import typing
+
+import expression
+import grpc
+
+from fescuestile import configuration
+from fescuestile import errors
+from fescuestile import plans
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
+from fescuestile_api import models
+from fescuestile_daemon import audit
+from fescuestile_daemon import caller_frames
+from fescuestile_daemon import fleet_status
+from fescuestile_daemon import plan_changes
+
+FAILURE_KEY = "fescuestile-failure-bin"
+STATUS_BY_ERROR: typing.Mapping[
+    type[errors.FescuestileError], grpc.StatusCode
+] = {
+    errors.InvalidInput: grpc.StatusCode.INVALID_ARGUMENT,
+    errors.VersionConflict: grpc.StatusCode.FAILED_PRECONDITION,
+    errors.NotRun: grpc.StatusCode.UNAVAILABLE,
+    errors.PlatformUnavailable: grpc.StatusCode.UNAVAILABLE,
+    errors.ConnectionLost: grpc.StatusCode.UNAVAILABLE,
+}
+
+Context = typing.Any
+T = typing.TypeVar("T")
+
+
+class SwitchoverDone(typing.NamedTuple):
+    """Result of a planned switchover."""
+
+    term: int
+    primary: str
+
+
+Switchover = collections.abc.Callable[
+    [str, str, str],
+    collections.abc.Awaitable[
+        expression.Result[SwitchoverDone, errors.FescuestileError]
+    ],
+]
+ChangeEntry = collections.abc.Callable[[plans.PlanRevision], None]
+
+
+async def refuse_switchover(
+    database: str, target: str, change_id: str
+) -> expression.Result[SwitchoverDone, errors.FescuestileError]:
+    """Refuse a switchover, where no failover part is wired."""
+    return expression.Error(
+        errors.NotRun("this daemon does no switchovers", "switchover")
+    )
+
+
+class OperatorService(pb_grpc.OperatorServiceServicer):
+    """Answers operators; each change is in the audit trail."""
+
+    def __init__(
+        self,
+        changes: plan_changes.PlanChanges,
+        trail: audit.AuditTrail,
+        status: fleet_status.FleetStatus,
+        on_changed: ChangeEntry,
+        switchover: Switchover = refuse_switchover,
+    ) -> None:
+        """Serve by the given parts.
+
+        :param on_changed: takes the revision in force after a change
+        :param switchover: carries out (database, target, change id)
+        """
+        self._changes = changes
+        self._trail = trail
+        self._status = status
+        self._on_changed = on_changed
+        self._switchover = switchover
+
+    async def Declare(  # noqa: N802
+        self, request: pb.DeclareRequest, context: Context
+    ) -> pb.ChangeReply:
+        """Make the first revision of a database's plan."""
+        plan = await _require(models.read_plan(request.plan), context)
+        change = _make_change(request.change_id, request.operator)
+        outcome = await self._changes.declare(plan, change)
+        await self._record("declare", plan.database, change, outcome, 0)
+        return await self._reply(outcome, context)
+
+    async def Apply(  # noqa: N802
+        self, request: pb.ApplyRequest, context: Context
+    ) -> pb.ChangeReply:
+        """Make a new revision of a plan."""
+        plan = await _require(models.read_plan(request.plan), context)
+        change = _make_change(request.change_id, request.operator)
+        before = request.expected_revision
+        outcome = await self._changes.apply(plan, before, change)
+        await self._record("apply", plan.database, change, outcome, before)
+        return await self._reply(outcome, context)
+
+    async def Revert(  # noqa: N802
+        self, request: pb.RevertRequest, context: Context
+    ) -> pb.ChangeReply:
+        """Make a new revision with an earlier one's content."""
+        change = _make_change(request.change_id, request.operator)
+        before = request.expected_revision
+        outcome = await self._changes.revert(
+            request.database, request.to_revision, before, change
+        )
+        await self._record(
+            "revert",
+            request.database,
+            change,
+            outcome,
+            before,
+            f"to revision {request.to_revision}",
+        )
+        return await self._reply(outcome, context)
+
+    async def History(  # noqa: N802
+        self, request: pb.HistoryRequest, context: Context
+    ) -> pb.HistoryReply:
+        """Return the kept revisions, oldest first."""
+        listed = await self._changes.list_history(request.database)
+        revisions = await _require(listed, context)
+        if not revisions:
+            unknown = errors.InvalidInput(
+                f"{request.database!r} is not declared",
+                "history",
+                field="database",
+            )
+            await _fail(unknown, context)
+        return pb.HistoryReply(
+            revisions=[
+                pb.Revision(
+                    revision=revision.revision,
+                    plan=models.write_plan(revision.plan),
+                    change_id=revision.change_id,
+                    operator=revision.operator,
+                    changed_at=revision.changed_at,
+                )
+                for revision in revisions
+            ]
+        )
+
+    async def Status(  # noqa: N802
+        self, request: pb.StatusRequest, context: Context
+    ) -> pb.StatusReply:
+        """Return all daemons, and endpoints as this daemon sees them."""
+        return pb.StatusReply(
+            daemons=await self._status.list_daemons(request.database),
+            endpoints=self._status.list_endpoints(request.database),
+        )
+
+    async def Drain(  # noqa: N802
+        self, request: pb.DrainRequest, context: Context
+    ) -> pb.DrainReply:
+        """Begin the drain of a daemon."""
+        change = _make_change("", request.operator)
+        outcome = await self._status.drain(request.daemon, request.operator)
+        await self._trail.record(
+            _make_entry(
+                "drain",
+                audit.FLEET,
+                change,
+                _name_outcome(outcome),
+                detail=request.daemon or "this daemon",
+            )
+        )
+        return pb.DrainReply(state=await _require(outcome, context))
+
+    async def Switchover(  # noqa: N802
+        self, request: pb.SwitchoverRequest, context: Context
+    ) -> pb.SwitchoverReply:
+        """Move a group's primary to another endpoint."""
+        change = _make_change(request.change_id, request.operator)
+        outcome = await self._switchover(
+            request.database, request.target, request.change_id
+        )
+        await self._trail.record(
+            _make_entry(
+                "switchover",
+                request.database,
+                change,
+                _name_outcome(outcome),
+                detail=f"to {request.target}",
+            )
+        )
+        done = await _require(outcome, context)
+        return pb.SwitchoverReply(term=done.term, primary=done.primary)
+
+    async def Audit(  # noqa: N802
+        self, request: pb.AuditRequest, context: Context
+    ) -> pb.AuditReply:
+        """Return the latest entries of the audit trail, newest first."""
+        listed = await self._trail.list_entries(
+            request.database, request.limit
+        )
+        entries = await _require(listed, context)
+        return pb.AuditReply(
+            entries=[
+                pb.AuditEntry(
+                    change_id=entry.change_id,
+                    operator=entry.operator,
+                    at=entry.at,
+                    action=entry.action,
+                    database=entry.database,
+                    outcome=entry.outcome,
+                    before_revision=entry.before_revision,
+                    after_revision=entry.after_revision,
+                    detail=entry.detail,
+                )
+                for entry in entries
+            ]
+        )
+
+    async def _record(
+        self,
+        action: str,
+        database: str,
+        change: configuration.Change,
+        outcome: plan_changes.Changed,
+        before: int,
+        detail: str = "",
+    ) -> None:
+        if outcome.is_error():
+            detail = str(outcome.error)
+        await self._trail.record(
+            _make_entry(
+                action,
+                database,
+                change,
+                _name_outcome(outcome),
+                before,
+                outcome.ok.revision if outcome.is_ok() else 0,
+                detail,
+            )
+        )
+
+    async def _reply(
+        self, outcome: plan_changes.Changed, context: Context
+    ) -> pb.ChangeReply:
+        done = await _require(outcome, context)
+        self._on_changed(done.current)
+        return pb.ChangeReply(revision=done.revision, repeated=done.repeated)
+
+
+class OperatorServer:
+    """Listens for operators."""
+
+    def __init__(self, service: OperatorService) -> None:
+        """Serve a service."""
+        self._service = service
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``IP:port``.
+
+        :raises: ConnectionLost when the address can't be had
+        """
+        self._server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
+        pb_grpc.add_OperatorServiceServicer_to_server(
+            self._service, self._server
+        )
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise errors.ConnectionLost(
+                message=str(error), step="listen", peer=address
+            ) from error
+        await self._server.start()
+
+    async def close(self) -> None:
+        """End all calls."""
+        if self._server is not None:
+            await self._server.stop(grace=0.2)
+
+
+def _make_change(change_id: str, operator: str) -> configuration.Change:
+    now = datetime.datetime.now(datetime.UTC)
+    text = now.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+    return configuration.Change(change_id, operator, text)
+
+
+def _make_entry(
+    action: str,
+    database: str,
+    change: configuration.Change,
+    outcome: str,
+    before: int = 0,
+    after: int = 0,
+    detail: str = "",
+) -> audit.AuditEntry:
+    return audit.AuditEntry(
+        change_id=change.change_id,
+        operator=change.operator,
+        at=change.changed_at,
+        action=action,
+        database=database,
+        outcome=outcome,
+        before_revision=before,
+        after_revision=after,
+        detail=detail,
+    )
+
+
+def _name_outcome(
+    outcome: expression.Result[typing.Any, errors.FescuestileError],
+) -> str:
+    if outcome.is_error():
+        return type(outcome.error).__name__
+    return "repeated" if getattr(outcome.ok, "repeated", False) else "done"
+
+
+async def _require(
+    result: expression.Result[T, typing.Any], context: Context
+) -> T:
+    """Return the value, or end the call with the error."""
+    if result.is_error():
+        await _fail(result.error, context)
+    return result.ok
+
+
+async def _fail(error: errors.FescuestileError, context: Context) -> None:
+    code = grpc.StatusCode.UNKNOWN
+    for cls, status in STATUS_BY_ERROR.items():
+        if isinstance(error, cls):
+            code = status
+            break
+    failure = caller_frames.make_failure(0, error).answer.failure
+    await context.abort(
+        code,
+        str(error),
+        trailing_metadata=((FAILURE_KEY, failure.SerializeToString()),),
+    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/platform_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/platform_adapter.py
@@ -59,17 +59,20 @@
 
     def __init__(
         self,
-        address: str,
+        front_ends: typing.Sequence[str],
         own_ip: str | None = None,
         timeout: float = CALL_TIMEOUT_SECONDS,
         random_source: random.Random | None = None,
     ) -> None:
-        """Take the platform's ``IP:port``.
+        """Take the platform's addresses.
 
+        :param front_ends: ``IP:port`` of each; the next one is tried
+            when one fails
         :param own_ip: source address of the connections
         :param timeout: seconds until a call counts as unanswered
         """
-        self._address = address
+        self._front_ends = tuple(front_ends)
+        self._turn = 0
         self._source = (own_ip, 0) if own_ip else None
         self._timeout = timeout
         self._backoff = Backoff(random_source or random.Random())
@@ -81,6 +84,10 @@
         self._hosts: tuple[ports.HostEntry, ...] = ()
         self._hosts_version = 0
 
+    @property
+    def _address(self) -> str:
+        return self._front_ends[self._turn % len(self._front_ends)]
+
     async def read(
         self, path: str
     ) -> expression.Result[ports.StoredObject | None, errors.FescuestileError]:
@@ -189,6 +196,7 @@
             try:
                 self._connection = await self._dial()
             except (OSError, websockets.WebSocketException):
+                self._turn += 1
                 self._backoff.fail(asyncio.get_running_loop().time())
                 return None
             self._reader = asyncio.create_task(self._read_replies())
@@ -208,6 +216,7 @@
             pass
         finally:
             self._connection = None
+            self._turn += 1
             self._backoff.fail(asyncio.get_running_loop().time())
             for waiter in self._waiting.values():
                 if not waiter.done():
@@ -253,10 +262,11 @@
     def _translate(
         self, refused: platform_messages.Refused
     ) -> errors.FescuestileError:
-        error = errors.InvalidInput
         conflict = platform_messages.Refusal.VERSION_CONFLICT
         if refused.refusal is conflict:
             return errors.VersionConflict(
                 refused.message, STEP, self._address, refused.field
             )
-        return error(refused.message, STEP, self._address, refused.field)
+        return errors.InvalidInput(
+            refused.message, STEP, self._address, refused.field
+        )
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/platform_watch.py
@@ -0,0 +1,144 @@
+"""Watches the platform while this daemon is one of its zone's watchers.
+
+What it sees goes into the gossip. Two daemons of a zone watch, so calls at
+the platform grow with zones, not with daemons or databases.
+"""
+
+import asyncio
+import collections.abc
+import random
+
+import expression
+import structlog
+
+from fescuestile import configuration
+from fescuestile import errors
+from fescuestile import gossip_messages
+from fescuestile import ports
+from fescuestile import session_keys
+from fescuestile_daemon import membership_actor
+from fescuestile_daemon import published
+from fescuestile_daemon import tasks
+
+log = structlog.get_logger(__name__)
+
+ROLE_SECONDS = 0.25
+HOSTS_SECONDS = 1.0
+BACKOFF_FIRST_SECONDS = 0.2
+BACKOFF_LIMIT_SECONDS = 5.0
+
+Entry = gossip_messages.Entry
+Announce = collections.abc.Callable[[tuple[Entry, ...]], None]
+
+
+def read_stored(stored: ports.StoredObject) -> Entry | None:
+    """Return the gossip entry of an object, None for a garbled one."""
+    if stored.path == session_keys.PATH:
+        keys = session_keys.decode(stored.value, stored.path)
+        return session_keys.make_entry(keys.ok) if keys.is_ok() else None
+    content = configuration.decode_object(stored.value, stored.path)
+    if content.is_error():
+        log.error("plan object refused", error=str(content.error))
+        return None
+    return configuration.make_entry(content.ok.current)
+
+
+class PlatformWatch:
+    """Loads the configuration, and watches it while in the role."""
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        status: published.Published[membership_actor.GossipStatus],
+        announce: Announce,
+        on_hosts: collections.abc.Callable[
+            [tuple[ports.HostEntry, ...]], None
+        ],
+        random_source: random.Random,
+    ) -> None:
+        """Prepare; ``start`` begins to follow the role."""
+        self._platform = platform
+        self._status = status
+        self._announce = announce
+        self._on_hosts = on_hosts
+        self._random = random_source
+        self._role = tasks.TaskSet()
+        self._work = tasks.TaskSet()
+        self._watching = False
+
+    def start(self) -> None:
+        """Begin to follow the role."""
+        self._role.spawn(self._follow_role())
+
+    async def close(self) -> None:
+        """Stop to watch."""
+        await self._role.close()
+        await self._work.close()
+
+    async def load(
+        self, prefix: str
+    ) -> expression.Result[int, errors.FescuestileError]:
+        """Read and announce all objects under a prefix.
+
+        :returns: the highest version among them
+        """
+        listed = await self._platform.list_objects(prefix)
+        if listed.is_error():
+            return expression.Error(listed.error)
+        self._announce_stored(listed.ok)
+        return expression.Ok(
+            max((stored.version for stored in listed.ok), default=0)
+        )
+
+    async def _follow_role(self) -> None:
+        while True:
+            status = self._status.get()
+            wanted = status.watcher and status.ready
+            if wanted and not self._watching:
+                log.info("watching the platform")
+                self._work.spawn(self._watch(configuration.PLAN_PREFIX))
+                self._work.spawn(self._watch(session_keys.PATH))
+                self._work.spawn(self._poll_hosts())
+            elif self._watching and not wanted:
+                log.info("no longer watching the platform")
+                await self._work.close()
+            self._watching = wanted
+            await asyncio.sleep(ROLE_SECONDS)
+
+    async def _watch(self, prefix: str) -> None:
+        version: int | None = None
+        failures = 0
+        while True:
+            if version is None:
+                loaded = await self.load(prefix)
+                version = loaded.ok if loaded.is_ok() else None
+            if version is not None:
+                async for stored in self._platform.watch(prefix, version):
+                    version = max(version, stored.version)
+                    failures = 0
+                    self._announce_stored((stored,))
+                log.info("watch ended", prefix=prefix)
+            failures += 1
+            await self._wait(failures)
+
+    async def _wait(self, failures: int) -> None:
+        limit = min(
+            BACKOFF_LIMIT_SECONDS,
+            BACKOFF_FIRST_SECONDS * 2 ** min(failures, 10),
+        )
+        await asyncio.sleep(self._random.uniform(limit / 2, limit))
+
+    async def _poll_hosts(self) -> None:
+        while True:
+            listed = await self._platform.list_hosts()
+            if listed.is_ok():
+                self._on_hosts(listed.ok)
+            await asyncio.sleep(HOSTS_SECONDS)
+
+    def _announce_stored(
+        self, objects: collections.abc.Iterable[ports.StoredObject]
+    ) -> None:
+        entries = (read_stored(stored) for stored in objects)
+        known = tuple(entry for entry in entries if entry is not None)
+        if known:
+            self._announce(known)
--- a/packages/fescuestile/src/fescuestile/gossip.py
+++ b/packages/fescuestile/src/fescuestile/gossip.py
@@ -24,6 +24,7 @@
 PAGE_BYTES = 256 * 1024
 SYNC_COOLDOWN_SECONDS = 1.0
 SETTLE_SECONDS = 0.3
+SEEK_PEERS = 2
 
 Entry = gossip_messages.Entry
 
@@ -232,6 +233,13 @@
         request = gossip_messages.SyncRequest(self.table.hashes)
         return [Send(peer, request)]
 
+    def seek_ready(self, others: list[str], now: float) -> list[Send]:
+        """Ask a few daemons whether they are ready meanwhile."""
+        chosen = self._random.sample(others, min(len(others), SEEK_PEERS))
+        return [
+            send for peer in chosen for send in self.request_sync(peer, now)
+        ]
+
     def compare(self, peer: str, digest: int, now: float) -> list[Send]:
         """Start an exchange with a daemon whose digest stays different."""
         if digest == self.table.digest:
--- a/packages/fescuestile/src/fescuestile/membership.py
+++ b/packages/fescuestile/src/fescuestile/membership.py
@@ -157,6 +157,9 @@
             self._ping_once(self._bridge.choose_target(now))
         self._repeat_probes(now)
         self._judge(now)
+        if self.own.state is MemberState.JOINING:
+            others = self._roster.list_others()
+            self._sends += self.gossip.seek_ready(others, now)
         self._drop_tombstones(now)
         self._sends += self.gossip.flush()
         return self._finish()
--- a/packages/fescuestile/src/fescuestile/roster.py
+++ b/packages/fescuestile/src/fescuestile/roster.py
@@ -83,6 +83,10 @@
         record = self._records.get(member_id)
         return record.member if record else None
 
+    def list_others(self) -> list[str]:
+        """Return the ids of all other members."""
+        return [name for name in self._records if name != self._own.id]
+
     def take(self, record: gossip_messages.MemberRecord) -> None:
         """Take the new record of a member."""
         member = record.member
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -20,7 +20,7 @@
 @pytest.fixture
 async def adapter(address):
     made = platform_adapter.PlatformAdapter(
-        address, "127.0.3.1", timeout=0.3, random_source=random.Random(1)
+        (address,), "127.0.3.1", timeout=0.3, random_source=random.Random(1)
     )
     yield made
     await made.close()
