--- a/tests/integration/test_borders.py
+++ b/tests/integration/test_borders.py
@@ -1,6 +1,7 @@
 """Bad input at the borders of running daemons."""
 
 import asyncio
+import typing
 
 import grpc
 import pytest
@@ -28,6 +29,11 @@
             yield daemons
 
 
+def open_stream(channel: typing.Any) -> typing.Any:
+    """Open a session's stream that carries frames as bytes."""
+    return channel.stream_stream(METHOD)()
+
+
 async def check_service(daemon) -> None:
     async with fleets.open_session(daemon) as session:
         answer = await session.execute(
@@ -42,7 +48,7 @@
         asyncio.timeout(20),
         grpc.aio.insecure_channel(address) as channel,
     ):
-        stream = channel.stream_stream(METHOD)()
+        stream = open_stream(channel)
         for frame in GARBAGE:
             await stream.write(frame)
             reply = pb.DaemonFrame.FromString(await stream.read())
