Run daemons as members of a fleet, with operators' RPC

fescuestiled joins, takes its configuration from ready daemons or, as a watcher of its zone, from the platform, and only then takes callers. A stop leaves the membership first; the owner keeps pools, transactions and watches of what it gives up until the work on them has ended, so that a write under way is still confirmed. New work for a leaving endpoint is refused by its owner.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/command.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/command.py
@@ -10,8 +10,8 @@
 import structlog
 
 from fescuestile import errors
-from fescuestile_daemon import daemon
 from fescuestile_daemon import logs
+from fescuestile_daemon import server
 from fescuestile_daemon import settings
 
 log = structlog.get_logger(__name__)
@@ -63,13 +63,22 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = daemon.Daemon(options)
+    process = server.Server(options)
+    stopping = asyncio.create_task(stop.wait())
+    starting = asyncio.create_task(process.start())
     try:
-        await process.start()
-        await stop.wait()
-        finished = await process.drain()
-        log.info("daemon drained", finished=finished)
+        await asyncio.wait(
+            (starting, stopping), return_when=asyncio.FIRST_COMPLETED
+        )
+        if starting.done():
+            await starting
+            await stopping
+            finished = await process.drain()
+            log.info("daemon drained", finished=finished)
     finally:
+        for task in (starting, stopping):
+            task.cancel()
+        await asyncio.gather(starting, stopping, return_exceptions=True)
         await process.close()
 
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 
-import pykka
 import structlog
 
 from fescuestile import addresses
@@ -13,6 +12,7 @@
 from fescuestile import plans
 from fescuestile import sessions
 from fescuestile_daemon import caller_server
+from fescuestile_daemon import configuration_actor
 from fescuestile_daemon import dispatch
 from fescuestile_daemon import endpoint_adapter
 from fescuestile_daemon import entry
@@ -31,7 +31,10 @@
 ID_BYTES = 4
 
 
-def make_member(options: settings.DaemonOptions) -> members.Member:
+def make_member(
+    options: settings.DaemonOptions,
+    state: members.MemberState = members.MemberState.ALIVE,
+) -> members.Member:
     """Return the member that a daemon is, with an id new at each start."""
     return members.Member(
         id=f"{options.name}-{secrets.token_hex(ID_BYTES)}",
@@ -39,16 +42,24 @@
         link_address=options.advertised_link_address or options.link_address,
         caller_address=options.advertised_caller_address
         or options.caller_address,
+        state=state,
     )
 
 
 class Daemon:
     """All parts of one daemon on one event loop."""
 
-    def __init__(self, options: settings.Settings) -> None:
-        """Build the parts; call on the loop that runs them."""
+    def __init__(
+        self,
+        options: settings.Settings,
+        state: members.MemberState = members.MemberState.ALIVE,
+    ) -> None:
+        """Build the parts; call on the loop that runs them.
+
+        :param state: state that the daemon begins in
+        """
         self.options = options
-        self.own = make_member(options.daemon)
+        self.own = make_member(options.daemon, state)
         self.time_source = clock.SystemClock()
         self.loop = asyncio.get_running_loop()
         self.membership = published.Published(
@@ -60,6 +71,7 @@
         self.keys: published.Published[sessions.KeyRing | None] = (
             published.Published(None)
         )
+        self.marks = published.Published(configuration_actor.Marked())
         self.links = links.Links(self.own, options.daemon.ip)
         self.board = group_board.GroupBoard(self.loop)
         self.groups = groups_actor.GroupsActor.start(
@@ -92,14 +104,23 @@
         self.links.add_handler(link_messages.GroupState, self._take_state)
         self.membership.subscribe(self._tell_membership)
         self.plans.subscribe(self._tell_plans)
+        self.marks.subscribe(self._tell_marks)
 
     async def start(self) -> None:
         """Listen and begin to work."""
+        await self.start_links()
+        await self.start_callers()
+
+    async def start_links(self) -> None:
+        """Listen for other daemons and begin the work at endpoints."""
         ip, port = addresses.split_address(self.options.daemon.link_address)
         await self.links.start(ip, port)
         self.push.start()
         self.interest.start()
         self.owner.start()
+
+    async def start_callers(self) -> None:
+        """Listen for callers."""
         await self.callers.start(self.options.daemon.caller_address)
         log.info("daemon started", id=self.own.id, zone=self.own.zone)
 
@@ -108,7 +129,11 @@
 
         :returns: whether everything in flight was answered
         """
-        return await self.callers.drain(self.options.daemon.drain_seconds)
+        timeout = self.options.daemon.drain_seconds
+        finished = await asyncio.gather(
+            self.callers.drain(timeout), self.owner.drain(timeout)
+        )
+        return all(finished)
 
     async def close(self) -> None:
         """Close all parts, callers first."""
@@ -118,7 +143,6 @@
         await self.owner.close()
         await self.links.close()
         self.groups.stop()
-        pykka.ActorRegistry.stop_all()
         log.info("daemon stopped", id=self.own.id)
 
     def _make_owner_parts(self) -> owner.OwnerParts:
@@ -134,6 +158,7 @@
             buffer=self.buffer,
             push=self.push,
             timing=self.options.timing,
+            drain_timeout=self.options.daemon.drain_seconds,
         )
 
     def _make_caller_parts(self) -> caller_server.CallerParts:
@@ -167,6 +192,9 @@
     def _tell_plans(self, revisions: dict[str, plans.PlanRevision]) -> None:
         self.groups.tell(groups_actor.PlansChanged(dict(revisions)))
 
+    def _tell_marks(self, marked: configuration_actor.Marked) -> None:
+        self.groups.tell(groups_actor.LeavingChanged(marked.endpoints))
+
     async def _take_state(
         self, peer: str, message: link_messages.GroupState
     ) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/operator_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/operator_server.py
@@ -232,6 +232,8 @@
     ) -> None:
         if outcome.is_error():
             detail = str(outcome.error)
+        else:
+            self._on_changed(outcome.ok.current)
         await self._trail.record(
             _make_entry(
                 action,
@@ -248,7 +250,6 @@
         self, outcome: plan_changes.Changed, context: Context
     ) -> pb.ChangeReply:
         done = await _require(outcome, context)
-        self._on_changed(done.current)
         return pb.ChangeReply(revision=done.revision, repeated=done.repeated)
 
 
@@ -335,6 +336,8 @@
             code = status
             break
     failure = caller_frames.make_failure(0, error).answer.failure
+    if isinstance(error, errors.VersionConflict | errors.PlatformUnavailable):
+        failure.code = pb.NOT_RUN
     await context.abort(
         code,
         str(error),
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -1,6 +1,7 @@
 """Work at the endpoints that this daemon owns."""
 
 import asyncio
+import collections
 import dataclasses
 
 import expression
@@ -13,6 +14,7 @@
 from fescuestile import failures
 from fescuestile import link_messages
 from fescuestile import members
+from fescuestile import plans
 from fescuestile import ports
 from fescuestile import requests
 from fescuestile_daemon import confirmations
@@ -35,6 +37,7 @@
 STEP = "own"
 WAIT_REPORT_SECONDS = 0.1
 NOT_OWNER_RETRY_SECONDS = 0.05
+DRAIN_POLL_SECONDS = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +53,15 @@
     buffer: report_buffer.ReportBuffer
     push: state_push.StatePush
     timing: settings.TimingOptions
+    drain_timeout: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Closing:
+    """A pool that is given up while its work ends."""
+
+    pool: endpoint_pool.EndpointPool
+    revision: plans.PlanRevision
 
 
 class Owner:
@@ -61,7 +73,11 @@
         self._pools: dict[tuple[str, str], endpoint_pool.EndpointPool] = {}
         self._watches: dict[tuple[str, str], group_watch.EndpointWatch] = {}
         self._groups: dict[str, groups_actor.OwnedGroup] = {}
+        self._revisions: dict[tuple[str, str], plans.PlanRevision] = {}
         self._tasks = tasks.TaskSet()
+        self._work = tasks.TaskSet()
+        self._closing: dict[tuple[str, str], _Closing] = {}
+        self._running: collections.Counter[str] = collections.Counter()
         self.confirmations = confirmations.Confirmations()
         self._chain = filters.create_chain(
             (
@@ -88,12 +104,26 @@
     async def close(self) -> None:
         """End all work and close all connections."""
         await self._tasks.close()
+        await self._work.close()
         await self.transactions.close()
         await asyncio.gather(
             *(watch.close() for watch in self._watches.values()),
             *(pool.close() for pool in self._pools.values()),
         )
 
+    async def drain(self, timeout: float) -> bool:
+        """Wait until all that was given up or forwarded here has ended.
+
+        :param timeout: seconds
+        :returns: whether it has
+        """
+        end = self._parts.time_source.now() + timeout
+        while self._pools or self._closing or self._running.total():
+            if self._parts.time_source.now() >= end:
+                return False
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        return True
+
     @property
     def groups(self) -> dict[str, groups_actor.OwnedGroup]:
         """Groups with an owned endpoint, by database."""
@@ -121,11 +151,22 @@
         :param request: the request
         :param peer: id of the entry daemon
         """
+        self._running[request.database] += 1
+        try:
+            return await self._run(endpoint, term, request, peer)
+        finally:
+            self._running[request.database] -= 1
+
+    async def _run(
+        self, endpoint: str, term: int, request: requests.Request, peer: str
+    ) -> filters.Outcome:
         snapshot = self._parts.board.get(request.database)
-        pool = self._pools.get((request.database, endpoint))
+        pool = self._find_pool(endpoint, request)
         view = snapshot.endpoints.get(endpoint) if snapshot else None
         if pool is None or view is None or snapshot is None:
             return expression.Error(self._refuse(endpoint))
+        if view.leaving and not request.transaction:
+            return expression.Error(self._refuse_leaving(endpoint))
         exchange = execution.WorkExchange(
             request=request,
             plan=snapshot.plan,
@@ -152,7 +193,7 @@
         }
         for key in self._pools.keys() - wanted:
             log.info("endpoint given up", database=key[0], endpoint=key[1])
-            self._tasks.spawn(self._pools.pop(key).close())
+            self._begin_closing(key)
         for key in wanted:
             plan = self._groups[key[0]].revision.plan
             endpoint = plan.endpoint_by_name[key[1]]
@@ -167,12 +208,46 @@
             )
             pool.start()
             self._pools[key] = pool
+            self._revisions[key] = self._groups[key[0]].revision
+
+    def _find_pool(
+        self, endpoint: str, request: requests.Request
+    ) -> endpoint_pool.EndpointPool | None:
+        """Return the pool; open transactions go on in one given up."""
+        key = (request.database, endpoint)
+        pool = self._pools.get(key)
+        if pool is None and request.transaction and key in self._closing:
+            return self._closing[key].pool
+        return pool
+
+    def _begin_closing(self, key: tuple[str, str]) -> None:
+        closing = _Closing(self._pools.pop(key), self._revisions.pop(key))
+        self._closing[key] = closing
+        self._work.spawn(self._give_up(key, closing))
+
+    async def _give_up(
+        self, key: tuple[str, str], closing: "_Closing"
+    ) -> None:
+        """Close a pool, and keep its group's watches until work ends."""
+        timeout = self._parts.drain_timeout
+        end = self._parts.time_source.now() + timeout
+        await closing.pool.close(timeout)
+        while self._running[key[0]] and self._parts.time_source.now() < end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        if self._closing.get(key) is closing:
+            del self._closing[key]
+            self._change_watches()
 
     def _change_watches(self) -> None:
+        revisions = {
+            key[0]: closing.revision for key, closing in self._closing.items()
+        }
+        for database, group in self._groups.items():
+            revisions[database] = group.revision
         wanted = {
             (database, endpoint.name): endpoint
-            for database, group in self._groups.items()
-            for endpoint in group.revision.plan.endpoints
+            for database, revision in revisions.items()
+            for endpoint in revision.plan.endpoints
         }
         for key, watch in tuple(self._watches.items()):
             if wanted.get(key) != watch.endpoint:
@@ -218,7 +293,7 @@
     async def _receive(
         self, peer: str, message: link_messages.Forward
     ) -> None:
-        self._tasks.spawn(self._serve(peer, message))
+        self._work.spawn(self._serve(peer, message))
 
     async def _serve(self, peer: str, message: link_messages.Forward) -> None:
         deadline = self._parts.time_source.now() + message.remaining
@@ -231,6 +306,14 @@
             reply = link_messages.ForwardReply(message.id, failure=failure)
         await self._parts.link_pool.reply(peer, reply)
 
+    def _refuse_leaving(self, endpoint: str) -> errors.NotRun:
+        return errors.NotRun(
+            message="the endpoint is leaving",
+            step=STEP,
+            peer=endpoint,
+            retry_after=NOT_OWNER_RETRY_SECONDS,
+        )
+
     def _refuse(self, endpoint: str) -> errors.NotRun:
         return errors.NotRun(
             message=f"this daemon does not own {endpoint}",
