Date replicas by the very entry and by a majority's word for the term

Cause: replicas were dated by comparing indexes. A replica with a longer tail of an ended term counted as current, and so did one that follows a primary which a minority was cut off with; both broke the staleness bound.

Ruled out: reports delayed beyond the margin (the model bounds them).

--- a/packages/fescuestile/src/fescuestile/groups.py
+++ b/packages/fescuestile/src/fescuestile/groups.py
@@ -10,6 +10,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import plans
+from fescuestile import positions
 from fescuestile import snapshots
 
 PRIMARY_SAMPLES = 256
@@ -20,7 +21,7 @@
     """Where the primary's log ended at a time."""
 
     at: float
-    index: int
+    last: positions.Position
 
 
 class GroupTracker:
@@ -33,6 +34,7 @@
         self._samples: collections.deque[_PrimarySample] = collections.deque(
             maxlen=PRIMARY_SAMPLES
         )
+        self._sampled_term = 0
         self.set_revision(revision)
 
     def set_revision(self, revision: plans.PlanRevision) -> None:
@@ -91,32 +93,57 @@
             history=report.history,
             reported_at=reported_at,
         )
+        self._follow_term()
         if report.role is endpoint_messages.Role.PRIMARY:
             self._sample_primary(report, reported_at)
-        self._date_replica(report.endpoint)
+        self._date_views()
         return True
 
+    def _follow_term(self) -> None:
+        """Drop an ended term's samples: some came after it had ended."""
+        term = self.find_term()
+        if term != self._sampled_term:
+            self._sampled_term = term
+            self._samples.clear()
+
     def _sample_primary(
         self, report: endpoint_messages.Report, at: float
     ) -> None:
         if self.find_primary() != report.endpoint:
             return
-        if self._samples and self._samples[-1].index > report.last.index:
-            self._samples.clear()
-        self._samples.append(_PrimarySample(at, report.last.index))
-        for name in self._views:
-            self._date_replica(name)
+        self._samples.append(_PrimarySample(at, report.last))
+
+    def _date_views(self) -> None:
+        stood_at = self._find_standing()
+        for name, view in self._views.items():
+            held_at = self._find_held(view.history)
+            at = min(held_at, view.reported_at, stood_at)
+            if at > view.current_at:
+                self._views[name] = dataclasses.replace(view, current_at=at)
 
-    def _date_replica(self, name: str) -> None:
-        view = self._views[name]
+    def _find_held(self, history: positions.TermHistory) -> float:
+        """Return when the primary last reported no more than a log holds."""
         for sample in reversed(self._samples):
-            if sample.index <= view.history.last.index:
-                at = min(sample.at, view.reported_at)
-                if at > view.current_at:
-                    self._views[name] = dataclasses.replace(
-                        view, current_at=at
-                    )
-                return
+            if history.contains(sample.last):
+                return sample.at
+        return float("-inf")
+
+    def _find_standing(self) -> float:
+        """Return when a majority last worked under the highest term.
+
+        A later primary was elected after that, so nothing that it
+        acknowledged is older.
+        """
+        term = self.find_term()
+        times = sorted(
+            view.reported_at
+            for view in self._views.values()
+            if view.term == term
+        )
+        majority = self._revision.plan.majority
+        if len(times) < majority:
+            return float("-inf")
+        return times[-majority]
 
     def find_term(self) -> int:
         """Return the highest term that an endpoint promised."""
--- a/packages/fescuestile/src/fescuestile/positions.py
+++ b/packages/fescuestile/src/fescuestile/positions.py
@@ -53,6 +53,12 @@
         )
         return self.starts[place - 1].term if place else 0
 
+    def contains(self, position: Position) -> bool:
+        """Tell whether this very entry is in the log."""
+        if not 0 < position.index <= self.last.index:
+            return position.index == 0
+        return self.find_term(position.index) == position.term
+
     def find_end(self, term: int) -> int:
         """Return the index of the last entry of this term or before it."""
         for start in self.starts:
