--- /dev/null
+++ b/measurements/session_model.py
@@ -0,0 +1,419 @@
+"""A plain model of a group's log, of daemons that hear of it late, and of
+sessions that roam between them.
+
+The library decides (tokens, routing, lag, checks of answers); the model
+keeps the logs as lists and knows the truth that answers are held against.
+"""
+
+import collections
+import dataclasses
+import random
+
+from fescuestile import endpoint_messages
+from fescuestile import groups
+from fescuestile import plans
+from fescuestile import positions
+from fescuestile import requests
+from fescuestile import routing
+from fescuestile import sessions
+from fescuestile import snapshots
+
+ZONES = ("muenchen", "ingolstadt", "landshut")
+DAEMON_COUNT = 3
+SESSION_COUNT = 6
+DATABASE = "werkstatt-db"
+LONGEST_REPORT_DELAY = routing.DEFAULTS.report_delay
+Role = endpoint_messages.Role
+
+
+class Violation(AssertionError):
+    """A promise to a session was broken."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """An entry of a log; equal entries are the same entry."""
+
+    position: positions.Position
+
+
+@dataclasses.dataclass
+class Endpoint:
+    """An endpoint with its log.
+
+    :ivar follows: name of the primary it copies from
+    """
+
+    plan: plans.Endpoint
+    role: Role
+    term: int = 1
+    log: list[Entry] = dataclasses.field(default_factory=list)
+    follows: str = ""
+
+    @property
+    def last(self) -> positions.Position:
+        """Last position of the log."""
+        return self.log[-1].position if self.log else positions.START
+
+    def report(self) -> endpoint_messages.Report:
+        """Return its report."""
+        starts: dict[int, positions.TermStart] = {}
+        for entry in self.log:
+            place = entry.position
+            start = positions.TermStart(place.term, place.index)
+            starts.setdefault(place.term, start)
+        return endpoint_messages.Report(
+            id=0,
+            endpoint=self.plan.name,
+            verdict=endpoint_messages.Verdict.DONE,
+            role=self.role,
+            term=self.term,
+            driver="",
+            primary=self.follows,
+            last=self.last,
+            starts=tuple(starts.values()),
+        )
+
+
+@dataclasses.dataclass
+class Daemon:
+    """An entry daemon: what it knows and what is under way to it."""
+
+    tracker: groups.GroupTracker
+    zone: str
+    inbox: list[tuple[float, endpoint_messages.Report]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass
+class Caller:
+    """A session, and what it may rely on.
+
+    :ivar seen: last entry of each read or acknowledged write
+    """
+
+    name: str
+    daemon: int
+    tracker: sessions.SessionTracker
+    token: bytes = b""
+    seen: list[Entry] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingWrite:
+    """A write that waits for its majority.
+
+    :ivar daemon: daemon that the caller was at when it wrote
+    """
+
+    caller: Caller
+    daemon: int
+    entry: Entry
+
+
+class SessionModel:
+    """The model; each step is a method."""
+
+    def __init__(self, seed: int, size: int = 3) -> None:
+        """Start with a primary, empty logs and fresh sessions."""
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.ring = sessions.KeyRing(sessions.SigningKey("1", b"1" * 16))
+        names = [f"endpoint-{number}" for number in range(size)]
+        self.endpoints = {
+            name: Endpoint(
+                plans.Endpoint(name, ZONES[number % 3], "127.0.0.1:1", 2, 16),
+                Role.REPLICA if number else Role.PRIMARY,
+                follows=names[0],
+            )
+            for number, name in enumerate(names)
+        }
+        self.primary = names[0]
+        self.majority = size // 2 + 1
+        # Endpoints and daemons on the small side of a network partition.
+        self.isolated: frozenset[str | int] = frozenset()
+        self.confirmed_at: dict[Entry, float] = {}
+        self.pending: list[PendingWrite] = []
+        self.daemons = [self._build_daemon(n) for n in range(DAEMON_COUNT)]
+        self.callers = [self._build_caller(n) for n in range(SESSION_COUNT)]
+
+    def _build_daemon(self, number: int) -> Daemon:
+        plan = plans.Plan(
+            DATABASE,
+            tuple(endpoint.plan for endpoint in self.endpoints.values()),
+            (plans.Rank("urgent", 0.0),),
+            (plans.Kind("history", "urgent", 5.0),),
+        )
+        revision = plans.PlanRevision(1, plan, "c", "o", "")
+        tracker = groups.GroupTracker(revision)
+        tracker.set_owners(dict.fromkeys(self.endpoints, "owner"))
+        return Daemon(tracker, ZONES[number])
+
+    def _build_caller(self, number: int) -> Caller:
+        name = f"caller-{number}"
+        tracker = sessions.SessionTracker(sessions.Session(name))
+        return Caller(name, number % DAEMON_COUNT, tracker)
+
+    # Steps of the outside world.
+
+    def together(self, one: str | int, other: str | int) -> bool:
+        """Tell whether an endpoint or daemon can reach another."""
+        return (one in self.isolated) == (other in self.isolated)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; reports arrive in their time."""
+        self.now += seconds
+        for daemon in self.daemons:
+            due = [item for item in daemon.inbox if item[0] <= self.now]
+            daemon.inbox = [i for i in daemon.inbox if i[0] > self.now]
+            for at, report in sorted(due, key=lambda item: item[0]):
+                daemon.tracker.observe(report, at)
+
+    def send_report(self, name: str, daemon: int, delay: float) -> None:
+        """Send an endpoint's report to a daemon, dated at its arrival.
+
+        :param delay: seconds, at most the longest delay assumed
+        """
+        if not self.together(name, daemon):
+            return
+        report = self.endpoints[name].report()
+        inbox = self.daemons[daemon].inbox
+        inbox.append((self.now + min(delay, LONGEST_REPORT_DELAY), report))
+
+    def replicate(self, name: str, count: int) -> None:
+        """Let a replica copy some entries from the primary it follows."""
+        replica = self.endpoints[name]
+        source = self.endpoints[replica.follows]
+        if replica.role is not Role.REPLICA or source.term != replica.term:
+            return
+        if not self.together(name, replica.follows):
+            return
+        same = _count_common(replica.log, source.log)
+        del replica.log[same:]
+        replica.log += source.log[same : same + count]
+        self._confirm()
+
+    def fail_over(self, granting: list[str]) -> None:
+        """Fence some endpoints and promote the most advanced of them."""
+        term = max(endpoint.term for endpoint in self.endpoints.values()) + 1
+        if len(granting) < self.majority or self.isolated & set(granting):
+            return
+        chosen = max(granting, key=lambda name: self.endpoints[name].last)
+        for name in granting:
+            endpoint = self.endpoints[name]
+            endpoint.term = term
+            endpoint.role = Role.REPLICA
+            endpoint.follows = chosen
+        self.endpoints[chosen].role = Role.PRIMARY
+        self.primary = chosen
+        self._append(self.endpoints[chosen])
+        self.counts["failovers"] += 1
+
+    def join(self, name: str) -> None:
+        """Let an endpoint that was not fenced hear of the new primary."""
+        primary = self.endpoints[self.primary]
+        endpoint = self.endpoints[name]
+        if endpoint.term < primary.term and self.together(name, self.primary):
+            endpoint.term = primary.term
+            endpoint.role = Role.REPLICA
+            endpoint.follows = self.primary
+
+    def rotate_keys(self) -> None:
+        """Sign with a new key; the last one stays valid."""
+        number = str(int(self.ring.current.id) + 1)
+        key = sessions.SigningKey(number, number.encode() * 16)
+        self.ring = sessions.KeyRing(key, self.ring.current)
+        for caller in self.callers:
+            caller.token = caller.tracker.issue_token(self.ring)
+
+    # Steps of sessions.
+
+    def roam(self, caller: Caller, daemon: int) -> None:
+        """Move a session to another daemon, with nothing but its token."""
+        caller.daemon = daemon
+        session = sessions.Session(caller.name)
+        if caller.token:
+            session = sessions.read(self.ring, caller.token, caller.name).ok
+        caller.tracker = sessions.SessionTracker(session)
+        self.counts["roams"] += 1
+
+    def write(self, caller: Caller) -> None:
+        """Write where the caller's daemon believes the primary to be."""
+        request = self.make_request(caller, 0.0)
+        routed = self._route(caller, request, False)
+        if routed is None:
+            return
+        endpoint = self.endpoints[routed.view.endpoint.name]
+        if endpoint.term != routed.term or endpoint.role is not Role.PRIMARY:
+            return
+        entry = self._append(endpoint)
+        self.pending.append(PendingWrite(caller, caller.daemon, entry))
+        self._confirm()
+
+    def read(
+        self, caller: Caller, staleness: float, queued: float
+    ) -> snapshots.EndpointView | None:
+        """Read, and hold the answer against the truth.
+
+        :param staleness: seconds that the read may be old
+        :param queued: seconds that it waits before it runs
+        :raises: Violation when a promise was broken
+        """
+        request = self.make_request(caller, staleness)
+        for waited in (False, True):
+            routed = self._route(caller, request, waited)
+            if routed is None:
+                return None
+            if routed.catch_up:
+                self.advance(routed.catch_up)
+                continue
+            self.advance(queued)
+            if self._execute(caller, request, routed, staleness):
+                self.counts["replica" if routed.replica else "primary"] += 1
+                return routed.view
+        return None
+
+    def _route(
+        self, caller: Caller, request: requests.Request, waited: bool
+    ) -> routing.Route | None:
+        daemon = self.daemons[caller.daemon]
+        routed = routing.route(
+            request,
+            daemon.tracker.take_snapshot(),
+            daemon.zone,
+            self.now,
+            self.random,
+            waited,
+        )
+        if routed.is_error():
+            return None
+        reached = routed.ok.view.endpoint.name
+        return routed.ok if self.together(caller.daemon, reached) else None
+
+    def make_request(
+        self, caller: Caller, staleness: float
+    ) -> requests.Request:
+        """Return a request as the session filter makes it."""
+        return requests.Request(
+            request_id="r",
+            caller=caller.name,
+            database=DATABASE,
+            kind="history",
+            level=0,
+            staleness=staleness,
+            deadline=self.now + 5,
+            repeatable=True,
+            action=requests.Action.STATEMENT,
+            read_only=staleness > 0,
+            minimum=caller.tracker.session.find_minimum(DATABASE),
+        )
+
+    def _execute(
+        self,
+        caller: Caller,
+        request: requests.Request,
+        routed: routing.Route,
+        staleness: float,
+    ) -> bool:
+        endpoint = self.endpoints[routed.view.endpoint.name]
+        history = endpoint.report().history
+        if endpoint.term != routed.term:
+            return False
+        if not history.covers(request.minimum):
+            return False
+        if not routed.replica and not self._holds_majority(routed.term):
+            return False
+        answer = requests.Answer(
+            b"", endpoint.plan.name, history.last, routed.replica
+        )
+        group = self.daemons[caller.daemon].tracker.take_snapshot()
+        if not self.check(request, answer, routed, group):
+            self.counts["refused answers"] += 1
+            return False
+        self._judge(caller, endpoint.log, self.now - staleness)
+        caller.tracker.observe(DATABASE, answer.position)
+        caller.token = caller.tracker.issue_token(self.ring)
+        return True
+
+    def check(
+        self,
+        request: requests.Request,
+        answer: requests.Answer,
+        routed: routing.Route,
+        group: snapshots.GroupSnapshot,
+    ) -> bool:
+        """Tell whether the daemon lets an answer through."""
+        checked = routing.check_answer(
+            request, answer, routed, group, self.now
+        )
+        return checked.is_ok()
+
+    def _judge(
+        self,
+        caller: Caller,
+        log: list[Entry],
+        newest: float,
+    ) -> None:
+        held = set(log)
+        for entry in caller.seen:
+            if entry in self.confirmed_at and entry not in held:
+                raise Violation(f"{caller.name} lost sight of {entry}")
+        for entry, at in self.confirmed_at.items():
+            if at < newest and entry not in held:
+                raise Violation(f"{entry} of {at:.3f} is too old to miss")
+        caller.seen = caller.seen[-4:] + list(log[-1:])
+        self.counts["reads"] += 1
+
+    # The truth.
+
+    def _append(self, endpoint: Endpoint) -> Entry:
+        place = positions.Position(endpoint.term, len(endpoint.log) + 1)
+        entry = Entry(place)
+        endpoint.log.append(entry)
+        return entry
+
+    def _holds_majority(self, term: int) -> bool:
+        working = [e for e in self.endpoints.values() if e.term == term]
+        return len(working) >= self.majority
+
+    def _confirm(self) -> None:
+        """Confirm what a majority of the newest term holds; tell writers."""
+        primary = self.endpoints[self.primary]
+        logs = [
+            endpoint.log
+            for endpoint in self.endpoints.values()
+            if endpoint.term == primary.term
+            and endpoint.last.term == primary.term
+        ]
+        if len(logs) < self.majority:
+            return
+        reach = sorted((len(log) for log in logs), reverse=True)
+        for entry in primary.log[: reach[self.majority - 1]]:
+            self.confirmed_at.setdefault(entry, self.now)
+        for write in tuple(self.pending):
+            if write.entry in self.confirmed_at:
+                self.pending.remove(write)
+                self._acknowledge(write)
+
+    def _acknowledge(self, write: PendingWrite) -> None:
+        caller = write.caller
+        if caller.daemon != write.daemon:
+            return
+        caller.tracker.observe(DATABASE, write.entry.position)
+        caller.token = caller.tracker.issue_token(self.ring)
+        caller.seen.append(write.entry)
+        self.counts["acknowledged"] += 1
+
+
+def _count_common(one: list[Entry], other: list[Entry]) -> int:
+    """Return how many entries two logs share from their start."""
+    low, high = 0, min(len(one), len(other))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if one[middle - 1] == other[middle - 1]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
--- /dev/null
+++ b/packages/fescuestile/src/fescuestile/routing.py
@@ -0,0 +1,237 @@
+"""Where a request goes: the primary, or a replica fresh enough for it."""
+
+import dataclasses
+import random
+
+import expression
+
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from fescuestile import lag
+from fescuestile import requests
+from fescuestile import snapshots
+
+STEP = "route"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingOptions:
+    """What routing weighs; all in seconds.
+
+    :ivar zone_cost: what a hop to another zone and back costs
+    :ivar report_delay: longest time that a report is under way
+    :ivar catch_up_limit: longest wait for a replica to catch up
+    :ivar no_primary_delay: delay until a retry while there is no primary
+    :ivar jitter: share by which expected waits are varied, so that
+        daemons with the same snapshot don't choose the same replica
+    """
+
+    zone_cost: float = 0.003
+    report_delay: float = lag.REPORT_DELAY_SECONDS
+    catch_up_limit: float = 0.1
+    no_primary_delay: float = 0.2
+    jitter: float = 0.25
+
+
+DEFAULTS = RoutingOptions()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where a request goes.
+
+    :ivar view: the endpoint as it was known
+    :ivar term: term to name to it
+    :ivar replica: the endpoint is a replica
+    :ivar diverted: a read that may be stale but found no replica
+    :ivar catch_up: seconds to wait at most for the replica to cover the
+        session's minimum, before routing again with ``waited``
+    """
+
+    view: snapshots.EndpointView
+    term: int
+    replica: bool = False
+    diverted: bool = False
+    catch_up: float = 0.0
+
+
+RouteResult = expression.Result[Route, errors.FescuestileError]
+
+
+def may_be_stale(request: requests.Request) -> bool:
+    """Tell whether a replica may serve a request."""
+    return (
+        request.action is requests.Action.STATEMENT
+        and request.read_only
+        and request.staleness > 0
+        and not request.transaction
+    )
+
+
+def route(
+    request: requests.Request,
+    group: snapshots.GroupSnapshot,
+    zone: str,
+    now: float,
+    source: random.Random,
+    waited: bool = False,
+    options: RoutingOptions = DEFAULTS,
+) -> RouteResult:
+    """Return where a request goes.
+
+    :param group: the group as this daemon knows it
+    :param zone: this daemon's availability zone
+    :param now: monotonic seconds
+    :param source: randomness
+    :param waited: the request waited for a replica already
+    :returns: the route, or NotRun while there is no primary for it
+    """
+    if not may_be_stale(request):
+        return _route_to_primary(request, group, False, options)
+    fresh = [
+        view
+        for view in group.endpoints.values()
+        if is_fresh(view, request, group, now, options)
+    ]
+    ready = [view for view in fresh if view.history.covers(request.minimum)]
+    if ready:
+        chosen = _choose(ready, zone, source, options)
+        return expression.Ok(Route(chosen, group.term, replica=True))
+    primary = _route_to_primary(request, group, True, options)
+    if fresh and not waited:
+        return _weigh_catch_up(fresh, primary, request, zone, now, options)
+    return primary
+
+
+def is_fresh(
+    view: snapshots.EndpointView,
+    request: requests.Request,
+    group: snapshots.GroupSnapshot,
+    now: float,
+    options: RoutingOptions = DEFAULTS,
+) -> bool:
+    """Tell whether a replica takes reads and is within their bound."""
+    if view.role is not endpoint_messages.Role.REPLICA:
+        return False
+    if not view.endpoint.readable or view.leaving or not view.owner:
+        return False
+    if view.term != group.term:
+        return False
+    oldest = lag.bound_staleness(view, now, options.report_delay)
+    return oldest <= request.staleness
+
+
+def _choose(
+    views: list[snapshots.EndpointView],
+    zone: str,
+    source: random.Random,
+    options: RoutingOptions,
+) -> snapshots.EndpointView:
+    def draw_cost(view: snapshots.EndpointView) -> float:
+        cost = _estimate_wait(view, zone, options)
+        return cost * source.uniform(1 - options.jitter, 1 + options.jitter)
+
+    return min(views, key=draw_cost)
+
+
+def _estimate_wait(
+    view: snapshots.EndpointView, zone: str, options: RoutingOptions
+) -> float:
+    away = options.zone_cost if view.endpoint.zone != zone else 0.0
+    return view.expected_wait + away
+
+
+def _weigh_catch_up(
+    fresh: list[snapshots.EndpointView],
+    primary: RouteResult,
+    request: requests.Request,
+    zone: str,
+    now: float,
+    options: RoutingOptions,
+) -> RouteResult:
+    """Choose between a wait for a replica and the primary."""
+
+    def estimate(view: snapshots.EndpointView) -> float:
+        wait = _estimate_wait(view, zone, options)
+        return wait + lag.estimate_catch_up(view)
+
+    replica = min(fresh, key=estimate)
+    expected = lag.estimate_catch_up(replica)
+    longest = min(options.catch_up_limit, request.deadline - now)
+    if expected > longest:
+        return primary
+    if primary.is_ok():
+        direct = _estimate_wait(primary.ok.view, zone, options)
+        if direct <= estimate(replica):
+            return primary
+    return expression.Ok(
+        Route(
+            replica,
+            primary.ok.term if primary.is_ok() else replica.term,
+            replica=True,
+            catch_up=longest,
+        )
+    )
+
+
+def _route_to_primary(
+    request: requests.Request,
+    group: snapshots.GroupSnapshot,
+    diverted: bool,
+    options: RoutingOptions,
+) -> RouteResult:
+    view = group.endpoints.get(group.primary)
+    if view is None or view.leaving or not view.owner:
+        return expression.Error(
+            errors.NotRun(
+                message="the group has no primary at the moment",
+                step=STEP,
+                peer=request.database,
+                retry_after=options.no_primary_delay,
+            )
+        )
+    return expression.Ok(Route(view, group.term, diverted=diverted))
+
+
+def check_answer(
+    request: requests.Request,
+    answer: requests.Answer,
+    routed: Route,
+    group: snapshots.GroupSnapshot,
+    now: float,
+    options: RoutingOptions = DEFAULTS,
+) -> expression.Result[requests.Answer, errors.UnknownOutcome]:
+    """Check a replica's answer against what the read was promised.
+
+    The replica's log only grows within a term, so an answer is at least as
+    fresh as the newest report that its position reaches.
+
+    :param routed: route that the read took
+    :param group: the group as known when the answer came
+    :param now: monotonic seconds
+    :returns: the answer, or an error: the read has to run again
+    """
+    if not routed.replica:
+        return expression.Ok(answer)
+    latest = group.endpoints.get(answer.endpoint, routed.view)
+    if not lag.covers(answer.position, request.minimum, latest.history):
+        return _refuse("the answer is behind the session", answer)
+    known = [
+        view.current_at
+        for view in (routed.view, latest)
+        if view.history.last <= answer.position
+    ]
+    oldest = now - max(known, default=float("-inf"))
+    if oldest + options.report_delay > request.staleness:
+        return _refuse("the answer is older than its kind allows", answer)
+    return expression.Ok(answer)
+
+
+def _refuse(
+    message: str, answer: requests.Answer
+) -> expression.Result[requests.Answer, errors.UnknownOutcome]:
+    return expression.Error(
+        errors.UnknownOutcome(
+            message=message, step="check answer", peer=answer.endpoint
+        )
+    )
