--- a/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -81,6 +81,8 @@
         held = 0
         for endpoint in wait.endpoints:
             report = self._reports.get((database, endpoint))
-            if report is not None and confirmation.counts_for(report, wait.position):
+            if report is not None and confirmation.counts_for(
+                report, wait.position
+            ):
                 held += 1
         return held >= wait.majority
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -6,6 +6,7 @@
 import pykka
 import structlog
 
+from fescuestile import addresses
 from fescuestile import clock
 from fescuestile import link_messages
 from fescuestile import members
@@ -24,7 +25,6 @@
 from fescuestile_daemon import report_buffer
 from fescuestile_daemon import settings
 from fescuestile_daemon import state_push
-from fescuestile_daemon import units
 
 log = structlog.get_logger(__name__)
 
@@ -36,8 +36,9 @@
     return members.Member(
         id=f"{options.name}-{secrets.token_hex(ID_BYTES)}",
         zone=options.zone,
-        link_address=options.link_address,
-        caller_address=options.caller_address,
+        link_address=options.advertised_link_address or options.link_address,
+        caller_address=options.advertised_caller_address
+        or options.caller_address,
     )
 
 
@@ -94,7 +95,7 @@
 
     async def start(self) -> None:
         """Listen and begin to work."""
-        ip, port = units.split_address(self.options.daemon.link_address)
+        ip, port = addresses.split_address(self.options.daemon.link_address)
         await self.links.start(ip, port)
         self.push.start()
         self.interest.start()
