Draw the model's partitions without sets

Cause: names were taken from a set, whose order follows the process's hash seed, so a walk differed from run to run (seen: the planted bug of the majority's date not found, 1 failed, 328 passed). The seeds of two planted bugs were chosen anew, the checks are the same.

--- a/measurements/session_consistency.py
+++ b/measurements/session_consistency.py
@@ -98,11 +98,11 @@
             self.model.isolated = frozenset()
             return
         count = self._random.randint(1, len(self._names) - self.model.majority)
-        cut: set[str | int] = set(self._random.sample(self._names, count))
+        cut: list[str | int] = list(self._random.sample(self._names, count))
         if self._happens(0.5):
-            cut = {self.model.primary, *list(cut)[: count - 1]}
+            cut = [self.model.primary, *cut[: count - 1]]
         daemons = range(session_model.DAEMON_COUNT)
-        cut |= {number for number in daemons if self._happens(0.4)}
+        cut += [number for number in daemons if self._happens(0.4)]
         self.model.isolated = frozenset(cut)
 
     def _fail_over(self) -> None:
--- a/tests/unit/test_session_consistency.py
+++ b/tests/unit/test_session_consistency.py
@@ -58,7 +58,7 @@
     [
         (ForgetsToken, 11),
         (ForgetsReads, 0),
-        (IgnoresStaleness, 2),
+        (IgnoresStaleness, 0),
         (TrustsAnswers, 30),
     ],
 )
@@ -72,7 +72,7 @@
         groups.GroupTracker, "_find_standing", lambda self: float("inf")
     )
     with pytest.raises(session_model.Violation):
-        walk(9)
+        walk(18)
 
 
 class SessionMachine(stateful.RuleBasedStateMachine):
