--- a/packages/fescuestile-cli/src/fescuestile_cli/command.py
+++ b/packages/fescuestile-cli/src/fescuestile_cli/command.py
@@ -10,9 +10,9 @@
 import typing
 import uuid
 
-from cleo import application
-from cleo import exceptions
-from cleo.commands import command
+import cleo.application
+import cleo.commands.command
+import cleo.exceptions
 from cleo.helpers import argument
 from cleo.helpers import option
 
@@ -43,7 +43,7 @@
 )
 
 
-class OperatorCommand(command.Command):
+class OperatorCommand(cleo.commands.command.Command):
     """Base of the commands: one call and its reply."""
 
     step = ""
@@ -317,9 +317,9 @@
 )
 
 
-def create_application() -> application.Application:
+def create_application() -> cleo.application.Application:
     """Return the command line."""
-    created = application.Application("fescuestile", VERSION)
+    created = cleo.application.Application("fescuestile", VERSION)
     for cls in COMMANDS:
         created.add(cls())
     return created
@@ -331,7 +331,7 @@
     created.catch_exceptions(False)
     try:
         sys.exit(created.run())
-    except exceptions.CleoError as error:
+    except cleo.exceptions.CleoError as error:
         print(f"error: {error} (step {STEP})", file=sys.stderr)
         sys.exit(calls.EXIT_BAD_INPUT)
 
