--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -45,7 +45,7 @@
             collections.defaultdict(list)
         )
         self._random = random.Random(seed)
-        self._count_bytes = count_bytes
+        self.count_bytes = count_bytes
         self._order = itertools.count()
         self._events: list[
             tuple[float, int, str, collections.abc.Callable[[], None]]
@@ -140,7 +140,7 @@
     def _deliver(self, sender: str, send: gossip.Send) -> None:
         traffic = self.traffic[sender]
         traffic.messages += 1
-        if self._count_bytes:
+        if self.count_bytes:
             traffic.octets += len(CODEC.encode(send.message))
         if send.to not in self.nodes or self._is_cut(sender, send.to):
             return
--- /dev/null
+++ b/measurements/slope_ownership.py
@@ -0,0 +1,61 @@
+"""Slopes of finding the owners of endpoints."""
+
+from fescuestile import ownership
+from measurements import builders
+from measurements import frame
+from measurements import slopes
+
+ENDPOINTS = 300
+MEMBERS_PER_ZONE = 93
+
+
+def measure_assignment(members: int, databases: int) -> float:
+    """Return processor µs to find all owners, best of some runs."""
+    membership = builders.build_membership(members)
+    endpoints = [
+        endpoint
+        for revision in builders.build_revisions(databases).values()
+        for endpoint in revision.plan.endpoints
+    ]
+
+    def assign() -> None:
+        owners = ownership.Ownership(membership)
+        for endpoint in endpoints:
+            owners.find_owner(endpoint)
+
+    return slopes.measure_best(assign) * slopes.MICROSECONDS
+
+
+class OwnershipMembers(slopes.SlopeMeasurement):
+    """Cost of one endpoint's owner by members of its zone."""
+
+    name = "slope_ownership_members"
+    description = "Finding an endpoint's owner, by members of its zone."
+    size_name = "members of the zone"
+    sizes = (4, 50, 100, 200, 400)
+
+    def measure(self, size: int, seed: int) -> slopes.Values:
+        """Find the owners of some endpoints."""
+        databases = ENDPOINTS // builders.ENDPOINTS_PER_DATABASE
+        spent = measure_assignment(size, databases)
+        return {"CPU µs per endpoint": spent / ENDPOINTS}
+
+
+class OwnershipEndpoints(slopes.SlopeMeasurement):
+    """Cost of all owners by endpoints, in a zone of the design size."""
+
+    name = "slope_ownership_endpoints"
+    description = "Finding all owners, by endpoints, 93 members in the zone."
+    size_name = "endpoints"
+    sizes = (9, 1200, 3000, 6000, 12000)
+
+    def measure(self, size: int, seed: int) -> slopes.Values:
+        """Find the owners of all endpoints."""
+        databases = size // builders.ENDPOINTS_PER_DATABASE
+        spent = measure_assignment(MEMBERS_PER_ZONE, databases)
+        return {"CPU ms per full assignment": spent / 1000}
+
+
+def create_measurements() -> tuple[frame.Measurement, ...]:
+    """Return the measurements of this module."""
+    return (OwnershipMembers(), OwnershipEndpoints())
