Confirm writes by asking replicas for the position that is waited for

Cause: a write's answer waited for the next periodic report of a replica, sent at most every 20 ms. A shorter interval was ruled out: every watcher of a group would take the reports, idle or not. The owner of the primary now asks each replica to report as soon as it holds the highest position that waits, one request open at a time; the primary's answer is its own word. A repeated request's entry of an earlier term is confirmed through the new term: without that rule the new test ended as unknown outcome.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -1,6 +1,7 @@
 """Waits of writes for the majority of their group."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import expression
@@ -13,11 +14,14 @@
 
 STEP = "confirm"
 
+Chase = collections.abc.Callable[[str, str, positions.Position], None]
+
 
 @dataclasses.dataclass(eq=False)
 class _Wait:
     position: positions.Position
     majority: int
+    primary: str
     endpoints: frozenset[str]
     future: asyncio.Future[None]
 
@@ -25,8 +29,12 @@
 class Confirmations:
     """Latest report of each watched endpoint, and the waits on them."""
 
-    def __init__(self) -> None:
-        """Start without reports."""
+    def __init__(self, chase: Chase) -> None:
+        """Start without reports.
+
+        :param chase: asks a group's endpoints to report a position soon
+        """
+        self._chase = chase
         self._reports: dict[tuple[str, str], endpoint_messages.Report] = {}
         self._waits: dict[str, set[_Wait]] = {}
 
@@ -44,11 +52,18 @@
                 del self._reports[key]
 
     async def wait(
-        self, plan: plans.Plan, position: positions.Position, timeout: float
+        self,
+        plan: plans.Plan,
+        primary: str,
+        position: positions.Position,
+        timeout: float,
     ) -> expression.Result[None, errors.UnknownOutcome]:
         """Wait until a majority holds a write.
 
+        The answer that gave the position is the primary's own word.
+
         :param plan: plan of the write's group
+        :param primary: endpoint that wrote it
         :param position: position of the write
         :param timeout: seconds
         :returns: nothing, or UnknownOutcome when it was not confirmed
@@ -56,6 +71,7 @@
         wait = _Wait(
             position,
             plan.majority,
+            primary,
             frozenset(plan.endpoint_by_name),
             asyncio.get_running_loop().create_future(),
         )
@@ -63,6 +79,7 @@
             return expression.Ok(None)
         waits = self._waits.setdefault(plan.database, set())
         waits.add(wait)
+        self._chase(plan.database, primary, position)
         try:
             await asyncio.wait_for(wait.future, timeout)
         except TimeoutError:
@@ -78,8 +95,8 @@
         return expression.Ok(None)
 
     def _is_confirmed(self, database: str, wait: _Wait) -> bool:
-        held = 0
-        for endpoint in wait.endpoints:
+        held = 1
+        for endpoint in wait.endpoints - {wait.primary}:
             report = self._reports.get((database, endpoint))
             if report is not None and confirmation.counts_for(
                 report, wait.position
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -13,12 +13,14 @@
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import ports
+from fescuestile import positions
 
 log = structlog.get_logger(__name__)
 STEP_CONNECT = "connect endpoint"
 STEP_SEND = "send command"
 STEP_REPLY = "await reply"
 CLOSE_SECONDS = 0.2
+REPLY_GRACE_SECONDS = 0.5
 FRAME_BYTES = 4 * 1024 * 1024
 
 Answered = endpoint_messages.Answered
@@ -99,6 +101,15 @@
         command = endpoint_messages.Inspect(self.next_id())
         return await self._ask(command, timeout)
 
+    async def await_position(
+        self, position: positions.Position, timeout: float
+    ) -> ports.ReportReply:
+        """Ask for a report once the endpoint's log holds a position."""
+        command = endpoint_messages.AwaitPosition(
+            self.next_id(), position, timeout
+        )
+        return await self._ask(command, timeout + REPLY_GRACE_SECONDS)
+
     async def fence(
         self, term: int, driver: str, timeout: float
     ) -> ports.ReportReply:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -10,6 +10,7 @@
 from fescuestile import errors
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import positions
 from fescuestile import requests
 from fescuestile_daemon import confirmations
 from fescuestile_daemon import endpoint_pool
@@ -80,7 +81,8 @@
         remaining = exchange.request.deadline - self._clock.now()
         confirmed = await self._waits.wait(
             exchange.plan,
-            outcome.ok.position,
+            exchange.endpoint,
+            find_target(outcome.ok.position, exchange.term),
             max(0.0, min(remaining, self._longest_wait)),
         )
         if confirmed.is_error():
@@ -88,6 +90,20 @@
         return outcome
 
 
+def find_target(position: positions.Position, term: int) -> positions.Position:
+    """Return the position whose confirmation confirms a write.
+
+    An entry of an earlier term, as a repeated request's, is confirmed
+    only through an entry of the current term, which follows it.
+
+    :param position: position of the write
+    :param term: term that the primary works under
+    """
+    if position.term == term:
+        return position
+    return positions.Position(term, position.index + 1)
+
+
 class LeaseFilter(filters.Filter[WorkExchange]):
     """Waits for a slot and a connection, and gives both back.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/group_watch.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/group_watch.py
@@ -9,12 +9,14 @@
 from fescuestile import endpoint_messages
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import positions
 
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REDIAL_DELAY_SECONDS = 0.2
 HEARTBEAT_SECONDS = 0.25
+CHASE_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 0.5
 
 Observer = collections.abc.Callable[
@@ -51,6 +53,8 @@
         self._observe = observe
         self._interval = report_interval
         self._task: asyncio.Task[None] | None = None
+        self._wanted = positions.START
+        self._chaser: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start to connect and read."""
@@ -58,12 +62,41 @@
 
     async def close(self) -> None:
         """End the watch and its connection."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in (self._task, self._chaser):
+            if task is not None:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
         if self.connection is not None:
             await self.connection.close()
 
+    def chase(self, position: positions.Position) -> None:
+        """Have the endpoint report as soon as it holds a position.
+
+        One request is open at a time; it asks for the highest position
+        that was wanted when it was sent.
+        """
+        if position <= self._wanted:
+            return
+        self._wanted = position
+        if self._chaser is None or self._chaser.done():
+            self._chaser = asyncio.create_task(self._chase())
+
+    async def _chase(self) -> None:
+        reached = positions.START
+        while reached < self._wanted and self.connection is not None:
+            result = await self.connection.await_position(
+                self._wanted, CHASE_SECONDS
+            )
+            if result.is_error() or result.ok.last <= reached:
+                break
+            reached = result.ok.last
+            self._take(result.ok)
+        self._wanted = positions.START
+
+    def _take(self, report: endpoint_messages.Report) -> None:
+        self.answered_at = self._clock.now()
+        self._observe(self.database, report, self.answered_at)
+
     @property
     def silence(self) -> float:
         """Seconds since the endpoint last answered anything."""
@@ -87,8 +120,7 @@
         beats = asyncio.create_task(self._beat(connection))
         try:
             async for report in connection.subscribe(self._interval):
-                self.answered_at = self._clock.now()
-                self._observe(self.database, report, self.answered_at)
+                self._take(report)
         finally:
             beats.cancel()
 
@@ -104,5 +136,4 @@
                 )
                 await connection.close()
                 return
-            self.answered_at = self._clock.now()
-            self._observe(self.database, result.ok, self.answered_at)
+            self._take(result.ok)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -16,6 +16,7 @@
 from fescuestile import members
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import positions
 from fescuestile import requests
 from fescuestile_daemon import confirmations
 from fescuestile_daemon import endpoint_pool
@@ -78,7 +79,7 @@
         self._work = tasks.TaskSet()
         self._closing: dict[tuple[str, str], _Closing] = {}
         self._running: collections.Counter[str] = collections.Counter()
-        self.confirmations = confirmations.Confirmations()
+        self.confirmations = confirmations.Confirmations(self._chase)
         self._chain = filters.create_chain(
             (
                 execution.ConfirmFilter(
@@ -278,6 +279,16 @@
             groups_actor.Observation(database, report, at)
         )
 
+    def _chase(
+        self, database: str, primary: str, position: positions.Position
+    ) -> None:
+        group = self._groups.get(database)
+        names = group.revision.plan.endpoint_by_name if group else ()
+        for name in names:
+            watch = self._watches.get((database, name))
+            if watch is not None and name != primary:
+                watch.chase(position)
+
     async def _report_waits(self) -> None:
         while True:
             await asyncio.sleep(WAIT_REPORT_SECONDS)
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
@@ -1,6 +1,7 @@
 """Server of the endpoint stand-in."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import time
 import typing
@@ -220,7 +221,7 @@
 
     async def serve(self) -> None:
         """Answer commands until the connection ends."""
-        tasks = [asyncio.create_task(self._work())]
+        tasks = {asyncio.create_task(self._work())}
         try:
             async for frame in self._connection:
                 assert isinstance(frame, bytes)
@@ -231,11 +232,11 @@
                     return
                 await self._dispatch(decoded.ok, tasks)
         finally:
-            for task in tasks:
+            for task in tuple(tasks):
                 task.cancel()
 
     async def _dispatch(
-        self, message: typing.Any, tasks: list[asyncio.Task[None]]
+        self, message: typing.Any, tasks: set[asyncio.Task[None]]
     ) -> None:
         if isinstance(message, endpoint_commands.WORK_CLASSES):
             self._queue.put_nowait(typing.cast(typing.Any, message))
@@ -243,7 +244,9 @@
             answer = endpoint_messages.Answered(message.id, Verdict.DONE)
             await self._send(answer)
         elif isinstance(message, endpoint_messages.Subscribe):
-            tasks.append(asyncio.create_task(self._push(message)))
+            _spawn(tasks, self._push(message))
+        elif isinstance(message, endpoint_messages.AwaitPosition):
+            _spawn(tasks, self._await(message))
         else:
             await self._send(self._control(message))
 
@@ -282,6 +285,22 @@
             await asyncio.sleep(message.interval)
             await endpoint.changed.wait(version, IDLE_REPORT_SECONDS)
 
+    async def _await(self, message: endpoint_messages.AwaitPosition) -> None:
+        endpoint = self._endpoint
+        end = time.monotonic() + message.timeout
+        while True:
+            version = endpoint.changed.version
+            report = endpoint.report(message.id)
+            remaining = end - time.monotonic()
+            waits = (
+                report.term == message.position.term
+                and report.last < message.position
+            )
+            if remaining <= 0 or not waits:
+                await self._send(report)
+                return
+            await endpoint.changed.wait(version, remaining)
+
     async def _send(
         self, message: endpoint_messages.Answered | endpoint_messages.Report
     ) -> None:
@@ -291,3 +310,12 @@
             )
         except websockets.exceptions.ConnectionClosed:
             log.debug("reply lost", id=message.id)
+
+
+def _spawn(
+    tasks: set[asyncio.Task[None]],
+    work: collections.abc.Coroutine[typing.Any, typing.Any, None],
+) -> None:
+    task = asyncio.create_task(work)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
--- a/packages/fescuestile/src/fescuestile/endpoint_messages.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_messages.py
@@ -141,6 +141,19 @@
     interval: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AwaitPosition:
+    """Ask for a report once the log holds a position.
+
+    The report comes earlier when the endpoint works under another term,
+    and at the latest after ``timeout`` seconds.
+    """
+
+    id: int
+    position: positions.Position
+    timeout: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fence:
     """Ask to promise a term to one driver.
@@ -224,6 +237,7 @@
         Heartbeat,
         Inspect,
         Subscribe,
+        AwaitPosition,
         Fence,
         Promote,
         Follow,
--- a/packages/fescuestile/src/fescuestile/ports.py
+++ b/packages/fescuestile/src/fescuestile/ports.py
@@ -11,6 +11,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import errors
+from fescuestile import positions
 
 Reply = expression.Result[endpoint_messages.Answered, errors.FescuestileError]
 ReportReply = expression.Result[
@@ -74,6 +75,12 @@
     ) -> typing.AsyncIterator[endpoint_messages.Report]:
         """Yield reports until the connection ends."""
 
+    @abc.abstractmethod
+    async def await_position(
+        self, position: positions.Position, timeout: float
+    ) -> ReportReply:
+        """Ask for a report once the endpoint's log holds a position."""
+
     @abc.abstractmethod
     async def fence(
         self, term: int, driver: str, timeout: float
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -47,6 +47,9 @@
     def subscribe(self, interval):
         raise NotImplementedError
 
+    async def await_position(self, position, timeout):
+        raise NotImplementedError
+
     async def fence(self, term, driver, timeout):
         raise NotImplementedError
 
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -87,3 +87,33 @@
         await endpoint_groups.wait_until(
             lambda: not owner.owner.transactions.count
         )
+
+
+async def fail_over(group, target, term):
+    control = {
+        name: await endpoint_groups.connect(group[name], control=True)
+        for name in group
+    }
+    for connection in control.values():
+        fenced = await connection.fence(term, "driver", 1.0)
+        assert fenced.ok.verdict == "done"
+    promoted = await control[target].promote(term, "driver", 1.0)
+    assert promoted.ok.verdict == "done"
+    address = group[target].address
+    for name, connection in control.items():
+        if name != target:
+            await connection.follow(term, target, address, 1.0)
+        await connection.close()
+
+
+async def test_a_repeat_after_a_failover_is_confirmed_by_the_new_term(
+    group, daemons
+):
+    async with fleets.open_session(daemons[0]) as session:
+        arguments = (fleets.DATABASE, "fault-report", "ADD reports 1")
+        first = await session.execute(*arguments, request_id="r1")
+        await fail_over(group, "two", 2)
+        again = await session.execute(*arguments, request_id="r1")
+    assert (again.payload, again.position) == (first.payload, first.position)
+    assert again.repeated
+    assert again.endpoint == "two"
