Check the failover and acknowledgement rules over all orders of steps

The search drives the real endpoint rules, driver and tracker: three endpoints, two drivers, restarts without state, lost answers; a pause is a late step. Found in turn: no fence, no wait for the majority, promotion before the fence holds at a majority, prior-term entries counted by themselves, an old primary's tail counted, logs compared by fenced term or by length, an endpoint without its state granting, and one counting before it caught up.

--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_log.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_log.py
@@ -43,6 +43,7 @@
         """Start empty."""
         self._entries: list[Entry] = []
         self._starts: list[positions.TermStart] = []
+        self._history: positions.TermHistory | None = None
 
     @property
     def last(self) -> positions.Position:
@@ -54,7 +55,18 @@
     @property
     def history(self) -> positions.TermHistory:
         """Terms of the log."""
-        return positions.TermHistory(tuple(self._starts), self.last)
+        if self._history is None:
+            starts = tuple(self._starts)
+            self._history = positions.TermHistory(starts, self.last)
+        return self._history
+
+    def copy(self) -> "Log":
+        """Return a log that changes apart from this one."""
+        other = Log()
+        other._entries = self._entries.copy()
+        other._starts = self._starts.copy()
+        other._history = self._history
+        return other
 
     def append(self, entry: Entry) -> None:
         """Append the entry that comes next.
@@ -70,10 +82,12 @@
             start = positions.TermStart(position.term, position.index)
             self._starts.append(start)
         self._entries.append(entry)
+        self._history = None
 
     def truncate(self, index: int) -> None:
         """Drop all entries after an index."""
         del self._entries[index:]
+        self._history = None
         self._starts = [s for s in self._starts if s.index <= index]
 
     def list_after(
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_state.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_state.py
@@ -31,6 +31,18 @@
         self.primary = ""
         self._promised_at = 0.0
 
+    def copy(self) -> "EndpointState":
+        """Return a state that changes apart from this one."""
+        other = type(self)(self.name)
+        other.role = self.role
+        other.term = self.term
+        other.driver = self.driver
+        other.primary = self.primary
+        other._promised_at = self._promised_at
+        other.log = self.log.copy()
+        other.store = self.store.copy()
+        return other
+
     def bootstrap(self, primary: str) -> None:
         """Take part in a new group whose first primary is given."""
         self.term = FIRST_TERM
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_store.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_store.py
@@ -97,6 +97,13 @@
         self._values: dict[str, str] = {}
         self._rows: dict[str, StoredRow] = {}
 
+    def copy(self) -> "Store":
+        """Return a store that changes apart from this one."""
+        other = Store()
+        other._values = self._values.copy()
+        other._rows = self._rows.copy()
+        return other
+
     def apply(self, entry: endpoint_log.Entry) -> None:
         """Apply the next entry of the log."""
         for change in entry.changes:
--- /dev/null
+++ b/tests/model_check/failover_world.py
@@ -0,0 +1,425 @@
+"""Three endpoints, two drivers and one proxy around the real rules.
+
+A step is one message delivered, one write, one crash or one lost answer.
+A pause and a process that stops for good need no step of their own: such
+a process is one whose next step comes late or never. A crash is therefore
+a restart that loses the state.
+
+The proxy samples each report as soon as it may and keeps the best one of
+each term, so that it acknowledges all that any slower proxy could.
+"""
+
+import copy
+import dataclasses
+import random
+import typing
+
+from fescuestile import confirmation
+from fescuestile import endpoint_messages
+from fescuestile import failover
+from fescuestile import failover_steps
+from fescuestile import plans
+from fescuestile import positions
+from fescuestile_standins import endpoint_log
+from fescuestile_standins import endpoint_state
+from fescuestile_standins import rejoining
+from tests import builders
+
+Role = endpoint_messages.Role
+NAMES = ("a", "b", "c")
+_ACTIVE = (failover_steps.Step.FENCING, failover_steps.Step.PROMOTING)
+_SENDS = (
+    failover_steps.SendFence,
+    failover_steps.SendPromote,
+    failover_steps.SendFollow,
+)
+
+
+RejoinRule = typing.Callable[
+    [endpoint_messages.Report, list[endpoint_messages.Report], int], bool
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Build:
+    """The code under check; planted bugs replace parts of it."""
+
+    endpoint: type[endpoint_state.EndpointState] = endpoint_state.EndpointState
+    tracker: type[confirmation.ConfirmationTracker] = (
+        confirmation.ConfirmationTracker
+    )
+    rules: type[failover.FailoverRules] = failover.FailoverRules
+    may_rejoin: RejoinRule = rejoining.may_rejoin
+    confirm_majority: int = 2
+    driver_majority: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Scope:
+    """How many of each step there may be.
+
+    :ivar crashing: endpoints that may come back empty
+    :ivar batch: entries copied at a time, None for all
+    """
+
+    writes: int = 2
+    attempts: int = 2
+    crashes: int = 0
+    losses: int = 0
+    crashing: tuple[str, ...] = NAMES
+    batch: int | None = None
+
+
+class MajorityPlan(plans.Plan):
+    """A plan whose majority a planted bug sets."""
+
+    size = 2
+
+    @property
+    def majority(self) -> int:
+        return self.size
+
+
+def make_plan(majority: int) -> plans.Plan:
+    endpoints = tuple(
+        builders.build_endpoint(number, name=name)
+        for number, name in enumerate(NAMES, start=1)
+    )
+    plan = builders.build_plan(endpoints=endpoints)
+    fields = {f.name: getattr(plan, f.name) for f in dataclasses.fields(plan)}
+    changed = MajorityPlan(**fields)
+    object.__setattr__(changed, "size", majority)
+    return changed
+
+
+@dataclasses.dataclass
+class World:
+    """One state; steps work on copies."""
+
+    build: Build
+    left: Scope
+    rules: failover.FailoverRules
+    endpoints: dict[str, endpoint_state.EndpointState]
+    drivers: dict[str, failover_steps.Driver]
+    sends: dict[str, frozenset[failover_steps.Action]]
+    trackers: dict[int, confirmation.ConfirmationTracker]
+    written: tuple[positions.Position, ...] = ()
+    acknowledged: frozenset[positions.Position] = frozenset()
+    elected: int = 1
+    violation: str | None = None
+    keys: dict[str, typing.Hashable] = dataclasses.field(default_factory=dict)
+
+    def copy(self, *changed: str, **spent: int) -> "World":
+        """Return a copy with its own endpoints of the names given."""
+        left = self.left
+        for name, number in spent.items():
+            left = dataclasses.replace(
+                left, **{name: getattr(left, name) - number}
+            )
+        world = World(
+            self.build,
+            left,
+            self.rules,
+            self.endpoints.copy(),
+            self.drivers.copy(),
+            self.sends.copy(),
+            self.trackers.copy(),
+            self.written,
+            self.acknowledged,
+            self.elected,
+            keys=self.keys.copy(),
+        )
+        for name in changed:
+            world.endpoints[name] = self.endpoints[name].copy()
+            world.keys.pop(name, None)
+        return world
+
+    def make_key(self) -> typing.Hashable:
+        for name, endpoint in self.endpoints.items():
+            if name not in self.keys:
+                self.keys[name] = _make_endpoint_key(endpoint)
+        drivers = tuple(
+            (d.step, d.term, d.highest, d.chosen, _list_grants(d))
+            for d in self.drivers.values()
+        )
+        return (
+            tuple(self.keys[name] for name in NAMES),
+            drivers,
+            tuple(self.sends.values()),
+            self._list_evidence(),
+            self.left,
+            self.written,
+            self.acknowledged,
+            self.elected,
+        )
+
+    def _list_evidence(self) -> typing.Hashable:
+        if self.acknowledged.issuperset(self.written):
+            return ()
+        return tuple(
+            (term, name, report.last)
+            for term, tracker in self.trackers.items()
+            for name, report in sorted(tracker._reports.items())
+        )
+
+    def find_violation(self) -> str | None:
+        if self.violation:
+            return self.violation
+        primary = self.find_primary()
+        if primary.term < self.elected:
+            return None
+        held = _list_entries(primary)
+        for position in self.acknowledged:
+            if position not in held:
+                return f"{primary.name} lost acknowledged {position}"
+        return None
+
+    def find_primary(self) -> endpoint_state.EndpointState:
+        """Return the latest primary, up or down."""
+        primaries = [
+            e for e in self.endpoints.values() if e.role is Role.PRIMARY
+        ]
+        return max(primaries, key=lambda e: e.term, default=_NOBODY)
+
+    def list_steps(self) -> typing.Iterator[tuple[str, "World"]]:
+        yield from self._list_writes()
+        yield from self._list_copies()
+        yield from self._list_starts()
+        yield from self._list_deliveries()
+        yield from self._list_crashes()
+        yield from self._list_returns()
+
+    def _list_writes(self) -> typing.Iterator[tuple[str, "World"]]:
+        if not self.left.writes:
+            return
+        for name, endpoint in self.endpoints.items():
+            if endpoint.role is Role.PRIMARY:
+                world = self.copy(name, writes=1)
+                position = world.endpoints[name].write({}, [])
+                world.written += (position,)
+                world.sample(name)
+                yield f"{name} writes {position}", world
+
+    def _list_copies(self) -> typing.Iterator[tuple[str, "World"]]:
+        """A primary that was left behind sends entries, too."""
+        for source, primary in self.endpoints.items():
+            if primary.role is not Role.PRIMARY:
+                continue
+            for name, replica in self.endpoints.items():
+                if name == source or replica.primary != source:
+                    continue
+                history = primary.log.history
+                after = endpoint_log.find_common_index(
+                    history, replica.log.history
+                )
+                if replica.log.history == history and (
+                    replica.role is not Role.FENCED
+                ):
+                    continue
+                world = self.copy(name)
+                entries = primary.log.list_after(after, self.left.batch)
+                if world.endpoints[name].accept(primary.term, after, entries):
+                    world.sample(name)
+                    yield f"{source} copies {after + 1} to {name}", world
+
+    def sample(self, name: str) -> None:
+        """Let the proxy see an endpoint's report and acknowledge."""
+        report = self.endpoints[name].report()
+        tracker = self.trackers.get(report.term)
+        if tracker is None:
+            plan = make_plan(self.build.confirm_majority)
+            tracker = self.build.tracker(plan)
+        tracker = copy.copy(tracker)
+        tracker._reports = dict(tracker._reports)
+        tracker.observe(report)
+        self.trackers[report.term] = tracker
+        for position in set(self.written) - self.acknowledged:
+            standing = tracker.settle(position)
+            if standing is confirmation.Standing.CONFIRMED:
+                self._acknowledge(position)
+
+    def _acknowledge(self, position: positions.Position) -> None:
+        self.acknowledged |= {position}
+        primary = self.find_primary()
+        replaced = primary.term > position.term
+        if replaced and position not in _list_entries(primary):
+            self.violation = f"replaced primary acknowledged {position}"
+
+    def _list_starts(self) -> typing.Iterator[tuple[str, "World"]]:
+        """A driver knows the terms that it was told of, or all of them.
+
+        The first driver starts first; the other order is the same.
+        """
+        if not self.left.attempts:
+            return
+        newest = max(e.term for e in self.endpoints.values())
+        for id_, driver in self.drivers.items():
+            if driver.step not in (
+                failover_steps.Step.IDLE,
+                failover_steps.Step.WAITING,
+            ):
+                continue
+            for highest in {driver.highest, newest}:
+                world = self.copy(attempts=1)
+                known = dataclasses.replace(driver, highest=highest)
+                started, actions = self.rules.start_fencing(known, 0.0)
+                world.drivers[id_] = started
+                world.sends[id_] = frozenset(actions)
+                yield f"{id_} starts term {started.term}", world
+            if not driver.term:
+                return
+
+    def _list_deliveries(self) -> typing.Iterator[tuple[str, "World"]]:
+        for id_, sends in self.sends.items():
+            for action in sends:
+                if isinstance(action, failover_steps.SendFollow):
+                    yield self._deliver(id_, action, action.endpoint, True)
+                elif isinstance(
+                    action,
+                    failover_steps.SendFence | failover_steps.SendPromote,
+                ):
+                    yield self._deliver(id_, action, action.endpoint, True)
+                    if self.left.losses:
+                        yield self._deliver(
+                            id_, action, action.endpoint, False
+                        )
+
+    def _deliver(
+        self,
+        id_: str,
+        action: failover_steps.Action,
+        name: str,
+        answered: bool,
+    ) -> tuple[str, "World"]:
+        world = self.copy(name, losses=0 if answered else 1)
+        event = _perform(world.endpoints[name], action, id_)
+        world.elected = max(world.elected, world.find_primary().term)
+        world.sample(name)
+        label = f"{name} gets {type(action).__name__} of {id_}"
+        if not answered:
+            return f"{label}, answer lost", world
+        driver, actions = self.rules.advance(self.drivers[id_], event, 0.0)
+        world.drivers[id_] = driver
+        sends = world.sends[id_] - {action}
+        if driver.step is not self.drivers[id_].step:
+            sends = frozenset(a for a in actions if isinstance(a, _SENDS))
+        world.sends[id_] = sends
+        if not world.left.crashes:
+            world._drop_refused()
+        return label, world
+
+    def _drop_refused(self) -> None:
+        """Drop follows that come too late for ever."""
+        for id_, sends in self.sends.items():
+            self.sends[id_] = frozenset(
+                send
+                for send in sends
+                if not isinstance(send, failover_steps.SendFollow)
+                or send.term >= self.endpoints[send.endpoint].term
+            )
+
+    def _list_crashes(self) -> typing.Iterator[tuple[str, "World"]]:
+        if not self.left.crashes:
+            return
+        for name in self.left.crashing:
+            endpoint = self.endpoints[name]
+            if endpoint.term == 1 and endpoint.log.last.index == 1:
+                continue  # It has nothing to forget.
+            world = self.copy(crashes=1)
+            world.endpoints[name] = self.build.endpoint(name)
+            world.keys.pop(name, None)
+            yield f"{name} comes back empty", world
+
+    def _list_returns(self) -> typing.Iterator[tuple[str, "World"]]:
+        for name, endpoint in self.endpoints.items():
+            if endpoint.role is not Role.REJOINING:
+                continue
+            reports = {n: e.report() for n, e in self.endpoints.items()}
+            for send in failover.find_strays(self.rules.plan, reports):
+                if send.endpoint == name:
+                    world = self.copy(name)
+                    world.endpoints[name].follow(send.term, send.primary)
+                    yield f"{name} follows {send.primary}", world
+            others = [r for n, r in reports.items() if n != name]
+            if self.build.may_rejoin(reports[name], others, len(NAMES)):
+                world = self.copy(name)
+                world.endpoints[name].rejoin()
+                world._expire_grants(name)
+                world.sample(name)
+                yield f"{name} counts again", world
+
+    def _expire_grants(self, name: str) -> None:
+        """The quarantine outlasts what the endpoint promised before."""
+        for id_, driver in self.drivers.items():
+            if name in driver.grants:
+                idle = failover_steps.Step.IDLE
+                self.drivers[id_] = dataclasses.replace(driver, step=idle)
+                self.sends[id_] = frozenset(
+                    send
+                    for send in self.sends[id_]
+                    if isinstance(send, failover_steps.SendFollow)
+                )
+
+
+_NOBODY = endpoint_state.EndpointState("nobody")
+
+
+def _list_entries(
+    endpoint: endpoint_state.EndpointState,
+) -> tuple[positions.Position, ...]:
+    return tuple(entry.position for entry in endpoint.log)
+
+
+def _make_endpoint_key(e: endpoint_state.EndpointState) -> typing.Hashable:
+    return (e.role, e.term, e.driver, e.primary, _list_entries(e))
+
+
+def _list_grants(driver: failover_steps.Driver) -> typing.Hashable:
+    if driver.step is not failover_steps.Step.FENCING:
+        return ()
+    return frozenset((n, r.last) for n, r in driver.grants.items())
+
+
+def _perform(
+    endpoint: endpoint_state.EndpointState,
+    action: failover_steps.Action,
+    driver: str,
+) -> failover_steps.Event:
+    match action:
+        case failover_steps.SendFence():
+            verdict = endpoint.fence(action.term, driver)
+            report = endpoint.report(0, verdict)
+            return failover_steps.FenceReplied(action.term, report)
+        case failover_steps.SendPromote():
+            verdict = endpoint.promote(action.term, driver)
+            report = endpoint.report(0, verdict)
+            return failover_steps.PromoteReplied(action.term, report)
+        case failover_steps.SendFollow():
+            verdict = endpoint.follow(action.term, action.primary)
+            report = endpoint.report(0, verdict)
+            return failover_steps.FollowReplied(action.term, report)
+    raise TypeError(f"{action} is not delivered")
+
+
+def make_world(
+    build: Build, scope: Scope, drivers: tuple[str, ...] = ("d1", "d2")
+) -> World:
+    """Return a new group whose first primary is ``a``.
+
+    All hold the first entry.
+    """
+    endpoints = {name: build.endpoint(name) for name in NAMES}
+    for endpoint in endpoints.values():
+        endpoint.bootstrap("a")
+        endpoint.accept(1, 0, endpoints["a"].log.list_after(0))
+    return World(
+        build=build,
+        left=scope,
+        rules=build.rules(make_plan(build.driver_majority), random.Random(1)),
+        endpoints=endpoints,
+        drivers={
+            id_: failover_steps.Driver(id_, highest=1) for id_ in drivers
+        },
+        sends={id_: frozenset() for id_ in drivers},
+        trackers={},
+    )
--- /dev/null
+++ b/tests/model_check/planted_bugs.py
@@ -0,0 +1,151 @@
+"""Mistakes that the model check must find, each one part replaced."""
+
+from fescuestile import confirmation
+from fescuestile import endpoint_messages
+from fescuestile import failover
+from fescuestile import failover_steps
+from fescuestile_standins import endpoint_state
+from tests.model_check import failover_world
+
+Role = endpoint_messages.Role
+Verdict = endpoint_messages.Verdict
+
+
+class UnfencedEndpoint(endpoint_state.EndpointState):
+    """Answers a fence without promising anything."""
+
+    def fence(self, term, driver, now=0.0):
+        return Verdict.DONE
+
+    def promote(self, term, driver, now=0.0):
+        if term <= self.term:
+            return Verdict.TERM_REFUSED
+        self.driver = driver
+        self.term = term
+        self.role = Role.FENCED
+        self.primary = ""
+        return super().promote(term, driver, now)
+
+
+class KeepsTailEndpoint(endpoint_state.EndpointState):
+    """Serves and counts at once when it follows, tail included."""
+
+    def follow(self, term, primary):
+        verdict = super().follow(term, primary)
+        if self.role is Role.FENCED:
+            self.role = Role.REPLICA
+        return verdict
+
+
+class ForgetfulEndpoint(endpoint_state.EndpointState):
+    """Grants and counts after it lost its state, as if it were new."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.role = Role.FENCED
+
+
+class IndexTracker(confirmation.ConfirmationTracker):
+    """Counts a report by its promised term and the length of its log."""
+
+    def settle(self, position):
+        holding = [
+            report
+            for report in self._reports.values()
+            if report.term == position.term
+            and report.role is not Role.FENCED
+            and report.last.index >= position.index
+        ]
+        if len(holding) >= self._plan.majority:
+            return confirmation.Standing.CONFIRMED
+        return confirmation.Standing.PENDING
+
+
+class PriorTermTracker(confirmation.ConfirmationTracker):
+    """Counts a prior term's entry by itself."""
+
+    def settle(self, position):
+        holding = [
+            report
+            for report in self._reports.values()
+            if report.history.find_term(position.index) == position.term
+            and report.last.index >= position.index
+        ]
+        if len(holding) >= self._plan.majority:
+            return confirmation.Standing.CONFIRMED
+        return confirmation.Standing.PENDING
+
+
+class FirstGrantRules(failover.FailoverRules):
+    """Promotes before the fence holds at a majority."""
+
+    def _is_fenced(self, driver):
+        return bool(driver.grants)
+
+
+def rank_by_fenced_term(report):
+    """Compare logs by the promised term."""
+    return (report.term, report.last.index)
+
+
+def rank_by_length(report):
+    """Compare logs by length alone."""
+    return (report.last.index, report.last.term)
+
+
+def make_divergent_world(
+    build: failover_world.Build, scope: failover_world.Scope
+) -> failover_world.World:
+    """Return a group in its second term.
+
+    The old primary ``a`` is left behind with three unconfirmed writes and
+    has not been told of ``c``, the primary; ``b`` holds the first entry of
+    ``c``, but not yet its first write.
+    """
+    world = failover_world.make_world(build, scope)
+    old, follower, new = world.endpoints.values()
+    world.written = tuple(old.write({}, []) for _ in range(3))
+    for endpoint in (follower, new):
+        endpoint.fence(2, "d1")
+    new.promote(2, "d1")
+    follower.follow(2, "c")
+    follower.accept(2, 1, new.log.list_after(1))
+    world.written += (new.write({}, []),)
+    world.elected = 2
+    for name in failover_world.NAMES:
+        world.sample(name)
+    _note_term(world, 2)
+    follow = failover_steps.SendFollow("a", 2, "c")
+    world.sends["d1"] = frozenset((follow,))
+    return world
+
+
+def make_contested_world(
+    build: failover_world.Build, scope: failover_world.Scope
+) -> failover_world.World:
+    """Return a group in its third term.
+
+    ``a`` wrote at term 1 and nobody copied it; ``c`` was elected at term 2
+    and nobody copied its first entry; ``a`` is elected again at term 3
+    and ``b`` follows it, with nothing copied yet.
+    """
+    world = failover_world.make_world(build, scope)
+    first, follower, second = world.endpoints.values()
+    world.written = (first.write({}, []),)
+    for endpoint in (follower, second):
+        endpoint.fence(2, "d1")
+    second.promote(2, "d1")
+    for endpoint in (first, follower):
+        endpoint.fence(3, "d2")
+    first.promote(3, "d2")
+    follower.follow(3, "a")
+    world.elected = 3
+    _note_term(world, 3)
+    return world
+
+
+def _note_term(world: failover_world.World, term: int) -> None:
+    for id_ in world.drivers:
+        world.drivers[id_] = failover_steps.Driver(
+            id_, term=term, highest=term
+        )
