--- a/packages/fescuestile/src/fescuestile/members.py
+++ b/packages/fescuestile/src/fescuestile/members.py
@@ -7,10 +7,14 @@
 class MemberState(enum.StrEnum):
     """State of a daemon in the membership."""
 
+    # Has no configuration yet.
+    JOINING = "joining"
     ALIVE = "alive"
     SUSPECT = "suspect"
     LEAVING = "leaving"
     DEAD = "dead"
+    # Its whole zone is out of reach; its state there is not known.
+    UNREACHABLE = "unreachable"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
