--- /dev/null
+++ b/measurements/baselines/__init__.py
@@ -0,0 +1,6 @@
+"""Ways that were weighed against ours, kept for comparison."""
+
+from measurements.baselines import queues
+from measurements.baselines import shares
+
+__all__ = ("queues", "shares")
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -258,6 +258,14 @@
         """Return the next deadline in the queue, in monotonic seconds."""
         return self._expiries[0][0] if self._expiries else None
 
+    def set_slots(self, slots: int) -> None:
+        """Change how much may run at a time.
+
+        :param slots: slots, at least 1
+        """
+        self._options = dataclasses.replace(self._options, slots=slots)
+        self._concurrency.set_cap(slots)
+
     def configure(self, options: AdmissionOptions) -> None:
         """Put other limits in force; work that waits keeps its order.
 
