Route by freshness and retry only what did not run

The entry's filter uses the library's routing, holds a replica's answer against the session and its bound, avoids replicas that refused, waits for one that is just behind, and routes again only after NotRun, within deadline and budget. Before, it took the first replica whose log covered the session, whatever its lag, and tried up to 8 times without a budget. The owner bounds diverted reads of lower ranks.

Failing first: with UnknownOutcome retried, 4 cases of test_only_what_did_not_run_is_routed_again fail; with the answer's check taken out, test_an_answer_behind_the_session_is_never_given fails.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
@@ -1,26 +1,31 @@
 """Filters on the entry daemon: session and route."""
 
+import asyncio
 import dataclasses
+import random
 
 import expression
 
+from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import errors
 from fescuestile import members
 from fescuestile import requests
+from fescuestile import retries
+from fescuestile import routing
 from fescuestile import sessions
-from fescuestile import snapshots
 from fescuestile_daemon import dispatch
+from fescuestile_daemon import execution
 from fescuestile_daemon import filters
 from fescuestile_daemon import group_board
 from fescuestile_daemon import published
 from fescuestile_daemon import state_push
 from fescuestile_daemon import transactions
 
-STEP = "route"
-MAX_ATTEMPTS = 8
-ATTEMPT_PAUSE_SECONDS = 0.05
-NO_PRIMARY_RETRY_SECONDS = 0.2
+RETRIES_FLOOR = 10
+# Refusals that the caller has to heed; another route would not help.
+FINAL_STEPS = (admission.STEP, diversion.STEP)
 
 
 @dataclasses.dataclass
@@ -52,11 +57,28 @@
         return outcome
 
 
+@dataclasses.dataclass
+class _Progress:
+    """How far the routing of one request came.
+
+    :ivar number: attempts made so far
+    :ivar waited: it waited for a replica to catch up
+    :ivar stale: the last attempt's answer was too old
+    :ivar avoided: replicas that failed it
+    """
+
+    number: int = 0
+    waited: bool = False
+    stale: bool = False
+    avoided: set[str] = dataclasses.field(default_factory=set)
+
+
 class RouteFilter(filters.Filter[EntryExchange]):
     """Chooses an endpoint and runs the request at its owner.
 
-    A request that did not run is routed again, with the group's newest
-    snapshot, until its deadline.
+    A request that did not run is routed again, by the group's newest
+    snapshot, within its deadline and the retry budget. A replica's answer
+    that turns out too old is dropped and the read routed again.
     """
 
     def __init__(
@@ -66,13 +88,20 @@
         interest: state_push.InterestKeeper,
         membership: published.Published[members.MembershipSnapshot],
         time_source: clock.Clock,
+        source: random.Random | None = None,
     ) -> None:
         """Route by the snapshots on a board."""
         self._board = board
         self._dispatcher = dispatcher
         self._interest = interest
-        self._membership = membership
+        self._zone = membership.get().own.zone
         self._clock = time_source
+        self._random = source or random.Random()
+        self._policy = retries.RetryPolicy(
+            time_source,
+            self._random,
+            retries.RetryBudget(time_source, floor=RETRIES_FLOOR),
+        )
 
     async def handle(
         self,
@@ -84,25 +113,123 @@
         await self._interest.use(request.database)
         if request.transaction:
             return await self._continue_transaction(request)
-        outcome: filters.Outcome = expression.Error(_refuse_unknown(request))
-        for _ in range(MAX_ATTEMPTS):
+        progress = _Progress()
+        while True:
+            progress.number += 1
+            progress.stale = False
+            routed = await self._route(request, progress)
+            outcome = await self._run(request, routed, progress)
+            delay = self._plan_retry(request, outcome, progress)
+            if delay is None:
+                return outcome
+            if routed.is_error():
+                await self._board.wait_change(request.database, delay)
+            else:
+                await asyncio.sleep(delay)
+
+    async def _route(
+        self, request: requests.Request, progress: _Progress
+    ) -> routing.RouteResult:
+        routed = self._choose(request, progress)
+        if routed.is_error() or not routed.ok.catch_up:
+            return routed
+        await self._wait_covered(request, routed.ok)
+        progress.waited = True
+        return self._choose(request, progress)
+
+    def _choose(
+        self, request: requests.Request, progress: _Progress
+    ) -> routing.RouteResult:
+        group = self._board.get(request.database)
+        if group is None:
+            return expression.Error(_refuse_unknown(request))
+        return routing.route(
+            request,
+            group,
+            self._zone,
+            self._clock.now(),
+            self._random,
+            progress.waited,
+            frozenset(progress.avoided),
+        )
+
+    async def _wait_covered(
+        self, request: requests.Request, routed: routing.Route
+    ) -> None:
+        """Wait until the replica covers the session, in bounded time."""
+        end = self._clock.now() + routed.catch_up
+        name = routed.view.endpoint.name
+        while (remaining := end - self._clock.now()) > 0:
             group = self._board.get(request.database)
-            view = _choose(group, request) if group else None
-            if group is not None and view is not None:
-                outcome = await self._dispatcher.run(
-                    view.owner, view.endpoint.name, group.term, request
-                )
-                if not _may_reroute(outcome):
-                    return outcome
-            remaining = request.deadline - self._clock.now()
-            if remaining <= 0:
-                break
-            pause = min(remaining, ATTEMPT_PAUSE_SECONDS)
-            if view is None:
-                pause = remaining
-            await self._board.wait_change(request.database, pause)
+            view = group.endpoints.get(name) if group else None
+            if view is None or view.history.covers(request.minimum):
+                return
+            await self._board.wait_change(request.database, remaining)
+
+    async def _run(
+        self,
+        request: requests.Request,
+        routed: routing.RouteResult,
+        progress: _Progress,
+    ) -> filters.Outcome:
+        if routed.is_error():
+            return expression.Error(routed.error)
+        chosen = routed.ok
+        name = chosen.view.endpoint.name
+        if chosen.diverted:
+            request = dataclasses.replace(request, diverted=True)
+        outcome = await self._dispatcher.run(
+            chosen.view.owner, name, chosen.term, request
+        )
+        if outcome.is_ok() and chosen.replica:
+            outcome = self._check(request, outcome.ok, chosen)
+            progress.stale = outcome.is_error()
+        if outcome.is_error() and chosen.replica:
+            progress.avoided.add(name)
         return outcome
 
+    def _check(
+        self,
+        request: requests.Request,
+        answer: requests.Answer,
+        chosen: routing.Route,
+    ) -> filters.Outcome:
+        group = self._board.get(request.database)
+        if group is None:
+            return expression.Error(_refuse_unknown(request))
+        checked = routing.check_answer(
+            request, answer, chosen, group, self._clock.now()
+        )
+        if checked.is_error():
+            return expression.Error(checked.error)
+        return expression.Ok(answer)
+
+    def _plan_retry(
+        self,
+        request: requests.Request,
+        outcome: filters.Outcome,
+        progress: _Progress,
+    ) -> float | None:
+        """Return the seconds until the next attempt, None for no more."""
+        if outcome.is_ok():
+            self._policy.record_success(request.level)
+            return None
+        error = outcome.error
+        if error.step in FINAL_STEPS:
+            return None
+        reached = error.step == execution.STEP
+        refused = isinstance(error, errors.TermRefused)
+        return self._policy.plan(
+            error,
+            retries.Attempt(
+                number=progress.number,
+                rank=request.level,
+                repeatable=progress.stale,
+                deadline=request.deadline,
+                charged=progress.stale or (reached and not refused),
+            ),
+        )
+
     async def _continue_transaction(
         self, request: requests.Request
     ) -> filters.Outcome:
@@ -114,32 +241,10 @@
         )
 
 
-def _choose(
-    group: snapshots.GroupSnapshot, request: requests.Request
-) -> snapshots.EndpointView | None:
-    stale_read = (
-        request.action is requests.Action.STATEMENT
-        and request.read_only
-        and request.staleness > 0
-    )
-    if stale_read:
-        for view in group.endpoints.values():
-            fresh = view.history.covers(request.minimum)
-            if fresh and view.endpoint.name != group.primary and view.owner:
-                return view
-    return group.endpoints.get(group.primary)
-
-
-def _may_reroute(outcome: filters.Outcome) -> bool:
-    if outcome.is_ok() or not isinstance(outcome.error, errors.NotRun):
-        return False
-    return outcome.error.step not in ("admit", "lease")
-
-
 def _refuse_unknown(request: requests.Request) -> errors.NotRun:
     return errors.NotRun(
-        message="the group has no known primary",
-        step=STEP,
+        message="the group is not known here",
+        step=routing.STEP,
         peer=request.database,
-        retry_after=NO_PRIMARY_RETRY_SECONDS,
+        retry_after=routing.DEFAULTS.no_primary_delay,
     )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -6,6 +6,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import plans
@@ -51,6 +52,33 @@
     )
 
 
+class DivertFilter(filters.Filter[WorkExchange]):
+    """Bounds the reads that a primary takes over from its replicas."""
+
+    def __init__(self, diverted: diversion.DivertedReads) -> None:
+        """Count on a board of all owned endpoints."""
+        self._diverted = diverted
+
+    async def handle(
+        self,
+        exchange: WorkExchange,
+        proceed: filters.Proceed[WorkExchange],
+    ) -> filters.Outcome:
+        """Let a diverted read in, or refuse it."""
+        request = exchange.request
+        if not request.diverted:
+            return await proceed(exchange)
+        name = f"{request.database}/{exchange.endpoint}"
+        slots = exchange.plan.endpoint_by_name[exchange.endpoint].slots
+        entered = self._diverted.enter(name, slots, request.level)
+        if entered.is_error():
+            return expression.Error(entered.error)
+        try:
+            return await proceed(exchange)
+        finally:
+            self._diverted.leave(name)
+
+
 class ConfirmFilter(filters.Filter[WorkExchange]):
     """Holds a write's answer until a majority of the group has it."""
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -8,6 +8,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import failures
@@ -65,6 +66,7 @@
         self.confirmations = confirmations.Confirmations()
         self._chain = filters.create_chain(
             (
+                execution.DivertFilter(diversion.DivertedReads()),
                 execution.ConfirmFilter(
                     self.confirmations,
                     parts.time_source,
--- a/packages/fescuestile/src/fescuestile/diversion.py
+++ b/packages/fescuestile/src/fescuestile/diversion.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import typing
 
 import expression
 
@@ -29,15 +28,14 @@
         :param share: diverted reads at a time per slot, at least one read
         """
         self._share = share
-        self._counts: collections.Counter[typing.Hashable] = (
-            collections.Counter()
-        )
+        self._counts: collections.Counter[str] = collections.Counter()
 
     def enter(
         self, endpoint: str, slots: int, level: int
     ) -> expression.Result[None, errors.NotRun]:
         """Count a read in; ``leave`` has to follow when it is let in.
 
+        :param endpoint: unique name of the endpoint
         :param slots: statements that the endpoint runs at a time
         :param level: urgency, 0 for the most urgent
         :returns: nothing, or a refusal
--- a/packages/fescuestile/src/fescuestile/requests.py
+++ b/packages/fescuestile/src/fescuestile/requests.py
@@ -29,6 +29,7 @@
     :ivar repeatable: running it twice does no harm
     :ivar transaction: id of the open transaction, or empty
     :ivar minimum: position that the session depends on
+    :ivar diverted: a read that may be stale but found no replica
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     read_only: bool = False
     transaction: str = ""
     minimum: positions.Position = positions.START
+    diverted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuestile/src/fescuestile/routing.py
+++ b/packages/fescuestile/src/fescuestile/routing.py
@@ -75,6 +75,7 @@
     now: float,
     source: random.Random,
     waited: bool = False,
+    avoided: frozenset[str] = frozenset(),
     options: RoutingOptions = DEFAULTS,
 ) -> RouteResult:
     """Return where a request goes.
@@ -84,6 +85,7 @@
     :param now: monotonic seconds
     :param source: randomness
     :param waited: the request waited for a replica already
+    :param avoided: replicas that failed the request
     :returns: the route, or NotRun while there is no primary for it
     """
     if not may_be_stale(request):
@@ -91,7 +93,8 @@
     fresh = [
         view
         for view in group.endpoints.values()
-        if is_fresh(view, request, group, now, options)
+        if view.endpoint.name not in avoided
+        and is_fresh(view, request, group, now, options)
     ]
     ready = [view for view in fresh if view.history.covers(request.minimum)]
     if ready:
