--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -9,6 +9,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import failures
@@ -82,6 +83,7 @@
         self.confirmations = confirmations.Confirmations(self._chase)
         self._chain = filters.create_chain(
             (
+                execution.DivertFilter(diversion.DivertedReads()),
                 execution.ConfirmFilter(
                     self.confirmations,
                     parts.time_source,
