--- /dev/null
+++ b/measurements/real_fleet.py
@@ -0,0 +1,81 @@
+"""A real daemon, platform and group of endpoints for measurements."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+
+import grpc
+import psutil
+
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
+from fescuestile_api import models
+from fescuestile_client import session as sessions
+from fescuestile_standins import fleet as fleets
+from fescuestile_standins import launcher as launchers
+
+READY_SECONDS = 20.0
+RETRY_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Served:
+    """What a measurement works against.
+
+    :ivar fleet: all processes
+    :ivar daemon: the daemon under measurement
+    :ivar database: declared database
+    """
+
+    fleet: fleets.Fleet
+    daemon: fleets.DaemonProcess
+    database: str
+
+    @property
+    def process(self) -> psutil.Process:
+        """The daemon's process."""
+        return psutil.Process(self.daemon.process.pid)
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    options: fleets.GroupOptions,
+) -> collections.abc.AsyncIterator[Served]:
+    """Run one daemon before one group, ready for statements."""
+    async with launchers.Launcher() as launcher:
+        fleet = fleets.Fleet(launcher)
+        await fleet.start_platform()
+        group = await fleet.start_group(options)
+        daemon = await fleet.start_daemon("host-1", fleet.zones[0])
+        async with grpc.aio.insecure_channel(
+            daemon.operator_address
+        ) as channel:
+            await pb_grpc.OperatorServiceStub(channel).Declare(
+                pb.DeclareRequest(
+                    plan=models.write_plan(group.plan),
+                    change_id="declare-1",
+                    operator="measurement",
+                ),
+                wait_for_ready=True,
+                timeout=READY_SECONDS,
+            )
+        served = Served(fleet, daemon, options.database)
+        await wait_served(served)
+        yield served
+
+
+async def wait_served(served: Served) -> None:
+    """Wait until the daemon answers a write."""
+    async with asyncio.timeout(READY_SECONDS):
+        while True:
+            try:
+                async with sessions.Session(
+                    [served.daemon.caller_address], "measurement"
+                ) as session:
+                    await session.execute(
+                        served.database, "fault-report", "PUT pump ok"
+                    )
+                return
+            except Exception:
+                await asyncio.sleep(RETRY_SECONDS)
