Build results on the statement's path without inspecting their class

Cause: a sampling profile of the daemon shows 10 % of its time in the constructor of Result, called 11 times a statement at 2.9 µs. Ruled out: the values themselves and gRPC, whose echo costs 84 to 109 µs a pair of messages here.

--- a/packages/fescuestile-api/src/fescuestile_api/models.py
+++ b/packages/fescuestile-api/src/fescuestile_api/models.py
@@ -17,6 +17,7 @@
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import requests
+from fescuestile import results
 from fescuestile_api import fescuestile_pb2 as pb
 
 STEP = "decode"
@@ -141,13 +142,13 @@
         return refuse("frame", f"malformed frame: {error}", peer)
     if frame.WhichOneof("frame") is None:
         return refuse("frame", "neither open nor request", peer)
-    return expression.Ok(frame)
+    return results.succeed(frame)
 
 
 def read_open(message: pb.Open, peer: str = "") -> Checked[OpenModel]:
     """Check the first frame of a stream."""
     try:
-        return expression.Ok(OpenModel.model_validate(message))
+        return results.succeed(OpenModel.model_validate(message))
     except pydantic.ValidationError as error:
         return _explain(error, STEP, peer)
 
@@ -193,7 +194,7 @@
     )
     if fault is not None:
         return refuse(fault.field, fault.message, caller)
-    return expression.Ok(
+    return results.succeed(
         requests.Request(
             request_id=model.request_id,
             caller=caller,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/connection_set.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/connection_set.py
@@ -13,6 +13,7 @@
 from fescuestile import liveness
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import results
 
 log = structlog.get_logger(__name__)
 
@@ -109,7 +110,7 @@
         while self._idle:
             connection = self._idle.pop()
             if not connection.closed:
-                return expression.Ok(connection)
+                return results.succeed(connection)
             self.discard(connection)
         if self._closed or self.down:
             return expression.Error(
@@ -143,7 +144,7 @@
         if waiter is None:
             self._idle.append(connection)
         else:
-            waiter.set_result(expression.Ok(connection))
+            waiter.set_result(results.succeed(connection))
 
     def discard(self, connection: ports.EndpointConnection) -> None:
         """Close a connection and replace it."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
@@ -8,6 +8,7 @@
 from fescuestile import link_messages
 from fescuestile import members
 from fescuestile import requests
+from fescuestile import results
 from fescuestile_daemon import filters
 from fescuestile_daemon import links
 from fescuestile_daemon import owner
@@ -90,7 +91,7 @@
 ) -> filters.Outcome:
     """Return the outcome that an owner replied."""
     if reply.answer is not None:
-        return expression.Ok(reply.answer)
+        return results.succeed(reply.answer)
     if reply.failure is not None:
         return expression.Error(failures.restore_error(reply.failure))
     return expression.Error(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -14,6 +14,7 @@
 from fescuestile import errors
 from fescuestile import ports
 from fescuestile import positions
+from fescuestile import results
 
 log = structlog.get_logger(__name__)
 STEP_CONNECT = "connect endpoint"
@@ -180,7 +181,7 @@
         try:
             async with asyncio.timeout(timeout):
                 if await self._send(command):
-                    return expression.Ok(await future)
+                    return results.succeed(await future)
         except TimeoutError:
             return expression.Error(
                 errors.UnknownOutcome(
@@ -275,7 +276,7 @@
             connection, address, next(self._generations)
         )
         if await opened.heartbeat(timeout):
-            return expression.Ok(opened)
+            return results.succeed(opened)
         await opened.close()
         reason = connection.close_reason or "the endpoint did not answer"
         return expression.Error(_make_refusal(address, reason))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_pool.py
@@ -15,6 +15,7 @@
 from fescuestile import errors
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import results
 from fescuestile_daemon import connection_set
 from fescuestile_daemon import slot_queue
 
@@ -69,7 +70,7 @@
             self._pool.release_slot(admitted.ok)
             raise RuntimeError("the lease was released meanwhile")
         self._slot = admitted.ok
-        return expression.Ok(None)
+        return results.succeed(None)
 
     def release(self, healthy: bool) -> None:
         """Give back all that the lease holds; a second call does nothing.
@@ -243,7 +244,7 @@
         lease = Lease(self, connected.ok, slot, place)
         self._leases.add(lease)
         self._drained.clear()
-        return expression.Ok(lease)
+        return results.succeed(lease)
 
     def _refuse(self, message: str) -> errors.NotRun:
         return errors.NotRun(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
@@ -12,6 +12,7 @@
 from fescuestile import errors
 from fescuestile import members
 from fescuestile import requests
+from fescuestile import results
 from fescuestile import retries
 from fescuestile import routing
 from fescuestile import sessions
@@ -202,7 +203,7 @@
         )
         if checked.is_error():
             return expression.Error(checked.error)
-        return expression.Ok(answer)
+        return results.succeed(answer)
 
     def _plan_retry(
         self,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -13,6 +13,7 @@
 from fescuestile import ports
 from fescuestile import positions
 from fescuestile import requests
+from fescuestile import results
 from fescuestile_daemon import confirmations
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import filters
@@ -251,9 +252,9 @@
     resolves = exchange.request.action is requests.Action.RESOLVE
     match reply.verdict:
         case endpoint_messages.Verdict.DONE:
-            return expression.Ok(_make_answer(exchange, reply))
+            return results.succeed(_make_answer(exchange, reply))
         case endpoint_messages.Verdict.NEVER_RUNS if resolves:
-            return expression.Ok(
+            return results.succeed(
                 dataclasses.replace(
                     _make_answer(exchange, reply), never_runs=True
                 )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -17,6 +17,7 @@
 from fescuestile import errors
 from fescuestile import link_messages
 from fescuestile import members
+from fescuestile import results
 from fescuestile_daemon import tasks
 
 log = structlog.get_logger(__name__)
@@ -203,7 +204,7 @@
         """Hand a reply to the request that waits for it, if any."""
         waiting = self._waiting.get(number)
         if waiting is not None and not waiting.future.done():
-            waiting.future.set_result(expression.Ok(message))
+            waiting.future.set_result(results.succeed(message))
 
     async def dial(self, member: members.Member) -> Link | None:
         """Return the link to a daemon, dialing it if there is none."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/slot_queue.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/slot_queue.py
@@ -7,6 +7,7 @@
 from fescuestile import admission
 from fescuestile import clock
 from fescuestile import errors
+from fescuestile import results
 
 Admitted = expression.Result[admission.Ticket, errors.NotRun]
 
@@ -98,7 +99,7 @@
     def _advance(self) -> None:
         batch = self._queue.take(self._clock.now())
         for ticket in batch.started:
-            _settle(self._futures.pop(ticket), expression.Ok(ticket))
+            _settle(self._futures.pop(ticket), results.succeed(ticket))
         for drop in batch.dropped:
             future = self._futures.pop(drop.ticket)
             _settle(future, expression.Error(drop.error))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/transactions.py
@@ -9,6 +9,7 @@
 from fescuestile import clock
 from fescuestile import errors
 from fescuestile import requests
+from fescuestile import results
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import execution
 from fescuestile_daemon import filters
@@ -50,7 +51,7 @@
                 field="transaction",
             )
         )
-    return expression.Ok(TransactionName(parts[0], parts[1], int(parts[2])))
+    return results.succeed(TransactionName(parts[0], parts[1], int(parts[2])))
 
 
 @dataclasses.dataclass(eq=False)
@@ -130,7 +131,7 @@
             exchange.lease,
             self._clock.now(),
         )
-        return expression.Ok(
+        return results.succeed(
             dataclasses.replace(outcome.ok, transaction=str(name))
         )
 
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -19,6 +19,7 @@
 from fescuestile import fair_queue
 from fescuestile import plans
 from fescuestile import requests
+from fescuestile import results
 
 STEP = "admit"
 MIN_RETRY_AFTER_SECONDS = 0.01
@@ -172,7 +173,7 @@
         ticket = Ticket(work=work, offered_at=now)
         self._enqueue(rank, ticket)
         self._note_load(rank, now, self._get_service(work.kind))
-        return expression.Ok(ticket)
+        return results.succeed(ticket)
 
     def take(self, now: float) -> Batch:
         """Hand out the work that may start and the work that expired.
--- a/packages/fescuestile/src/fescuestile/codec.py
+++ b/packages/fescuestile/src/fescuestile/codec.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from fescuestile import errors
+from fescuestile import results
 
 STEP = "decode frame"
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -57,7 +58,7 @@
         if adapter is None:
             return _refuse("tag", f"unknown message {tag!r:.40}", peer)
         try:
-            return expression.Ok(adapter.validate_python(body))
+            return results.succeed(adapter.validate_python(body))
         except pydantic.ValidationError as error:
             first = error.errors()[0]
             field = ".".join(str(part) for part in first["loc"])
--- a/packages/fescuestile/src/fescuestile/routing.py
+++ b/packages/fescuestile/src/fescuestile/routing.py
@@ -9,6 +9,7 @@
 from fescuestile import errors
 from fescuestile import lag
 from fescuestile import requests
+from fescuestile import results
 from fescuestile import snapshots
 
 STEP = "route"
@@ -99,7 +100,7 @@
     ready = [view for view in fresh if view.history.covers(request.minimum)]
     if ready:
         chosen = _choose(ready, zone, source, options)
-        return expression.Ok(Route(chosen, group.term, replica=True))
+        return results.succeed(Route(chosen, group.term, replica=True))
     primary = _route_to_primary(request, group, True, options)
     if fresh and not waited:
         return _weigh_catch_up(fresh, primary, request, zone, now, options)
@@ -167,7 +168,7 @@
         direct = _estimate_wait(primary.ok.view, zone, options)
         if direct <= estimate(replica):
             return primary
-    return expression.Ok(
+    return results.succeed(
         Route(
             replica,
             primary.ok.term if primary.is_ok() else replica.term,
@@ -193,7 +194,7 @@
                 retry_after=options.no_primary_delay,
             )
         )
-    return expression.Ok(Route(view, group.term, diverted=diverted))
+    return results.succeed(Route(view, group.term, diverted=diverted))
 
 
 def check_answer(
@@ -215,7 +216,7 @@
     :returns: the answer, or an error: the read has to run again
     """
     if not routed.replica:
-        return expression.Ok(answer)
+        return results.succeed(answer)
     latest = group.endpoints.get(answer.endpoint, routed.view)
     if not lag.covers(answer.position, request.minimum, latest.history):
         return _refuse("the answer is behind the session", answer)
@@ -227,7 +228,7 @@
     oldest = now - max(known, default=float("-inf"))
     if oldest + options.report_delay > request.staleness:
         return _refuse("the answer is older than its kind allows", answer)
-    return expression.Ok(answer)
+    return results.succeed(answer)
 
 
 def _refuse(
--- a/packages/fescuestile/src/fescuestile/sessions.py
+++ b/packages/fescuestile/src/fescuestile/sessions.py
@@ -14,6 +14,7 @@
 
 from fescuestile import errors
 from fescuestile import positions
+from fescuestile import results
 
 STEP = "read token"
 MAX_DATABASES = 16
@@ -188,7 +189,7 @@
         return _refuse("the token is garbled", caller)
     if owner != caller:
         return _refuse("the token belongs to another caller", caller)
-    return expression.Ok(
+    return results.succeed(
         Session(caller, types.MappingProxyType(found), bool(overflowed))
     )
 
