Drive failovers from the daemons that watch a group

Confirmations use the tracker, so a write of an ended term is settled by the new term. Reads that may not be stale wait for a majority's word. Operators' switchover is wired.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -12,36 +12,58 @@
 from fescuestile import positions
 
 STEP = "confirm"
+LATE = "no majority confirmed the write in time"
+LOST = "the write was dropped by a failover"
 
 
 @dataclasses.dataclass(eq=False)
 class _Wait:
     position: positions.Position
-    majority: int
-    endpoints: frozenset[str]
-    future: asyncio.Future[None]
+    future: asyncio.Future[confirmation.Standing]
+
+
+class _Group:
+    """Reports of one group, its tracker and the waits on it."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, endpoint_messages.Report] = {}
+        self.tracker: confirmation.ConfirmationTracker | None = None
+        self.waits: set[_Wait] = set()
+
+    def track(self, plan: plans.Plan) -> confirmation.ConfirmationTracker:
+        """Return the tracker, by the plan in force."""
+        if self.tracker is None:
+            self.tracker = confirmation.ConfirmationTracker(plan)
+            for report in self.reports.values():
+                self.tracker.observe(report)
+        self.tracker.set_plan(plan)
+        return self.tracker
+
+    def observe(self, report: endpoint_messages.Report) -> None:
+        self.reports[report.endpoint] = report
+        if self.tracker is None or not self.tracker.observe(report):
+            return
+        for wait in tuple(self.waits):
+            standing = self.tracker.settle(wait.position)
+            pending = standing is confirmation.Standing.PENDING
+            if not pending and not wait.future.done():
+                wait.future.set_result(standing)
 
 
 class Confirmations:
-    """Latest report of each watched endpoint, and the waits on them."""
+    """Confirmed positions of the watched groups, and the waits on them."""
 
     def __init__(self) -> None:
         """Start without reports."""
-        self._reports: dict[tuple[str, str], endpoint_messages.Report] = {}
-        self._waits: dict[str, set[_Wait]] = {}
+        self._groups: dict[str, _Group] = {}
 
     def observe(self, database: str, report: endpoint_messages.Report) -> None:
         """Take a report and end the waits that it completes."""
-        self._reports[(database, report.endpoint)] = report
-        for wait in tuple(self._waits.get(database, ())):
-            if self._is_confirmed(database, wait) and not wait.future.done():
-                wait.future.set_result(None)
+        self._groups.setdefault(database, _Group()).observe(report)
 
     def forget(self, database: str) -> None:
         """Drop the reports of a group that is no longer watched."""
-        for key in tuple(self._reports):
-            if key[0] == database:
-                del self._reports[key]
+        self._groups.pop(database, None)
 
     async def wait(
         self, plan: plans.Plan, position: positions.Position, timeout: float
@@ -53,36 +75,35 @@
         :param timeout: seconds
         :returns: nothing, or UnknownOutcome when it was not confirmed
         """
-        wait = _Wait(
-            position,
-            plan.majority,
-            frozenset(plan.endpoint_by_name),
-            asyncio.get_running_loop().create_future(),
-        )
-        if self._is_confirmed(plan.database, wait):
-            return expression.Ok(None)
-        waits = self._waits.setdefault(plan.database, set())
-        waits.add(wait)
-        try:
-            await asyncio.wait_for(wait.future, timeout)
-        except TimeoutError:
-            return expression.Error(
-                errors.UnknownOutcome(
-                    message="no majority confirmed the write in time",
-                    step=STEP,
-                    peer=plan.database,
-                )
-            )
-        finally:
-            waits.discard(wait)
-        return expression.Ok(None)
-
-    def _is_confirmed(self, database: str, wait: _Wait) -> bool:
-        held = 0
-        for endpoint in wait.endpoints:
-            report = self._reports.get((database, endpoint))
-            if report is not None and confirmation.counts_for(
-                report, wait.position
-            ):
-                held += 1
-        return held >= wait.majority
+        group = self._groups.setdefault(plan.database, _Group())
+        standing = group.track(plan).settle(position)
+        if standing is confirmation.Standing.PENDING:
+            standing = await _wait(group, position, timeout)
+        match standing:
+            case confirmation.Standing.CONFIRMED:
+                return expression.Ok(None)
+            case confirmation.Standing.LOST:
+                return _fail(plan, LOST)
+            case confirmation.Standing.PENDING:
+                return _fail(plan, LATE)
+
+
+async def _wait(
+    group: _Group, position: positions.Position, timeout: float
+) -> confirmation.Standing:
+    wait = _Wait(position, asyncio.get_running_loop().create_future())
+    group.waits.add(wait)
+    try:
+        return await asyncio.wait_for(wait.future, timeout)
+    except TimeoutError:
+        return confirmation.Standing.PENDING
+    finally:
+        group.waits.discard(wait)
+
+
+def _fail(
+    plan: plans.Plan, message: str
+) -> expression.Result[None, errors.UnknownOutcome]:
+    return expression.Error(
+        errors.UnknownOutcome(message=message, step=STEP, peer=plan.database)
+    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -1,6 +1,7 @@
 """One daemon: builds its parts, starts and closes them in order."""
 
 import asyncio
+import random
 import secrets
 
 import structlog
@@ -16,6 +17,7 @@
 from fescuestile_daemon import dispatch
 from fescuestile_daemon import endpoint_adapter
 from fescuestile_daemon import entry
+from fescuestile_daemon import failover_runner
 from fescuestile_daemon import filters
 from fescuestile_daemon import group_board
 from fescuestile_daemon import groups_actor
@@ -25,6 +27,7 @@
 from fescuestile_daemon import report_buffer
 from fescuestile_daemon import settings
 from fescuestile_daemon import state_push
+from fescuestile_daemon import switchovers
 
 log = structlog.get_logger(__name__)
 
@@ -93,6 +96,13 @@
             self.time_source,
         )
         self.owner = owner.Owner(self._make_owner_parts())
+        self.failovers = failover_runner.FailoverRunner(
+            self._make_failover_parts()
+        )
+        self.owner.on_report.append(self.failovers.observe)
+        self.switchovers = switchovers.Switchovers(
+            self.failovers, self.board, self.links, self.membership
+        )
         self.dispatcher = dispatch.Dispatcher(
             self.own.id,
             self.owner,
@@ -118,6 +128,7 @@
         self.push.start()
         self.interest.start()
         self.owner.start()
+        self.failovers.start()
 
     async def start_callers(self) -> None:
         """Listen for callers."""
@@ -140,6 +151,8 @@
         await self.callers.close()
         await self.interest.close()
         await self.push.close()
+        await self.switchovers.close()
+        await self.failovers.close()
         await self.owner.close()
         await self.links.close()
         self.groups.stop()
@@ -161,6 +174,18 @@
             drain_timeout=self.options.daemon.drain_seconds,
         )
 
+    def _make_failover_parts(self) -> failover_runner.RunnerParts:
+        return failover_runner.RunnerParts(
+            own_id=self.own.id,
+            time_source=self.time_source,
+            random_source=random.Random(self.own.id),
+            board=self.board,
+            link_pool=self.links,
+            membership=self.membership,
+            find_watch=self.owner.find_watch,
+            step_timeout=self.options.timing.failover_step_timeout,
+        )
+
     def _make_caller_parts(self) -> caller_server.CallerParts:
         chain = filters.create_chain(
             (
@@ -184,7 +209,11 @@
         )
 
     def _assign_later(self, assignment: groups_actor.Assignment) -> None:
-        self.loop.call_soon_threadsafe(self.owner.assign, assignment)
+        self.loop.call_soon_threadsafe(self._assign, assignment)
+
+    def _assign(self, assignment: groups_actor.Assignment) -> None:
+        self.owner.assign(assignment)
+        self.failovers.assign(assignment)
 
     def _tell_membership(self, snapshot: members.MembershipSnapshot) -> None:
         self.groups.tell(groups_actor.MembershipChanged(snapshot))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -12,6 +12,7 @@
 from fescuestile import ports
 from fescuestile import requests
 from fescuestile_daemon import confirmations
+from fescuestile_daemon import current_reads
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import filters
 
@@ -51,6 +52,16 @@
     )
 
 
+def is_current_read(exchange: WorkExchange) -> bool:
+    """Tell whether the answer must not come from a replaced primary."""
+    return (
+        exchange.request.action is requests.Action.STATEMENT
+        and exchange.request.read_only
+        and exchange.request.staleness == 0
+        and not exchange.replica
+    )
+
+
 class ConfirmFilter(filters.Filter[WorkExchange]):
     """Holds a write's answer until a majority of the group has it."""
 
@@ -88,6 +99,48 @@
         return outcome
 
 
+class CurrentReadFilter(filters.Filter[WorkExchange]):
+    """Holds a current read's answer until the primary is confirmed."""
+
+    def __init__(
+        self,
+        reads: current_reads.CurrentReads,
+        time_source: clock.Clock,
+        longest_wait: float,
+    ) -> None:
+        """Confirm by rounds of questions.
+
+        :param longest_wait: seconds
+        """
+        self._reads = reads
+        self._clock = time_source
+        self._longest_wait = longest_wait
+
+    async def handle(
+        self,
+        exchange: WorkExchange,
+        proceed: filters.Proceed[WorkExchange],
+    ) -> filters.Outcome:
+        """Ask for words while the rest runs, then wait for a majority."""
+        if not is_current_read(exchange):
+            return await proceed(exchange)
+        ticket = self._reads.begin(exchange.plan)
+        outcome = await proceed(exchange)
+        if outcome.is_error():
+            return outcome
+        remaining = exchange.request.deadline - self._clock.now()
+        confirmed = await self._reads.confirm(
+            exchange.plan,
+            ticket,
+            exchange.term,
+            exchange.endpoint,
+            max(0.0, min(remaining, self._longest_wait)),
+        )
+        if confirmed.is_error():
+            return expression.Error(confirmed.error)
+        return outcome
+
+
 class LeaseFilter(filters.Filter[WorkExchange]):
     """Waits for a slot and a connection, and gives both back.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -18,6 +18,7 @@
 from fescuestile import ports
 from fescuestile import requests
 from fescuestile_daemon import confirmations
+from fescuestile_daemon import current_reads
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import execution
 from fescuestile_daemon import filters
@@ -79,6 +80,8 @@
         self._closing: dict[tuple[str, str], _Closing] = {}
         self._running: collections.Counter[str] = collections.Counter()
         self.confirmations = confirmations.Confirmations()
+        self.current_reads = current_reads.CurrentReads(self.find_watch)
+        self.on_report: list[group_watch.Observer] = []
         self._chain = filters.create_chain(
             (
                 execution.ConfirmFilter(
@@ -86,6 +89,11 @@
                     parts.time_source,
                     parts.timing.confirm_timeout,
                 ),
+                execution.CurrentReadFilter(
+                    self.current_reads,
+                    parts.time_source,
+                    parts.timing.confirm_timeout,
+                ),
                 execution.LeaseFilter(),
                 execution.ExecuteFilter(parts.time_source),
             )
@@ -106,6 +114,7 @@
         await self._tasks.close()
         await self._work.close()
         await self.transactions.close()
+        await self.current_reads.close()
         await asyncio.gather(
             *(watch.close() for watch in self._watches.values()),
             *(pool.close() for pool in self._pools.values()),
@@ -273,6 +282,8 @@
         self, database: str, report: endpoint_messages.Report, at: float
     ) -> None:
         self.confirmations.observe(database, report)
+        for listener in self.on_report:
+            listener(database, report, at)
         self._parts.push.observe(database, report, at)
         self._parts.buffer.add_report(
             groups_actor.Observation(database, report, at)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -38,6 +38,7 @@
                 marks=self.daemon.marks,
                 time_source=self.daemon.time_source,
                 on_drain=self.begin_drain,
+                switchover=self.daemon.switchovers.carry_out,
             )
         )
         self.daemon.membership.subscribe(self._greet_as)
--- a/packages/fescuestile/src/fescuestile/suspicion.py
+++ b/packages/fescuestile/src/fescuestile/suspicion.py
@@ -12,7 +12,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import plans
 
-FAILURE_SECONDS = 1.2
+FAILURE_SECONDS = 1.4
 ALONE_SECONDS = 4.0
 FRESH_SECONDS = 0.8
 VACANT_SECONDS = 1.0
