--- a/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/confirmations.py
@@ -1,6 +1,7 @@
 """Waits of writes for the majority of their group."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import expression
@@ -15,6 +16,8 @@
 LATE = "no majority confirmed the write in time"
 LOST = "the write was dropped by a failover"
 
+Chase = collections.abc.Callable[[str, str, positions.Position], None]
+
 
 @dataclasses.dataclass(eq=False)
 class _Wait:
@@ -40,6 +43,7 @@
         return self.tracker
 
     def observe(self, report: endpoint_messages.Report) -> None:
+        """Take a report and end the waits that it completes."""
         self.reports[report.endpoint] = report
         if self.tracker is None or not self.tracker.observe(report):
             return
@@ -53,8 +57,12 @@
 class Confirmations:
     """Confirmed positions of the watched groups, and the waits on them."""
 
-    def __init__(self) -> None:
-        """Start without reports."""
+    def __init__(self, chase: Chase) -> None:
+        """Start without reports.
+
+        :param chase: asks a group's endpoints to report a position soon
+        """
+        self._chase = chase
         self._groups: dict[str, _Group] = {}
 
     def observe(self, database: str, report: endpoint_messages.Report) -> None:
@@ -66,18 +74,28 @@
         self._groups.pop(database, None)
 
     async def wait(
-        self, plan: plans.Plan, position: positions.Position, timeout: float
+        self,
+        plan: plans.Plan,
+        primary: str,
+        position: positions.Position,
+        timeout: float,
     ) -> expression.Result[None, errors.UnknownOutcome]:
         """Wait until a majority holds a write.
 
+        The answer that gave the position is the primary's own word.
+
         :param plan: plan of the write's group
+        :param primary: endpoint that wrote it
         :param position: position of the write
         :param timeout: seconds
         :returns: nothing, or UnknownOutcome when it was not confirmed
         """
         group = self._groups.setdefault(plan.database, _Group())
-        standing = group.track(plan).settle(position)
+        tracker = group.track(plan)
+        tracker.note_answer(primary, position)
+        standing = tracker.settle(position)
         if standing is confirmation.Standing.PENDING:
+            self._chase(plan.database, primary, position)
             standing = await _wait(group, position, timeout)
         match standing:
             case confirmation.Standing.CONFIRMED:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -6,10 +6,12 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import positions
 from fescuestile import requests
 from fescuestile_daemon import confirmations
 from fescuestile_daemon import current_reads
@@ -62,6 +64,33 @@
     )
 
 
+class DivertFilter(filters.Filter[WorkExchange]):
+    """Bounds the reads that a primary takes over from its replicas."""
+
+    def __init__(self, diverted: diversion.DivertedReads) -> None:
+        """Count on a board of all owned endpoints."""
+        self._diverted = diverted
+
+    async def handle(
+        self,
+        exchange: WorkExchange,
+        proceed: filters.Proceed[WorkExchange],
+    ) -> filters.Outcome:
+        """Let a diverted read in, or refuse it."""
+        request = exchange.request
+        if not request.diverted:
+            return await proceed(exchange)
+        name = f"{request.database}/{exchange.endpoint}"
+        slots = exchange.plan.endpoint_by_name[exchange.endpoint].slots
+        entered = self._diverted.enter(name, slots, request.level)
+        if entered.is_error():
+            return expression.Error(entered.error)
+        try:
+            return await proceed(exchange)
+        finally:
+            self._diverted.leave(name)
+
+
 class ConfirmFilter(filters.Filter[WorkExchange]):
     """Holds a write's answer until a majority of the group has it."""
 
@@ -91,7 +120,8 @@
         remaining = exchange.request.deadline - self._clock.now()
         confirmed = await self._waits.wait(
             exchange.plan,
-            outcome.ok.position,
+            exchange.endpoint,
+            find_target(outcome.ok.position, exchange.term),
             max(0.0, min(remaining, self._longest_wait)),
         )
         if confirmed.is_error():
@@ -141,6 +171,20 @@
         return outcome
 
 
+def find_target(position: positions.Position, term: int) -> positions.Position:
+    """Return the position whose confirmation confirms a write.
+
+    An entry of an earlier term, as a repeated request's, is confirmed
+    only through an entry of the current term, which follows it.
+
+    :param position: position of the write
+    :param term: term that the primary works under
+    """
+    if position.term == term:
+        return position
+    return positions.Position(term, position.index + 1)
+
+
 class LeaseFilter(filters.Filter[WorkExchange]):
     """Waits for a slot and a connection, and gives both back.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -9,6 +9,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import failures
@@ -16,6 +17,7 @@
 from fescuestile import members
 from fescuestile import plans
 from fescuestile import ports
+from fescuestile import positions
 from fescuestile import requests
 from fescuestile_daemon import confirmations
 from fescuestile_daemon import current_reads
@@ -79,11 +81,12 @@
         self._work = tasks.TaskSet()
         self._closing: dict[tuple[str, str], _Closing] = {}
         self._running: collections.Counter[str] = collections.Counter()
-        self.confirmations = confirmations.Confirmations()
+        self.confirmations = confirmations.Confirmations(self._chase)
         self.current_reads = current_reads.CurrentReads(self.find_watch)
         self.on_report: list[group_watch.Observer] = []
         self._chain = filters.create_chain(
             (
+                execution.DivertFilter(diversion.DivertedReads()),
                 execution.ConfirmFilter(
                     self.confirmations,
                     parts.time_source,
@@ -289,6 +292,16 @@
             groups_actor.Observation(database, report, at)
         )
 
+    def _chase(
+        self, database: str, primary: str, position: positions.Position
+    ) -> None:
+        group = self._groups.get(database)
+        names = group.revision.plan.endpoint_by_name if group else ()
+        for name in names:
+            watch = self._watches.get((database, name))
+            if watch is not None and name != primary:
+                watch.chase(position)
+
     async def _report_waits(self) -> None:
         while True:
             await asyncio.sleep(WAIT_REPORT_SECONDS)
