--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -20,6 +20,7 @@
 RESEND_SECONDS = 0.15
 STEP_TIMEOUT_SECONDS = 0.6
 REFUSED_TIMEOUT_SECONDS = 0.15
+TARGET_WAIT_SECONDS = 0.1
 RETRY_SECONDS = 0.3
 FOLLOW_SECONDS = 1.0
 CATCH_UP_SECONDS = 5.0
@@ -193,11 +194,14 @@
         driver = dataclasses.replace(
             driver, grants=types.MappingProxyType(grants)
         )
-        if not self._is_fenced(driver):
+        if not self._is_fenced(driver) or self._waits_for_target(driver):
             return driver, ()
+        return self._promote(driver, now)
+
+    def _promote(self, driver: steps.Driver, now: float) -> steps.Outcome:
         if now - driver.since > GRANT_LIFETIME_SECONDS:
             return self._abandon(driver, "the grants are too old", now)
-        chosen = choose_endpoint(self.plan, grants, driver.target)
+        chosen = choose_endpoint(self.plan, driver.grants, driver.target)
         driver = dataclasses.replace(
             driver,
             step=steps.Step.PROMOTING,
@@ -207,6 +211,17 @@
         )
         return driver, self._list_sends(driver)
 
+    def _waits_for_target(self, driver: steps.Driver) -> bool:
+        """Tell whether more grants may let a switchover have its target."""
+        if not driver.target or len(driver.grants) >= len(self.plan.endpoints):
+            return False
+        chosen = choose_endpoint(self.plan, driver.grants, driver.target)
+        return chosen != driver.target
+
+    def _has_grants(self, driver: steps.Driver) -> bool:
+        fencing = driver.step is steps.Step.FENCING
+        return fencing and self._is_fenced(driver)
+
     def _is_fenced(self, driver: steps.Driver) -> bool:
         known = self.plan.endpoint_by_name
         return len(driver.grants.keys() & known.keys()) >= self.plan.majority
@@ -262,6 +277,9 @@
                 if elapsed >= FOLLOW_SECONDS:
                     return _rest(driver), ()
             case steps.Step.FENCING | steps.Step.PROMOTING:
+                late = elapsed >= TARGET_WAIT_SECONDS
+                if late and self._has_grants(driver):
+                    return self._promote(driver, now)
                 if elapsed >= _find_timeout(driver):
                     reason = f"{driver.step} took too long"
                     return self._abandon(driver, reason, now)
--- /dev/null
+++ b/tests/integration/test_failover.py
@@ -0,0 +1,133 @@
+"""Failover by daemons and endpoints inside the test's process."""
+
+import asyncio
+import time
+
+import pytest
+
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from tests import endpoint_groups
+from tests import fleets
+
+Role = endpoint_messages.Role
+FAILOVER_SECONDS = 9.0
+
+
+@pytest.fixture
+async def group():
+    async with endpoint_groups.serve_group() as group:
+        yield group
+
+
+@pytest.fixture
+async def daemons(group):
+    plan = fleets.build_group_plan(group)
+    async with fleets.serve_daemons(3, plan) as daemons:
+        await endpoint_groups.wait_until(
+            lambda: all(
+                getattr(each.board.get(fleets.DATABASE), "primary", "")
+                for each in daemons
+                if fleets.DATABASE in each.owner.groups
+            )
+        )
+        yield daemons
+
+
+async def write(session, text, limit=FAILOVER_SECONDS):
+    """Write until it is acknowledged, under new request ids."""
+    end = time.monotonic() + limit
+    while True:
+        try:
+            return await session.execute(
+                fleets.DATABASE, "fault-report", text, timeout=1.0
+            )
+        except errors.FescuestileError:
+            assert time.monotonic() < end, "no write in time"
+
+
+@pytest.mark.invariant_2
+async def test_a_dead_primary_is_replaced_and_nothing_is_lost(group, daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        first = await write(session, "PUT before yes")
+        await group["one"].close()
+        second = await write(session, "PUT after yes")
+        assert second.position.term > first.position.term
+        read = await session.execute(
+            fleets.DATABASE, "dispatch", "GET before", read_only=True
+        )
+        assert read.payload == b"yes"
+
+
+@pytest.mark.invariant_2
+async def test_a_switchover_moves_the_primary_to_its_target(group, daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        await write(session, "PUT before yes")
+        for asked in daemons:
+            target = (
+                "two"
+                if group["three"].state.role is Role.PRIMARY
+                else ("three")
+            )
+            done = await asked.switchovers.carry_out(
+                fleets.DATABASE, target, "change-1"
+            )
+            assert done.is_ok(), done
+            assert done.ok.primary == target
+            assert group[target].state.role is Role.PRIMARY
+            await write(session, "PUT after yes")
+        read = await session.execute(
+            fleets.DATABASE, "dispatch", "GET before", read_only=True
+        )
+        assert read.payload == b"yes"
+
+
+async def test_a_switchover_to_an_unknown_endpoint_is_refused(daemons):
+    refused = await daemons[0].switchovers.carry_out(
+        fleets.DATABASE, "four", "change-1"
+    )
+    assert isinstance(refused.error, errors.NotRun)
+    assert refused.error.field == "target"
+
+
+@pytest.mark.invariant_2
+async def test_a_restarted_endpoint_counts_once_it_caught_up(group, daemons):
+    async with fleets.open_session(daemons[0]) as session:
+        await write(session, "PUT before yes")
+        address = group["two"].address
+        await group["two"].close()
+        peers = {n: group[n].address for n in ("one", "three")}
+        async with endpoint_groups.serve(
+            name="two",
+            address=address,
+            primary="",
+            peers=peers,
+            quarantine_seconds=0.5,
+        ) as back:
+            assert back.report(0).role is Role.REJOINING
+            await endpoint_groups.wait_until(
+                lambda: back.report(0).role is Role.REPLICA
+            )
+            await group["one"].close()
+            await write(session, "PUT after yes")
+            read = await session.execute(
+                fleets.DATABASE, "dispatch", "GET before", read_only=True
+            )
+            assert read.payload == b"yes"
+
+
+@pytest.mark.invariant_2
+async def test_a_write_that_no_majority_holds_is_not_acknowledged(
+    group, daemons
+):
+    async with fleets.open_session(daemons[0]) as session:
+        await write(session, "PUT before yes")
+        await asyncio.gather(group["two"].close(), group["three"].close())
+        with pytest.raises(errors.UnknownOutcome):
+            await session.execute(
+                fleets.DATABASE,
+                "fault-report",
+                "PUT after yes",
+                repeatable=False,
+                timeout=1.0,
+            )
--- /dev/null
+++ b/tests/unit/test_failover.py
@@ -0,0 +1,320 @@
+import random
+
+import pytest
+
+from fescuestile import confirmation
+from fescuestile import endpoint_messages
+from fescuestile import failover
+from fescuestile import failover_steps as steps
+from fescuestile import positions
+from fescuestile import read_confirmation
+from fescuestile import suspicion
+from fescuestile_standins import rejoining
+from tests import builders
+
+Position = positions.Position
+Role = endpoint_messages.Role
+Standing = confirmation.Standing
+Verdict = endpoint_messages.Verdict
+PLAN = builders.build_plan()
+NAMES = tuple(PLAN.endpoint_by_name)
+REPORT = builders.build_report
+LONG = suspicion.FAILURE_SECONDS + 0.1
+
+
+def build_starts(*pairs):
+    return tuple(positions.TermStart(*pair) for pair in pairs)
+
+
+def build_evidence(silence=0.0, replicas=(0.0, 0.0), age=0.1, **fields):
+    reports = {
+        name: suspicion.Observed(REPORT(number, primary_silence=heard), age)
+        for number, (name, heard) in enumerate(
+            zip(NAMES, (0.0, *replicas), strict=True), 1
+        )
+    }
+    defaults = {
+        "plan": PLAN,
+        "term": 1,
+        "primary": NAMES[0],
+        "silence": silence,
+        "owner": "d1",
+        "watchers": 3,
+        "reports": reports,
+    }
+    return suspicion.Evidence(**(defaults | fields))
+
+
+def hear(**silences):
+    return tuple(suspicion.Hearsay(*item) for item in silences.items())
+
+
+@pytest.mark.parametrize(
+    ("evidence", "reason"),
+    [
+        (build_evidence(), None),
+        (build_evidence(0.99, (0.99, 0.99)), None),
+        (build_evidence(LONG, (LONG, LONG)), "CUT_FROM_REPLICAS"),
+        (build_evidence(0.0, (LONG, LONG)), "CUT_FROM_REPLICAS"),
+        (build_evidence(0.0, (LONG, LONG), age=2.0), None),
+        (build_evidence(0.0, (LONG, 0.0)), None),
+        (build_evidence(LONG, (LONG, 0.0)), None),
+        (build_evidence(LONG, hearsay=hear(d1=LONG)), "SILENT"),
+        (build_evidence(LONG, hearsay=hear(d1=0.1, d3=LONG)), None),
+        (build_evidence(LONG, hearsay=hear(d3=LONG)), "SILENT"),
+        (build_evidence(LONG, is_owner=True), None),
+        (build_evidence(5.0, is_owner=True), "CUT_FROM_DAEMONS"),
+        (build_evidence(primary="", vacant=0.5), None),
+        (build_evidence(primary="", vacant=1.1), "VACANT"),
+        (build_evidence(term=0, primary="", vacant=9.0), None),
+        (
+            build_evidence(
+                reports={
+                    NAMES[0]: suspicion.Observed(
+                        REPORT(1, role=Role.REJOINING, term=0), 0.0
+                    )
+                }
+            ),
+            "LOST_STATE",
+        ),
+    ],
+)
+def test_a_primary_is_suspected_by_several_witnesses(evidence, reason):
+    found = suspicion.find_failure(evidence)
+    assert found == (suspicion.Reason[reason] if reason else None)
+
+
+def test_a_daemon_that_reaches_a_minority_does_not_fence():
+    assert suspicion.can_reach_majority(build_evidence())
+    assert not suspicion.can_reach_majority(build_evidence(age=2.0))
+
+
+def build_rules():
+    return failover.FailoverRules(PLAN, random.Random(1))
+
+
+def grant(number, term=1, verdict=Verdict.DONE, **changes):
+    return REPORT(number, term=term, verdict=verdict, **changes)
+
+
+def start(rules, rank=0, now=0.0):
+    driver = steps.Driver("d1", highest=1)
+    driver, _ = rules.advance(driver, steps.Suspected(rank), now)
+    now += rank * failover.RANK_DELAY_SECONDS + failover.JITTER_SECONDS
+    return rules.advance(driver, steps.Ticked(), now)
+
+
+def test_a_driver_fences_promotes_publishes_and_follows():
+    rules = build_rules()
+    driver, actions = start(rules)
+    assert actions == tuple(steps.SendFence(name, 2) for name in NAMES)
+    ahead = grant(2, 2, last=Position(1, 11))
+    driver, _ = rules.advance(driver, steps.FenceReplied(2, ahead), 0.2)
+    event: steps.Event = steps.FenceReplied(2, grant(3, 2))
+    driver, actions = rules.advance(driver, event, 0.2)
+    assert actions == (steps.SendPromote(NAMES[1], 2),)
+    event = steps.PromoteReplied(2, grant(2, 2, role=Role.PRIMARY))
+    driver, actions = rules.advance(driver, event, 0.3)
+    assert actions[0] == steps.Publish(2, NAMES[1])
+    for number in (1, 3):
+        event = steps.FollowReplied(2, grant(number, 2))
+        driver, _ = rules.advance(driver, event, 0.4)
+    assert driver.step is steps.Step.IDLE
+
+
+def test_a_better_rank_goes_first_and_a_recovery_ends_the_wait():
+    rules = build_rules()
+    waits = []
+    for rank in (0, 1, 2):
+        waiting, _ = rules.advance(
+            steps.Driver("d1"), steps.Suspected(rank), 0.0
+        )
+        waits.append(waiting.wait)
+        rested, _ = rules.advance(waiting, steps.Cleared(), 0.1)
+        assert rested.step is steps.Step.IDLE
+    assert waits == sorted(waits)
+    assert waits[1] - waits[0] >= (
+        failover.RANK_DELAY_SECONDS - failover.JITTER_SECONDS
+    )
+
+
+def test_a_paused_driver_finds_its_grants_too_old():
+    rules = build_rules()
+    driver, _ = start(rules)
+    driver, _ = rules.advance(driver, steps.FenceReplied(2, grant(2, 2)), 0.2)
+    late = driver.since + failover.GRANT_LIFETIME_SECONDS + 0.1
+    event = steps.FenceReplied(2, grant(3, 2))
+    driver, actions = rules.advance(driver, event, late)
+    assert [type(action) for action in actions] == [steps.Abandon]
+    assert driver.step is steps.Step.WAITING
+
+
+@pytest.mark.parametrize(
+    ("event", "now"),
+    [
+        (steps.FenceReplied(2, grant(2, 5, Verdict.TERM_REFUSED)), 0.2),
+        (steps.Reported(grant(2, 5)), 0.2),
+        (steps.Ticked(), 1.0),
+    ],
+)
+def test_an_attempt_that_fails_is_made_again_under_a_higher_term(event, now):
+    rules = build_rules()
+    driver, _ = start(rules)
+    driver, _ = rules.advance(driver, event, now)
+    assert driver.step is steps.Step.WAITING
+    driver, actions = rules.advance(driver, steps.Ticked(), now + 1.0)
+    assert {action.term for action in actions} == {driver.highest}
+    assert driver.term > 2
+
+
+def test_commands_without_a_reply_are_sent_again():
+    rules = build_rules()
+    driver, _ = start(rules)
+    driver, _ = rules.advance(driver, steps.FenceReplied(2, grant(2, 2)), 0.1)
+    later = driver.sent_at + failover.RESEND_SECONDS
+    _, actions = rules.advance(driver, steps.Ticked(), later)
+    assert {action.endpoint for action in actions} == {NAMES[0], NAMES[2]}
+
+
+def test_a_switchover_waits_for_its_target():
+    rules = build_rules()
+    driver = steps.Driver("d1", highest=1)
+    driver, actions = rules.advance(
+        driver, steps.SwitchoverAsked(NAMES[2]), 0.0
+    )
+    assert not actions
+    driver, _ = rules.advance(driver, steps.CaughtUp(), 0.1)
+    for number in (1, 2):
+        event = steps.FenceReplied(2, grant(number, 2))
+        driver, actions = rules.advance(driver, event, 0.1)
+        assert not actions
+    event = steps.FenceReplied(2, grant(3, 2))
+    driver, actions = rules.advance(driver, event, 0.1)
+    assert actions == (steps.SendPromote(NAMES[2], 2),)
+
+
+def test_a_switchover_is_given_up_when_its_target_stays_behind():
+    rules = build_rules()
+    driver, _ = rules.advance(
+        steps.Driver("d1"), steps.SwitchoverAsked(NAMES[2]), 0.0
+    )
+    driver, actions = rules.advance(
+        driver, steps.Ticked(), failover.CATCH_UP_SECONDS
+    )
+    assert isinstance(actions[0], steps.Abandon)
+    assert driver.step is steps.Step.IDLE
+
+
+@pytest.mark.parametrize(
+    ("lasts", "target", "chosen"),
+    [
+        ((Position(1, 30), Position(2, 9), Position(2, 8)), "", 1),
+        ((Position(1, 9), Position(1, 10), Position(1, 8)), "", 1),
+        ((Position(1, 9), Position(1, 9), Position(1, 9)), NAMES[0], 0),
+        ((Position(1, 9), Position(1, 8), Position(1, 8)), NAMES[2], 2),
+        ((Position(1, 9), Position(1, 9), Position(1, 8)), NAMES[2], 1),
+    ],
+)
+def test_the_most_advanced_log_is_chosen(lasts, target, chosen):
+    grants = {
+        name: grant(number, 3, last=last)
+        for number, (name, last) in enumerate(
+            zip(NAMES, lasts, strict=True), 1
+        )
+    }
+    assert failover.choose_endpoint(PLAN, grants, target) == NAMES[chosen]
+
+
+def test_endpoints_that_follow_nobody_are_recalled():
+    reports = {
+        NAMES[0]: REPORT(1, role=Role.PRIMARY),
+        NAMES[1]: REPORT(2, role=Role.PRIMARY, term=2, primary=NAMES[1]),
+        NAMES[2]: REPORT(3, term=2, primary=NAMES[1]),
+    }
+    follow = steps.SendFollow(NAMES[0], 2, NAMES[1])
+    assert failover.find_strays(PLAN, reports) == (follow,)
+    reports[NAMES[2]] = REPORT(3, role=Role.FENCED, term=3, primary="")
+    assert failover.find_strays(PLAN, reports) == ()
+
+
+NEW_TERM = build_starts((1, 1), (2, 8))
+
+
+@pytest.mark.parametrize(
+    ("reports", "position", "standing"),
+    [
+        ([REPORT(1), REPORT(2)], Position(1, 10), Standing.CONFIRMED),
+        ([REPORT(1)], Position(1, 10), Standing.PENDING),
+        ([REPORT(1), REPORT(2)], Position(1, 11), Standing.PENDING),
+        (
+            [REPORT(1), REPORT(2, role=Role.FENCED)],
+            Position(1, 10),
+            Standing.PENDING,
+        ),
+        (
+            [REPORT(1), REPORT(2, role=Role.REJOINING)],
+            Position(1, 10),
+            Standing.PENDING,
+        ),
+        ([REPORT(1), REPORT(2, term=2)], Position(1, 10), Standing.PENDING),
+        (
+            [
+                REPORT(n, term=2, last=Position(2, 8), starts=NEW_TERM)
+                for n in (2, 3)
+            ],
+            Position(1, 7),
+            Standing.CONFIRMED,
+        ),
+        (
+            [
+                REPORT(n, term=2, last=Position(2, 9), starts=NEW_TERM)
+                for n in (2, 3)
+            ],
+            Position(1, 9),
+            Standing.LOST,
+        ),
+    ],
+)
+def test_a_majority_of_the_term_confirms(reports, position, standing):
+    tracker = confirmation.ConfirmationTracker(PLAN)
+    for report in reports:
+        tracker.observe(report)
+    assert tracker.settle(position) is standing
+
+
+def test_the_primarys_answer_is_its_word():
+    tracker = confirmation.ConfirmationTracker(PLAN)
+    tracker.note_answer(NAMES[0], Position(1, 10))
+    assert tracker.settle(Position(1, 10)) is Standing.PENDING
+    assert tracker.observe(REPORT(2))
+    assert tracker.settle(Position(1, 10)) is Standing.CONFIRMED
+
+
+def test_a_current_read_needs_words_from_after_it_began():
+    rounds = read_confirmation.ReadRounds(PLAN)
+    first = rounds.begin_read()
+    number = rounds.begin_round() or 0
+    late = rounds.begin_read()
+    rounds.observe(number, REPORT(2))
+    assert rounds.is_confirmed(first, 1, NAMES[0])
+    assert not rounds.is_confirmed(late, 1, NAMES[0])
+    rounds.observe(rounds.begin_round() or 0, REPORT(2, term=2))
+    assert not rounds.is_confirmed(late, 1, NAMES[0])
+    assert rounds.is_refuted(late, 1)
+    assert rounds.begin_round() is None
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "may"),
+    [
+        ({}, [{"role": Role.PRIMARY}, {}], True),
+        ({}, [{"role": Role.PRIMARY}], False),
+        ({}, [{}, {}], False),
+        ({}, [{"role": Role.PRIMARY}, {"term": 2}], False),
+        ({"last": Position(1, 9)}, [{"role": Role.PRIMARY}, {}], False),
+        ({}, [{"role": Role.PRIMARY}, {"role": Role.REJOINING}], False),
+    ],
+)
+def test_an_endpoint_without_state_counts_on_the_others_word(own, others, may):
+    reports = [REPORT(n, **fields) for n, fields in enumerate(others, 1)]
+    assert rejoining.may_rejoin(REPORT(3, **own), reports, 3) is may
