--- /dev/null
+++ b/measurements/failover_kinds.py
@@ -0,0 +1,125 @@
+"""Kinds of failure of a primary."""
+
+import abc
+import asyncio
+import dataclasses
+import random
+
+from fescuestile_standins import relayed_group
+from measurements import failover_bench
+
+
+@dataclasses.dataclass(frozen=True)
+class Victim:
+    """The primary that fails."""
+
+    bench: failover_bench.Bench
+    group: relayed_group.RelayedGroup
+    primary: str
+
+    @property
+    def side(self) -> str:
+        """Its side in the rules of ``wire``."""
+        return self.group.find_side(self.primary)
+
+    def list_replica_sides(self) -> list[str]:
+        """Sides of the group's other endpoints."""
+        return [
+            self.group.find_side(name)
+            for name in self.group.addresses
+            if name != self.primary
+        ]
+
+
+class Failure(abc.ABC):
+    """One kind of failure."""
+
+    name: str
+
+    @abc.abstractmethod
+    async def cause(self, victim: Victim) -> None:
+        """Let the primary fail."""
+
+    @abc.abstractmethod
+    async def end(self, victim: Victim) -> None:
+        """Let the endpoint come back."""
+
+
+class Kill(Failure):
+    """The process is killed and started again without its state."""
+
+    name = "killed"
+
+    async def cause(self, victim: Victim) -> None:
+        """Kill it."""
+        victim.group.processes[victim.primary].kill()
+
+    async def end(self, victim: Victim) -> None:
+        """Start it again."""
+        await victim.group.restart(victim.primary)
+
+
+class Freeze(Failure):
+    """The process is stopped and woken after the failover."""
+
+    name = "frozen"
+
+    async def cause(self, victim: Victim) -> None:
+        """Stop it."""
+        victim.group.processes[victim.primary].freeze()
+
+    async def end(self, victim: Victim) -> None:
+        """Wake it."""
+        victim.group.processes[victim.primary].wake()
+
+
+class CutFromReplicas(Failure):
+    """No bytes pass between the primary and the other endpoints."""
+
+    name = "cut from replicas"
+
+    async def cause(self, victim: Victim) -> None:
+        """Cut it off."""
+        for side in victim.list_replica_sides():
+            await victim.bench.control.cut(victim.side, side)
+
+    async def end(self, victim: Victim) -> None:
+        """Heal the cut."""
+        for side in victim.list_replica_sides():
+            await victim.bench.control.heal(victim.side, side)
+
+
+class CutFromDaemons(Failure):
+    """No bytes pass between the primary and the daemons."""
+
+    name = "cut from daemons"
+
+    async def cause(self, victim: Victim) -> None:
+        """Cut it off."""
+        for side in victim.bench.list_daemon_sides():
+            await victim.bench.control.cut(victim.side, side)
+
+    async def end(self, victim: Victim) -> None:
+        """Heal the cut."""
+        for side in victim.bench.list_daemon_sides():
+            await victim.bench.control.heal(victim.side, side)
+
+
+class ShortFreeze(Failure):
+    """The process is stopped for less than a second."""
+
+    name = "frozen under 1 s"
+
+    def __init__(self, source: random.Random) -> None:
+        """Draw durations from a source."""
+        self._random = source
+
+    async def cause(self, victim: Victim) -> None:
+        """Stop it and wake it."""
+        process = victim.group.processes[victim.primary]
+        process.freeze()
+        await asyncio.sleep(self._random.uniform(0.3, 0.95))
+        process.wake()
+
+    async def end(self, victim: Victim) -> None:
+        """Do nothing; it runs."""
