--- a/measurements/flood_model.py
+++ b/measurements/flood_model.py
@@ -198,7 +198,9 @@
             for endpoint in site.endpoints
         ]
         self.create_queue = create_queue
-        self.tallies: dict[tuple[str, bool], Tally] = {}
+        self.tallies: collections.defaultdict[tuple[str, bool], Tally] = (
+            collections.defaultdict(Tally)
+        )
         self.dead: set[int] = set()
         self.cut_zone = ""
 
@@ -215,7 +217,7 @@
     def arrive(self, arrival: flood_work.Arrival) -> None:
         """Take a statement of a caller."""
         key = (arrival.kind, arrival.flood)
-        tally = self.tallies.setdefault(key, Tally())
+        tally = self.tallies[key]
         daemon = arrival.daemon
         while daemon in self.dead:
             daemon = (daemon + 1) % len(self.site.zones)
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -38,6 +38,8 @@
         waits, most urgent rank first
     :ivar rank_length: pieces of work that wait in one rank at most
     :ivar initial_service: seconds that a kind not yet measured takes
+    :ivar wait_margin: factor of the expected wait that a deadline allows
+    :ivar service_margin: factor of the mean service time, likewise
     :ivar service_weight: weight of a new sample in the service time
     :ivar load_window: seconds over which a rank's load is averaged
     :ivar follows_latency: fewer run while work takes longer than usual
@@ -47,6 +49,8 @@
     floors: tuple[float, ...]
     rank_length: int = 1024
     initial_service: float = 0.005
+    wait_margin: float = 1.25
+    service_margin: float = 2.0
     service_weight: float = 0.05
     load_window: float = 1.0
     follows_latency: bool = True
@@ -161,7 +165,8 @@
             return expression.Error(self._refuse("the deadline passed", 0.0))
         if not self._can_start_at_once():
             wait = self.expected_wait(work.level, now, work.kind, work.caller)
-            late = now + wait + self._get_service(work.kind) - work.deadline
+            service = self._get_service(work.kind)
+            late = now + self._add_margin(wait, service) - work.deadline
             if late > 0 and not work.continues:
                 message = f"expected wait of {wait:.3f} s passes the deadline"
                 return expression.Error(self._refuse(message, late))
@@ -209,6 +214,7 @@
         rank = self._get_rank(ticket.work.level)
         rank.queue.charge(kind, seconds - ticket.cost)
         self._running_cost -= ticket.cost
+        self._settle_credit(rank, ticket, seconds - ticket.cost)
         if not measured:
             return
         usual = self._service.get(kind, seconds)
@@ -291,6 +297,10 @@
     def _get_service(self, kind: str) -> float:
         return self._service.get(kind, self._options.initial_service)
 
+    def _add_margin(self, wait: float, service: float) -> float:
+        options = self._options
+        return wait * options.wait_margin + service * options.service_margin
+
     def _sum_service(self, counts: typing.Iterable[tuple[str, int]]) -> float:
         return sum(self._get_service(kind) * count for kind, count in counts)
 
@@ -346,30 +356,35 @@
         ticket = rank.queue.pop()
         self._waiting -= 1
         cost = self._get_service(ticket.work.kind)
-        late = now + cost - ticket.work.deadline
+        late = now + self._add_margin(0.0, cost) - ticket.work.deadline
         # With nothing running it starts whatever the estimate, so that a
         # wrong estimate is measured again.
         if late > 0 and self._running and not ticket.work.continues:
             self._drop(ticket, "waited too long for its deadline")
             return None
         rank.queue.charge(ticket.work.kind, cost)
-        self._note_credit(top, rank, cost)
+        ticket.owed = rank is not top
         ticket.started_at = now
         ticket.cost = cost
         self._running += 1
         self._running_cost += cost
+        self._settle_credit(rank, ticket, cost)
         return ticket
 
-    def _note_credit(self, top: _Rank, served: _Rank, cost: float) -> None:
+    def _settle_credit(
+        self, served: _Rank, ticket: Ticket, seconds: float
+    ) -> None:
+        """Share out service given; at the end, what it took beyond."""
+        top = next((rank for rank in self._ranks if rank.queue), None)
         for rank in self._ranks:
-            if not rank.queue:
+            if rank.queue and rank is not top:
+                rank.credit += rank.floor * seconds
+            elif not rank.queue:
                 rank.credit = min(rank.credit, 0.0)
-            elif rank is not top:
-                rank.credit += rank.floor * cost
-        if served is not top:
-            served.credit -= cost
+        if ticket.owed:
+            served.credit -= seconds
         elif served.credit > 0:
-            served.credit = max(0.0, served.credit - cost)
+            served.credit = max(0.0, served.credit - seconds)
 
     def _note_load(self, rank: _Rank, now: float, cost: float) -> None:
         window = self._options.load_window
--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -35,12 +35,14 @@
     :ivar offered_at: monotonic seconds
     :ivar started_at: monotonic seconds, None while it waits
     :ivar cost: seconds of service charged at the start
+    :ivar owed: it started before more urgent work, on its rank's floor
     """
 
     work: Work
     offered_at: float
     started_at: float | None = None
     cost: float = 0.0
+    owed: bool = False
 
 
 _Line: typing.TypeAlias = "collections.OrderedDict[Ticket, None]"
