Owe each rank a tenth more than its floor

Cause: a slot is held while work travels to the endpoint and back, so a tenth of the slots' held time is less than a tenth of the slots.

--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -38,6 +38,8 @@
         waits, most urgent rank first
     :ivar rank_length: pieces of work that wait in one rank at most
     :ivar initial_service: seconds that a kind not yet measured takes
+    :ivar floor_margin: factor by which floors are exceeded, since a slot is
+        held while work travels to the endpoint and back
     :ivar wait_margin: factor of the expected wait that a deadline allows
     :ivar service_margin: factor of the mean service time, likewise
     :ivar service_weight: weight of a new sample in the service time
@@ -49,6 +51,7 @@
     floors: tuple[float, ...]
     rank_length: int = 1024
     initial_service: float = 0.005
+    floor_margin: float = 1.1
     wait_margin: float = 1.25
     service_margin: float = 2.0
     service_weight: float = 0.05
@@ -376,9 +379,10 @@
     ) -> None:
         """Share out service given; at the end, what it took beyond."""
         top = next((rank for rank in self._ranks if rank.queue), None)
+        owed = seconds * self._options.floor_margin
         for rank in self._ranks:
             if rank.queue and rank is not top:
-                rank.credit += rank.floor * seconds
+                rank.credit += rank.floor * owed
             elif not rank.queue:
                 rank.credit = min(rank.credit, 0.0)
         if ticket.owed:
