Give a rank its turn once its credit pays for the work

Cause: any trace of credit let a lower rank overtake urgent work, as the slot test of endpoint_pool showed. Credit is asked for at most 0.1 s, so that a wrong estimate does not shut a rank out.

--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -22,6 +22,8 @@
 
 STEP = "admit"
 MIN_RETRY_AFTER_SECONDS = 0.01
+# Credit with which a rank gets its turn, however long its work takes.
+LONGEST_CREDIT_SECONDS = 0.1
 # Entries of work that waits no longer, kept before they are cleared out.
 EXPIRIES_SLACK = 64
 
@@ -344,13 +346,20 @@
         return None
 
     def _choose_rank(self, top: _Rank) -> _Rank:
-        """Return the rank that is owed most, or else the most urgent."""
+        """Return the rank that is owed most, or else the most urgent.
+
+        A rank is owed once its credit pays for its next work.
+        """
         chosen = top
-        credit = 0.0
+        most = 0.0
         for rank in self._ranks:
-            if rank is not top and rank.queue and rank.credit > credit:
+            if rank is top or not rank.queue or rank.credit <= 0:
+                continue
+            cost = self._get_service(rank.queue.next_kind)
+            left = rank.credit - min(cost, LONGEST_CREDIT_SECONDS)
+            if left > most:
                 chosen = rank
-                credit = rank.credit
+                most = left
         return chosen
 
     def _start_next(self, now: float) -> Ticket | None:
--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -133,6 +133,11 @@
         """Return how many wait."""
         return self._length
 
+    @property
+    def next_kind(self) -> str:
+        """Kind whose turn it is; something must wait."""
+        return min(self._waiting, key=self._get_finish)
+
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         name = ticket.work.kind
@@ -152,7 +157,7 @@
         """
         if not self._waiting:
             raise IndexError("nothing waits")
-        name = min(self._waiting, key=self._get_finish)
+        name = self.next_kind
         kind = self._waiting[name]
         self._virtual_time = kind.finish
         ticket = kind.pop()
