--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -18,12 +18,11 @@
 from fescuestile import errors
 from fescuestile import fair_queue
 from fescuestile import plans
+from fescuestile import rank_shares
 from fescuestile import requests
 
 STEP = "admit"
 MIN_RETRY_AFTER_SECONDS = 0.01
-# Credit with which a rank gets its turn, however long its work takes.
-LONGEST_CREDIT_SECONDS = 0.1
 # Entries of work that waits no longer, kept before they are cleared out.
 EXPIRIES_SLACK = 64
 
@@ -81,18 +80,6 @@
     dropped: tuple[Drop, ...]
 
 
-class _Rank:
-    """Queue of one rank and what it is owed."""
-
-    def __init__(self, floor: float) -> None:
-        self.floor = floor
-        self.queue = fair_queue.FairQueue()
-        self.credit = 0.0
-        # Admitted service seconds a second and slot, and when as of.
-        self.load = 0.0
-        self.load_at = -math.inf
-
-
 def create_options(
     plan: plans.Plan, endpoint: plans.Endpoint
 ) -> AdmissionOptions:
@@ -130,7 +117,7 @@
         """
         self._options = options
         self._peer = peer
-        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
         self._concurrency = concurrency.ConcurrencyLimit(options.slots)
         self._service: dict[str, float] = {}
         self._running = 0
@@ -181,7 +168,8 @@
                 return expression.Error(refused)
         ticket = Ticket(work=work, offered_at=now)
         self._enqueue(rank, ticket)
-        self._note_load(rank, now, self._get_service(work.kind))
+        share = self._get_service(work.kind) / self._options.slots
+        rank.note_load(share, now, self._options.load_window)
         return expression.Ok(ticket)
 
     def take(self, now: float) -> Batch:
@@ -219,7 +207,7 @@
         rank = self._get_rank(ticket.work.level)
         rank.queue.charge(kind, seconds - ticket.cost)
         self._running_cost -= ticket.cost
-        self._settle_credit(rank, ticket, seconds - ticket.cost)
+        self._share_out(rank, seconds - ticket.cost, ticket.owed)
         if not measured:
             return
         usual = self._service.get(kind, seconds)
@@ -287,7 +275,7 @@
         ]
         waiting.sort(key=lambda entry: entry[1])
         self._options = options
-        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
         self._concurrency.set_cap(options.slots)
         self._expiries.clear()
         for _, _, ticket in waiting:
@@ -296,7 +284,7 @@
     def _clamp(self, level: int) -> int:
         return min(level, len(self._ranks) - 1)
 
-    def _get_rank(self, level: int) -> _Rank:
+    def _get_rank(self, level: int) -> rank_shares.Rank:
         return self._ranks[self._clamp(level)]
 
     def _get_service(self, kind: str) -> float:
@@ -312,7 +300,7 @@
     def _can_start_at_once(self) -> bool:
         return not self._waiting and self._running < self._concurrency.limit
 
-    def _enqueue(self, rank: _Rank, ticket: Ticket) -> None:
+    def _enqueue(self, rank: rank_shares.Rank, ticket: Ticket) -> None:
         rank.queue.push(ticket)
         self._waiting += 1
         self._sequence += 1
@@ -335,7 +323,9 @@
             if self.withdraw(ticket):
                 self._drop(ticket, "the deadline passed in the queue")
 
-    def _make_room(self, rank: _Rank, work: Work) -> errors.NotRun | None:
+    def _make_room(
+        self, rank: rank_shares.Rank, work: Work
+    ) -> errors.NotRun | None:
         """Drop the newest of the longest line, or refuse the new work."""
         newest = rank.queue.find_newest_of_longest()
         line = (newest.work.kind, newest.work.caller)
@@ -345,26 +335,10 @@
         self._drop(newest, "the rank's queue is full")
         return None
 
-    def _choose_rank(self, top: _Rank) -> _Rank:
-        """Return the rank that is owed most, or else the most urgent.
-
-        A rank is owed once its credit pays for its next work.
-        """
-        chosen = top
-        most = 0.0
-        for rank in self._ranks:
-            if rank is top or not rank.queue or rank.credit <= 0:
-                continue
-            cost = self._get_service(rank.queue.next_kind)
-            left = rank.credit - min(cost, LONGEST_CREDIT_SECONDS)
-            if left > most:
-                chosen = rank
-                most = left
-        return chosen
-
     def _start_next(self, now: float) -> Ticket | None:
-        top = next(rank for rank in self._ranks if rank.queue)
-        rank = self._choose_rank(top)
+        top = rank_shares.find_top(self._ranks)
+        assert top is not None
+        rank = rank_shares.choose_rank(self._ranks, top, self._get_service)
         ticket = rank.queue.pop()
         self._waiting -= 1
         cost = self._get_service(ticket.work.kind)
@@ -380,34 +354,14 @@
         ticket.cost = cost
         self._running += 1
         self._running_cost += cost
-        self._settle_credit(rank, ticket, cost)
+        self._share_out(rank, cost, ticket.owed)
         return ticket
 
-    def _settle_credit(
-        self, served: _Rank, ticket: Ticket, seconds: float
+    def _share_out(
+        self, served: rank_shares.Rank, seconds: float, owed: bool
     ) -> None:
-        """Share out service given; at the end, what it took beyond."""
-        top = next((rank for rank in self._ranks if rank.queue), None)
-        owed = seconds * self._options.floor_margin
-        for rank in self._ranks:
-            if rank.queue and rank is not top:
-                rank.credit += rank.floor * owed
-            elif not rank.queue:
-                rank.credit = min(rank.credit, 0.0)
-        if ticket.owed:
-            served.credit -= seconds
-        elif served.credit > 0:
-            served.credit = max(0.0, served.credit - seconds)
-
-    def _note_load(self, rank: _Rank, now: float, cost: float) -> None:
-        window = self._options.load_window
-        share = cost / (window * self._options.slots)
-        rank.load = self._measure_load(rank, now) + share
-        rank.load_at = now
-
-    def _measure_load(self, rank: _Rank, now: float) -> float:
-        age = (now - rank.load_at) / self._options.load_window
-        return rank.load * math.exp(-age)
+        margin = self._options.floor_margin
+        rank_shares.share_out(self._ranks, served, seconds, owed, margin)
 
     def _measure_others(self, level: int, now: float) -> tuple[float, float]:
         """Return the more urgent seconds that wait and the share left."""
@@ -416,7 +370,7 @@
         free_share = 1.0
         for rank in self._ranks[:place]:
             more_urgent += self._sum_service(rank.queue.list_waiting())
-            free_share -= self._measure_load(rank, now)
+            free_share -= rank.measure_load(now, self._options.load_window)
         for rank in self._ranks[place + 1 :]:
             if rank.queue:
                 free_share -= rank.floor
