--- a/packages/fescuestile-daemon/src/fescuestile_daemon/connection_set.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/connection_set.py
@@ -26,11 +26,14 @@
     """How connections are kept.
 
     :ivar spare: idle connections opened beyond one for each slot
+    :ivar idle_timeout: seconds after which an unused connection beyond
+        the spare ones is closed
     :ivar connect_timeout: seconds within which a connection opens
     :ivar silence: how silence is noticed
     """
 
     spare: int = 2
+    idle_timeout: float = 30.0
     connect_timeout: float = 1.0
     silence: liveness.LivenessOptions = dataclasses.field(
         default_factory=liveness.LivenessOptions
@@ -58,7 +61,8 @@
         self._liveness = liveness.EndpointLiveness(options.silence, own_clock)
         self._places = 0
         self._dialing = 0
-        self._idle: list[ports.EndpointConnection] = []
+        # Unused connections and since when, the last used at the end.
+        self._idle: dict[ports.EndpointConnection, float] = {}
         self._watches: dict[
             ports.EndpointConnection, liveness.ConnectionLiveness
         ] = {}
@@ -98,7 +102,7 @@
         """Follow a changed plan; connections in excess close when idle."""
         self._endpoint = endpoint
         while self._idle and self._places > endpoint.connections:
-            self.discard(self._idle.pop())
+            self.discard(next(iter(self._idle)))
         self._replenish()
 
     async def acquire(self, timeout: float) -> Connected:
@@ -107,7 +111,7 @@
         :param timeout: seconds
         """
         while self._idle:
-            connection = self._idle.pop()
+            connection, _ = self._idle.popitem()
             if not connection.closed:
                 return expression.Ok(connection)
             self.discard(connection)
@@ -141,7 +145,7 @@
         watch.note_answer()
         waiter = self._next_waiter()
         if waiter is None:
-            self._idle.append(connection)
+            self._idle[connection] = self._clock.now()
         else:
             waiter.set_result(expression.Ok(connection))
 
@@ -149,8 +153,7 @@
         """Close a connection and replace it."""
         if self._watches.pop(connection, None) is None:
             return
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self._idle.pop(connection, None)
         _spawn(self._close_one(connection), self._closing)
 
     async def close(self) -> None:
@@ -187,8 +190,9 @@
         if self._closed:
             return
         endpoint = self._endpoint
-        warm = endpoint.slots + self._options.spare
-        missing = max(warm - self._places, len(self._waiters) - self._dialing)
+        missing = max(
+            self._warm - self._places, len(self._waiters) - self._dialing
+        )
         room = endpoint.connections - self._places
         if self._liveness.probe_delay or self._liveness.down:
             # One at a time while connections fail.
@@ -247,6 +251,9 @@
             if watch.heartbeat_delay > 0:
                 await asyncio.sleep(watch.heartbeat_delay)
                 continue
+            if self._is_excess(connection):
+                self.discard(connection)
+                return
             watch.note_question()
             if connection.closed or not await connection.heartbeat(timeout):
                 log.warning("connection silent", endpoint=self._endpoint.name)
@@ -254,6 +261,17 @@
                 return
             watch.note_answer()
 
+    @property
+    def _warm(self) -> int:
+        return self._endpoint.slots + self._options.spare
+
+    def _is_excess(self, connection: ports.EndpointConnection) -> bool:
+        unused_since = self._idle.get(connection)
+        if unused_since is None or self._places <= self._warm:
+            return False
+        unused = self._clock.now() - unused_since
+        return unused >= self._options.idle_timeout
+
     def _next_waiter(self) -> asyncio.Future[Connected] | None:
         while self._waiters:
             waiter = self._waiters.popleft()
