--- a/measurements/flood.py
+++ b/measurements/flood.py
@@ -13,7 +13,9 @@
 
 # The flood outlasts the window by the longest deadline.
 SECONDS = 7.0
+WINDOW = flood_model.Window(1.0, 5.0)
 FAULT_AT_SECONDS = 1.5
+SLOW_SECONDS = 1.5
 FAULT_LOADS = (0.8, 20.0)
 SKEW = 0.7
 LOADS = (1.0, 2.0, 5.0, 20.0)
@@ -110,6 +112,7 @@
 
     :ivar killed: number of a daemon that is killed
     :ivar cut: zone that is cut off
+    :ivar slowdown: factor of all service times, for a while
     :ivar skew: share of the work that comes to the first daemon
     """
 
@@ -117,6 +120,7 @@
     killed: int | None = None
     cut: str = ""
     skew: float = 0.0
+    slowdown: float = 1.0
 
 
 NO_EVENT = Event()
@@ -127,16 +131,23 @@
     site: flood_work.Site,
     arrivals: list[flood_work.Arrival],
     event: Event = NO_EVENT,
+    window: flood_model.Window = WINDOW,
 ) -> flood_model.Placement:
     """Run arrivals through a way and return it with its tallies."""
     timeline = flood_model.Timeline()
     placement = way.create_placement(timeline, site, way.create_queue)
+    placement.window = window
     happened = False
     for arrival in arrivals:
         if not happened and arrival.at >= FAULT_AT_SECONDS:
             happened = True
             timeline.run(FAULT_AT_SECONDS)
+            timeline.call_in(
+                SLOW_SECONDS, lambda: end_slowdown(placement.endpoints)
+            )
             placement.cut_zone = event.cut
+            for endpoint in placement.endpoints:
+                endpoint.slowdown = event.slowdown
             if event.killed is not None:
                 placement.kill(event.killed)
         timeline.run(arrival.at)
@@ -145,6 +156,12 @@
     return placement
 
 
+def end_slowdown(endpoints: list[flood_model.EndpointModel]) -> None:
+    """Let endpoints serve at their usual pace again."""
+    for endpoint in endpoints:
+        endpoint.slowdown = 1.0
+
+
 def measure_service(
     placement: flood_model.Placement, level: int
 ) -> tuple[float, float]:
@@ -161,7 +178,7 @@
 
 def find_capacity(site: flood_work.Site) -> float:
     """Return the slots' time in the window, in seconds."""
-    return site.slots * flood_model.WINDOW_SECONDS
+    return site.slots * WINDOW.seconds
 
 
 def _list_tallies(
--- a/measurements/flood_model.py
+++ b/measurements/flood_model.py
@@ -11,6 +11,7 @@
 import functools
 import heapq
 import itertools
+import math
 import typing
 
 from fescuestile import admission
@@ -19,15 +20,28 @@
 from measurements import latencies
 
 LOCAL_HOP_SECONDS = 0.0001
-# Work that arrives and ends in between is counted.
-WINDOW_START_SECONDS = 1.0
-WINDOW_END_SECONDS = 5.0
-WINDOW_SECONDS = WINDOW_END_SECONDS - WINDOW_START_SECONDS
 
 Done = collections.abc.Callable[[], None]
 CreateQueue = collections.abc.Callable[[int], admission_queues.Queue]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """Time in which work is counted, in seconds from the start."""
+
+    start: float
+    end: float
+
+    @property
+    def seconds(self) -> float:
+        """Length of the window."""
+        return self.end - self.start
+
+    def holds(self, at: float) -> bool:
+        """Tell whether a time lies in it."""
+        return self.start <= at < self.end
+
+
 class Timeline:
     """Events in order of their virtual time."""
 
@@ -189,6 +203,8 @@
     ) -> None:
         """Build the endpoints; subclasses build the gates.
 
+        The window is to be set before the first arrival.
+
         :param create_queue: returns a queue for a number of slots
         """
         self.timeline = timeline
@@ -201,6 +217,7 @@
         self.tallies: collections.defaultdict[tuple[str, bool], Tally] = (
             collections.defaultdict(Tally)
         )
+        self.window = Window(0.0, math.inf)
         self.dead: set[int] = set()
         self.cut_zone = ""
 
@@ -221,7 +238,7 @@
         daemon = arrival.daemon
         while daemon in self.dead:
             daemon = (daemon + 1) % len(self.site.zones)
-        counted = _is_in_window(arrival.at)
+        counted = self.window.holds(arrival.at)
         zone = self.site.endpoints[arrival.endpoint].zone
         if self.is_cut(self.site.zones[daemon], zone):
             tally.cut_off += counted
@@ -233,10 +250,10 @@
         now = self.timeline.now
         if now > arrival.deadline:
             return
-        if _is_in_window(arrival.at):
+        if self.window.holds(arrival.at):
             tally.served += 1
             tally.durations.record(now - arrival.at)
-        if _is_in_window(now):
+        if self.window.holds(now):
             tally.seconds += arrival.service
 
     def create_gate(self, daemon: int, endpoint: int, slots: int) -> Gate:
@@ -260,10 +277,6 @@
         return one != other and self.cut_zone in (one, other)
 
 
-def _is_in_window(at: float) -> bool:
-    return WINDOW_START_SECONDS <= at < WINDOW_END_SECONDS
-
-
 CreatePlacement = typing.Callable[
     [Timeline, flood_work.Site, CreateQueue], Placement
 ]
