--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -18,6 +18,7 @@
 from fescuestile import errors
 from fescuestile import fair_queue
 from fescuestile import plans
+from fescuestile import rank_shares
 from fescuestile import requests
 from fescuestile import results
 
@@ -39,6 +40,10 @@
         waits, most urgent rank first
     :ivar rank_length: pieces of work that wait in one rank at most
     :ivar initial_service: seconds that a kind not yet measured takes
+    :ivar floor_margin: factor by which floors are exceeded, since a slot is
+        held while work travels to the endpoint and back
+    :ivar wait_margin: factor of the expected wait that a deadline allows
+    :ivar service_margin: factor of the mean service time, likewise
     :ivar service_weight: weight of a new sample in the service time
     :ivar load_window: seconds over which a rank's load is averaged
     :ivar follows_latency: fewer run while work takes longer than usual
@@ -48,6 +53,9 @@
     floors: tuple[float, ...]
     rank_length: int = 1024
     initial_service: float = 0.005
+    floor_margin: float = 1.1
+    wait_margin: float = 1.25
+    service_margin: float = 2.0
     service_weight: float = 0.05
     load_window: float = 1.0
     follows_latency: bool = True
@@ -73,18 +81,6 @@
     dropped: tuple[Drop, ...]
 
 
-class _Rank:
-    """Queue of one rank and what it is owed."""
-
-    def __init__(self, floor: float) -> None:
-        self.floor = floor
-        self.queue = fair_queue.FairQueue()
-        self.credit = 0.0
-        # Admitted service seconds a second and slot, and when as of.
-        self.load = 0.0
-        self.load_at = -math.inf
-
-
 def create_options(
     plan: plans.Plan, endpoint: plans.Endpoint
 ) -> AdmissionOptions:
@@ -122,7 +118,7 @@
         """
         self._options = options
         self._peer = peer
-        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
         self._concurrency = concurrency.ConcurrencyLimit(options.slots)
         self._service: dict[str, float] = {}
         self._running = 0
@@ -162,7 +158,8 @@
             return expression.Error(self._refuse("the deadline passed", 0.0))
         if not self._can_start_at_once():
             wait = self.expected_wait(work.level, now, work.kind, work.caller)
-            late = now + wait + self._get_service(work.kind) - work.deadline
+            service = self._get_service(work.kind)
+            late = now + self._add_margin(wait, service) - work.deadline
             if late > 0 and not work.continues:
                 message = f"expected wait of {wait:.3f} s passes the deadline"
                 return expression.Error(self._refuse(message, late))
@@ -172,7 +169,8 @@
                 return expression.Error(refused)
         ticket = Ticket(work=work, offered_at=now)
         self._enqueue(rank, ticket)
-        self._note_load(rank, now, self._get_service(work.kind))
+        share = self._get_service(work.kind) / self._options.slots
+        rank.note_load(share, now, self._options.load_window)
         return results.succeed(ticket)
 
     def take(self, now: float) -> Batch:
@@ -210,6 +208,7 @@
         rank = self._get_rank(ticket.work.level)
         rank.queue.charge(kind, seconds - ticket.cost)
         self._running_cost -= ticket.cost
+        self._share_out(rank, seconds - ticket.cost, ticket.owed)
         if not measured:
             return
         usual = self._service.get(kind, seconds)
@@ -277,7 +276,7 @@
         ]
         waiting.sort(key=lambda entry: entry[1])
         self._options = options
-        self._ranks = [_Rank(floor) for floor in options.floors]
+        self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
         self._concurrency.set_cap(options.slots)
         self._expiries.clear()
         for _, _, ticket in waiting:
@@ -286,19 +285,23 @@
     def _clamp(self, level: int) -> int:
         return min(level, len(self._ranks) - 1)
 
-    def _get_rank(self, level: int) -> _Rank:
+    def _get_rank(self, level: int) -> rank_shares.Rank:
         return self._ranks[self._clamp(level)]
 
     def _get_service(self, kind: str) -> float:
         return self._service.get(kind, self._options.initial_service)
 
+    def _add_margin(self, wait: float, service: float) -> float:
+        options = self._options
+        return wait * options.wait_margin + service * options.service_margin
+
     def _sum_service(self, counts: typing.Iterable[tuple[str, int]]) -> float:
         return sum(self._get_service(kind) * count for kind, count in counts)
 
     def _can_start_at_once(self) -> bool:
         return not self._waiting and self._running < self._concurrency.limit
 
-    def _enqueue(self, rank: _Rank, ticket: Ticket) -> None:
+    def _enqueue(self, rank: rank_shares.Rank, ticket: Ticket) -> None:
         rank.queue.push(ticket)
         self._waiting += 1
         self._sequence += 1
@@ -321,7 +324,9 @@
             if self.withdraw(ticket):
                 self._drop(ticket, "the deadline passed in the queue")
 
-    def _make_room(self, rank: _Rank, work: Work) -> errors.NotRun | None:
+    def _make_room(
+        self, rank: rank_shares.Rank, work: Work
+    ) -> errors.NotRun | None:
         """Drop the newest of the longest line, or refuse the new work."""
         newest = rank.queue.find_newest_of_longest()
         line = (newest.work.kind, newest.work.caller)
@@ -331,56 +336,33 @@
         self._drop(newest, "the rank's queue is full")
         return None
 
-    def _choose_rank(self, top: _Rank) -> _Rank:
-        """Return the rank that is owed most, or else the most urgent."""
-        chosen = top
-        credit = 0.0
-        for rank in self._ranks:
-            if rank is not top and rank.queue and rank.credit > credit:
-                chosen = rank
-                credit = rank.credit
-        return chosen
-
     def _start_next(self, now: float) -> Ticket | None:
-        top = next(rank for rank in self._ranks if rank.queue)
-        rank = self._choose_rank(top)
+        top = rank_shares.find_top(self._ranks)
+        assert top is not None
+        rank = rank_shares.choose_rank(self._ranks, top, self._get_service)
         ticket = rank.queue.pop()
         self._waiting -= 1
         cost = self._get_service(ticket.work.kind)
-        late = now + cost - ticket.work.deadline
+        late = now + self._add_margin(0.0, cost) - ticket.work.deadline
         # With nothing running it starts whatever the estimate, so that a
         # wrong estimate is measured again.
         if late > 0 and self._running and not ticket.work.continues:
             self._drop(ticket, "waited too long for its deadline")
             return None
         rank.queue.charge(ticket.work.kind, cost)
-        self._note_credit(top, rank, cost)
+        ticket.owed = rank is not top
         ticket.started_at = now
         ticket.cost = cost
         self._running += 1
         self._running_cost += cost
+        self._share_out(rank, cost, ticket.owed)
         return ticket
 
-    def _note_credit(self, top: _Rank, served: _Rank, cost: float) -> None:
-        for rank in self._ranks:
-            if not rank.queue:
-                rank.credit = min(rank.credit, 0.0)
-            elif rank is not top:
-                rank.credit += rank.floor * cost
-        if served is not top:
-            served.credit -= cost
-        elif served.credit > 0:
-            served.credit = max(0.0, served.credit - cost)
-
-    def _note_load(self, rank: _Rank, now: float, cost: float) -> None:
-        window = self._options.load_window
-        share = cost / (window * self._options.slots)
-        rank.load = self._measure_load(rank, now) + share
-        rank.load_at = now
-
-    def _measure_load(self, rank: _Rank, now: float) -> float:
-        age = (now - rank.load_at) / self._options.load_window
-        return rank.load * math.exp(-age)
+    def _share_out(
+        self, served: rank_shares.Rank, seconds: float, owed: bool
+    ) -> None:
+        margin = self._options.floor_margin
+        rank_shares.share_out(self._ranks, served, seconds, owed, margin)
 
     def _measure_others(self, level: int, now: float) -> tuple[float, float]:
         """Return the more urgent seconds that wait and the share left."""
@@ -389,7 +371,7 @@
         free_share = 1.0
         for rank in self._ranks[:place]:
             more_urgent += self._sum_service(rank.queue.list_waiting())
-            free_share -= self._measure_load(rank, now)
+            free_share -= rank.measure_load(now, self._options.load_window)
         for rank in self._ranks[place + 1 :]:
             if rank.queue:
                 free_share -= rank.floor
--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -35,12 +35,14 @@
     :ivar offered_at: monotonic seconds
     :ivar started_at: monotonic seconds, None while it waits
     :ivar cost: seconds of service charged at the start
+    :ivar owed: it started before more urgent work, on its rank's floor
     """
 
     work: Work
     offered_at: float
     started_at: float | None = None
     cost: float = 0.0
+    owed: bool = False
 
 
 _Line: typing.TypeAlias = "collections.OrderedDict[Ticket, None]"
@@ -131,6 +133,11 @@
         """Return how many wait."""
         return self._length
 
+    @property
+    def next_kind(self) -> str:
+        """Kind whose turn it is; something must wait."""
+        return min(self._waiting, key=self._get_finish)
+
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         name = ticket.work.kind
@@ -150,7 +157,7 @@
         """
         if not self._waiting:
             raise IndexError("nothing waits")
-        name = min(self._waiting, key=self._get_finish)
+        name = self.next_kind
         kind = self._waiting[name]
         self._virtual_time = kind.finish
         ticket = kind.pop()
