--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -4,8 +4,17 @@
 import configparser
 import dataclasses
 import typing
+import uuid
 
+import grpc
+
+from fescuestile import errors
 from fescuestile import plans
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
+from fescuestile_api import models
+from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
 from fescuestile_standins import launcher as launchers
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
@@ -13,6 +22,9 @@
 PLATFORM_MODULE = "fescuestile_standins.platform"
 ENDPOINT_MODULE = "fescuestile_standins.endpoint"
 DAEMON_BINARY = "fescuestiled"
+CALL_TIMEOUT_SECONDS = 5.0
+SERVE_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
 
 SettingsChanges = typing.Mapping[str, typing.Mapping[str, str]]
 
@@ -175,6 +187,63 @@
         await process.wait_ready()
         return daemon
 
+    async def declare(self, group: Group) -> int:
+        """Declare a group's plan at some daemon and wait until all serve it.
+
+        :returns: the plan's revision
+        """
+        some = next(iter(self.daemons.values()))
+        request = pb.DeclareRequest(
+            plan=models.write_plan(group.plan),
+            change_id=uuid.uuid4().hex,
+            operator="demo",
+        )
+        async with grpc.aio.insecure_channel(some.operator_address) as channel:
+            stub = pb_grpc.OperatorServiceStub(channel)
+            reply = await stub.Declare(request, timeout=CALL_TIMEOUT_SECONDS)
+        await asyncio.gather(
+            *(
+                self.wait_serving(daemon, group.plan)
+                for daemon in self.daemons.values()
+            )
+        )
+        return int(reply.revision)
+
+    async def wait_serving(
+        self, daemon: DaemonProcess, plan: plans.Plan
+    ) -> None:
+        """Wait until a daemon answers current reads of a database.
+
+        :raises: the last error when it took too long
+        """
+        kind = plan.kinds[0].name
+        last: BaseException | None = None
+        try:
+            async with asyncio.timeout(SERVE_TIMEOUT_SECONDS):
+                while True:
+                    try:
+                        async with self.open_session(daemon) as session:
+                            await session.execute(
+                                plan.database, kind, "GET -", read_only=True
+                            )
+                        return
+                    except errors.FescuestileError as error:
+                        last = error
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            raise last or TimeoutError(daemon.name) from None
+
+    def open_session(
+        self,
+        *daemons: DaemonProcess,
+        caller: str = "station-7",
+        token: bytes = b"",
+        options: client_options.SessionOptions | None = None,
+    ) -> client_session.Session:
+        """Return a session on some daemons, to be used in ``async with``."""
+        addresses = [daemon.caller_address for daemon in daemons]
+        return client_session.Session(addresses, caller, token, options)
+
     def _find_platform(self) -> str:
         if self.platform is None:
             return launchers.choose_address(0, 2)
