--- a/packages/fescuestile/src/fescuestile/diversion.py
+++ b/packages/fescuestile/src/fescuestile/diversion.py
@@ -11,7 +11,7 @@
 from fescuestile import errors
 
 STEP = "divert"
-SLOT_SHARE = 0.5
+READS_PER_SLOT = 1.0
 RETRY_SECONDS = 0.1
 MOST_URGENT = 0
 
@@ -22,12 +22,13 @@
     The most urgent level is not bounded here; admission bounds it.
     """
 
-    def __init__(self, share: float = SLOT_SHARE) -> None:
+    def __init__(self, per_slot: float = READS_PER_SLOT) -> None:
         """Start without any.
 
-        :param share: diverted reads at a time per slot, at least one read
+        :param per_slot: diverted reads that wait or run at a time, for
+            each slot; at least one read
         """
-        self._share = share
+        self._per_slot = per_slot
         self._counts: collections.Counter[str] = collections.Counter()
 
     def enter(
@@ -40,7 +41,7 @@
         :param level: urgency, 0 for the most urgent
         :returns: nothing, or a refusal
         """
-        allowed = max(1, int(self._share * slots))
+        allowed = max(1, int(self._per_slot * slots))
         if level > MOST_URGENT and self._counts[endpoint] >= allowed:
             return expression.Error(
                 errors.NotRun(
