--- a/packages/fescuestile-daemon/src/fescuestile_daemon/bootstrap.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/bootstrap.py
@@ -64,6 +64,7 @@
         self._now_seconds = now_seconds
         self._peers: dict[str, str] = {}
         self._waits_for = ""
+        self._anyone_to_ask = True
 
     async def run(self) -> str:
         """Wait until the configuration is here.
@@ -99,7 +100,9 @@
         return waited >= PEER_WAIT_SECONDS
 
     def _should_load(self, waited: float) -> bool:
-        if self._status.get().synced or waited < PEER_WAIT_SECONDS:
+        if self._status.get().synced:
+            return False
+        if self._anyone_to_ask and waited < PEER_WAIT_SECONDS:
             return False
         return self._status.get().watcher or waited >= ANYONE_LOADS_SECONDS
 
@@ -121,6 +124,7 @@
             for address in dict.fromkeys(addresses)
             if address != self._own_address
         ][:MAX_SEEDS]
+        self._anyone_to_ask = bool(chosen)
         await asyncio.gather(*(self._dial(address) for address in chosen))
 
     async def _dial(self, address: str) -> None:
--- /dev/null
+++ b/tests/scenarios/configuration.feature
@@ -0,0 +1,71 @@
+Feature: Configuration
+  Operators change plans; an accepted one is in force on every daemon within
+  seconds and none ever goes back to an older one.
+
+  Background:
+    Given today's fleet with a declared database
+
+  @invariant_9
+  Scenario: An applied plan is in force everywhere
+    When an operator applies a plan to revision 1
+    Then revision 2 is in force on all daemons within 2 seconds
+
+  @invariant_9
+  Scenario: Two operators race, one applies while the other reverts
+    Given an operator has applied a plan to revision 1
+    When one applies and another reverts from revision 2 at once, 10 times
+    Then of each pair one was accepted and one refused for its revision
+    And all daemons agree on the last accepted revision within 2 seconds
+    And the audit trail tells both sides of each race
+
+  @invariant_9
+  Scenario: The answer is lost after the change took effect
+    Given the platform loses the next 1 answers after the change took effect
+    When an operator applies a plan to revision 1
+    Then revision 2 is in force on all daemons within 2 seconds
+    And the same change made again is answered as repeated, with revision 2
+
+  @invariant_9
+  Scenario: The platform is slow
+    Given the platform answers after 300 ms
+    When an operator applies a plan to revision 1
+    Then revision 2 is in force on all daemons within 5 seconds
+
+  @invariant_9
+  Scenario: The platform is down
+    Given an operator has applied a plan to revision 1
+    And the platform is down
+    When an operator applies a plan to revision 2
+    Then the change is refused as not run
+    And a caller's write still succeeds
+    And revision 2 is in force on all daemons within 2 seconds
+    When the platform is back
+    And an operator applies a plan to revision 2
+    Then revision 3 is in force on all daemons within 5 seconds
+
+  @invariant_9
+  Scenario: A daemon sleeps while the configuration changes
+    Given daemon "d3" is frozen
+    And an operator has applied a plan to revision 1
+    And an operator has applied a plan to revision 2
+    When daemon "d3" wakes
+    Then revision 3 is in force on all daemons within 5 seconds
+    And no daemon has ever put an older revision in force
+
+  @invariant_9
+  Scenario: A daemon starts anew while the platform is down
+    Given an operator has applied a plan to revision 1
+    And the platform is down
+    When daemon "d1" is killed and started anew
+    Then revision 2 is in force on all daemons within 5 seconds
+    And a caller of daemon "d1" can write
+    And no daemon has ever put an older revision in force
+
+  @invariant_9
+  Scenario: A daemon starts with neither platform nor another daemon
+    Given the platform is down
+    And all daemons are killed
+    When daemon "d0" is started but reaches nobody
+    Then it says that it waits for the configuration and takes no callers
+    When the platform is back
+    Then a caller of daemon "d0" can write
--- /dev/null
+++ b/tests/scenarios/loads.py
@@ -0,0 +1,88 @@
+"""Callers that read and write all the time, and what became of it."""
+
+import asyncio
+import dataclasses
+
+from fescuestile import errors
+from fescuestile_client import session as client_session
+from tests.scenarios import worlds
+
+PAUSE_SECONDS = 0.02
+
+
+@dataclasses.dataclass
+class Tally:
+    """What callers saw.
+
+    :ivar acknowledged: writes by caller that were acknowledged
+    :ivar unknown: writes by caller whose outcome stayed unknown
+    :ivar lost: errors other than a refusal that says NotRun
+    :ivar endpoints: endpoint of each answer, in order of arrival
+    """
+
+    acknowledged: dict[str, int] = dataclasses.field(default_factory=dict)
+    unknown: dict[str, int] = dataclasses.field(default_factory=dict)
+    lost: list[Exception] = dataclasses.field(default_factory=list)
+    endpoints: list[str] = dataclasses.field(default_factory=list)
+
+
+class Load:
+    """One reader and one writer through each daemon."""
+
+    def __init__(self, world: worlds.World) -> None:
+        """Prepare a load on a world's loop."""
+        self._world = world
+        self._stopped = False
+        self.tally = Tally()
+        self._futures = [
+            world.spawn(self._call(daemon, number))
+            for number, daemon in enumerate(world.daemons)
+        ]
+
+    def stop(self) -> Tally:
+        """End the callers and return what they saw."""
+        self._stopped = True
+        for future in self._futures:
+            future.result(worlds.STEP_TIMEOUT_SECONDS)
+        return self.tally
+
+    async def _call(self, daemon, number):
+        addresses = [daemon.caller_address] + [
+            other.caller_address for other in self._world.daemons
+        ]
+        session = client_session.Session(addresses, f"caller-{number}")
+        async with session:
+            while not self._stopped:
+                await self._write(session, f"count-{number}")
+                await self._read(session, f"count-{number}")
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _write(self, session, key):
+        tally = self.tally
+        try:
+            answer = await session.execute(
+                worlds.DATABASE, "fault-report", f"ADD {key} 1"
+            )
+        except errors.NotRun:
+            return
+        except errors.UnknownOutcome as error:
+            tally.unknown[key] = tally.unknown.get(key, 0) + 1
+            tally.lost.append(error)
+            return
+        except errors.FescuestileError as error:
+            tally.lost.append(error)
+            return
+        tally.acknowledged[key] = tally.acknowledged.get(key, 0) + 1
+        tally.endpoints.append(answer.endpoint)
+
+    async def _read(self, session, key):
+        try:
+            answer = await session.execute(
+                worlds.DATABASE, "history", f"GET {key}", read_only=True
+            )
+        except errors.NotRun:
+            return
+        except errors.FescuestileError as error:
+            self.tally.lost.append(error)
+            return
+        self.tally.endpoints.append(answer.endpoint)
--- /dev/null
+++ b/tests/scenarios/test_configuration.py
@@ -0,0 +1,176 @@
+import asyncio
+import re
+
+import grpc
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from fescuestile import errors
+from fescuestile_api import fescuestile_pb2 as pb
+from tests.scenarios import worlds
+
+scenarios("configuration.feature")
+
+REFUSED = grpc.StatusCode.FAILED_PRECONDITION
+
+
+@given(parsers.parse("an operator has applied a plan to revision {base:d}"))
+@when(parsers.parse("an operator applies a plan to revision {base:d}"))
+def apply_plan(world, base):
+    try:
+        world.notes["reply"] = world.run(
+            world.apply(world.daemons[0], base, f"to-{base + 1}")
+        )
+    except grpc.aio.AioRpcError as error:
+        world.notes["reply"] = error
+
+
+@then(
+    parsers.parse(
+        "revision {revision:d} is in force on all daemons within "
+        "{limit:d} seconds"
+    )
+)
+def check_in_force(world, revision, limit):
+    world.run(world.wait_revision(revision, limit))
+
+
+@when("one applies and another reverts from revision 2 at once, 10 times")
+def race(world):
+    async def run_one(number, revision):
+        first, second = world.daemons[1:3]
+        outcomes = await asyncio.gather(
+            world.apply(first, revision, f"apply-{number}", 2000 + number),
+            world.revert(second, 1, revision, f"revert-{number}"),
+            return_exceptions=True,
+        )
+        world.notes["races"].append(outcomes)
+        return max(
+            outcome.revision
+            for outcome in outcomes
+            if isinstance(outcome, pb.ChangeReply)
+        )
+
+    world.notes["races"] = []
+    revision = 2
+    for number in range(10):
+        revision = world.run(run_one(number, revision))
+    world.notes["last"] = revision
+
+
+@then("of each pair one was accepted and one refused for its revision")
+def check_races(world):
+    for outcomes in world.notes["races"]:
+        refused = [
+            outcome
+            for outcome in outcomes
+            if isinstance(outcome, grpc.aio.AioRpcError)
+        ]
+        assert [error.code() for error in refused] == [REFUSED]
+    assert world.notes["last"] == 12
+
+
+@then("all daemons agree on the last accepted revision within 2 seconds")
+def check_agreed(world):
+    world.run(world.wait_revision(world.notes["last"], 2.0))
+
+
+@then("the audit trail tells both sides of each race")
+def check_audit(world):
+    reply = world.run(world.call(world.daemons[3], "Audit", pb.AuditRequest()))
+    outcomes = [entry.outcome for entry in reply.entries]
+    assert outcomes.count("done") == 12
+    assert outcomes.count("VersionConflict") == 10
+
+
+@given(
+    parsers.parse(
+        "the platform loses the next {count:d} answers after the change "
+        "took effect"
+    )
+)
+def lose_answers(world, count):
+    world.run(world.set_faults(lose_replies=count))
+
+
+@given(parsers.parse("the platform answers after {delay:d} ms"))
+def slow_platform(world, delay):
+    world.run(world.set_faults(slow_ms=delay))
+
+
+@then("the same change made again is answered as repeated, with revision 2")
+def check_repeated(world):
+    assert world.notes["reply"].revision == 2
+    again = world.run(world.apply(world.daemons[2], 1, "to-2"))
+    assert (again.revision, again.repeated) == (2, True)
+
+
+@then("the change is refused as not run")
+def check_not_run(world):
+    error = world.notes["reply"]
+    assert isinstance(error, grpc.aio.AioRpcError)
+    assert error.code() is grpc.StatusCode.UNAVAILABLE
+    assert "nothing was changed" in error.details()
+
+
+@then("a caller's write still succeeds")
+def check_write(world):
+    world.run(world.write(world.daemons[2], "PUT pump broken"))
+
+
+@given(parsers.parse('daemon "{name}" is frozen'))
+def freeze(world, name):
+    world.fleet.daemons[name].process.freeze()
+
+
+@when(parsers.parse('daemon "{name}" wakes'))
+def wake(world, name):
+    world.fleet.daemons[name].process.wake()
+
+
+@then("no daemon has ever put an older revision in force")
+def check_never_older(world):
+    for path in world.launcher.directory.glob("d*.log"):
+        found = re.findall(
+            r'"revision": (\d+),.*"plan in force"', path.read_text()
+        )
+        numbers = [int(number) for number in found]
+        assert numbers
+        assert numbers == sorted(numbers), path.name
+
+
+@given("all daemons are killed")
+def kill_all(world):
+    for daemon in world.daemons:
+        daemon.process.kill()
+        world.run(daemon.process.wait_exit())
+
+
+@when('daemon "d0" is started but reaches nobody')
+def start_alone(world):
+    world.notes["start"] = world.spawn(world.restart("d0"))
+
+
+@then("it says that it waits for the configuration and takes no callers")
+def check_waits(world):
+    process = world.fleet.daemons["d0"].process
+
+    async def says_so():
+        return "waiting for the configuration" in process.read_log()
+
+    world.run(world.wait_until(says_so, 10.0))
+    assert "platform" in process.read_log()
+    assert not world.notes["start"].done()
+    with pytest.raises(errors.NotRun):
+        world.run(world.write(world.fleet.daemons["d0"], "PUT a 1"))
+
+
+@then(parsers.parse('a caller of daemon "{name}" can write'))
+def check_can_write(world, name):
+    if "start" in world.notes:
+        world.notes["start"].result(worlds.STEP_TIMEOUT_SECONDS)
+    world.run(world.write(world.fleet.daemons[name], "PUT pump broken"))
