--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -114,7 +114,7 @@
     error = world.notes["reply"]
     assert isinstance(error, grpc.aio.AioRpcError)
     assert error.code() is grpc.StatusCode.UNAVAILABLE
-    assert "nothing was changed" in error.details()
+    assert "nothing was changed" in str(error.details())
 
 
 @then("a caller's write still succeeds")
--- a/tests/scenarios/worlds.py
+++ b/tests/scenarios/worlds.py
@@ -99,9 +99,15 @@
         """Plan of the group as declared."""
         return self.fleet.groups[DATABASE].plan
 
+    @property
+    def platform_address(self) -> str:
+        """Where the platform stand-in listens."""
+        assert self.fleet.platform is not None
+        return self.fleet.platform.address
+
     async def set_faults(self, **faults):
         """Replace the platform's faults."""
-        hooks = platform.HookClient(self.fleet.platform.address)
+        hooks = platform.HookClient(self.platform_address)
         await hooks.send(platform_messages.SetFaults(id=0, **faults))
 
     async def set_hosts(self, *leaving, lag_ms=0):
@@ -120,7 +126,7 @@
             )
             for h in hosts
         )
-        hooks = platform.HookClient(self.fleet.platform.address)
+        hooks = platform.HookClient(self.platform_address)
         await hooks.send(
             platform_messages.SetHosts(id=0, hosts=marked, lag_ms=lag_ms)
         )
