Add scenarios of sessions: roaming, transactions, answers, at most once

Real processes: kills of entry and owner inside a transaction and between a write and its acknowledgement, connections silent for good behind relays, daemons killed under load; a ledger of unrepeated writes holds each outcome against the data.

--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -16,11 +16,13 @@
 from fescuestile_client import options as client_options
 from fescuestile_client import session as client_session
 from fescuestile_standins import launcher as launchers
+from fescuestile_standins import wire as wires
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
 FIRST_ENDPOINT_HOST = 11
 PLATFORM_MODULE = "fescuestile_standins.platform"
 ENDPOINT_MODULE = "fescuestile_standins.endpoint"
+WIRE_MODULE = "fescuestile_standins.wire"
 DAEMON_BINARY = "fescuestiled"
 CALL_TIMEOUT_SECONDS = 5.0
 SERVE_TIMEOUT_SECONDS = 20.0
@@ -37,6 +39,7 @@
     :ivar service_ms: milliseconds that a statement takes
     :ivar connect_ms: milliseconds until a connection is accepted
     :ivar replication_ms: milliseconds that replicas lag
+    :ivar slowest_ms: milliseconds that the last replica lags besides
     """
 
     database: str = "werkstatt-db"
@@ -46,6 +49,7 @@
     service_ms: float = 2.0
     connect_ms: float = 10.0
     replication_ms: float = 0.0
+    slowest_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -89,6 +93,7 @@
         self.launcher = launcher
         self.zones = tuple(zones)
         self.platform: launchers.Process | None = None
+        self.wire: wires.WireClient | None = None
         self.groups: dict[str, Group] = {}
         self.daemons: dict[str, DaemonProcess] = {}
 
@@ -101,11 +106,21 @@
         await self.platform.wait_ready()
         return self.platform
 
+    async def start_wire(self) -> wires.WireClient:
+        """Start relays; daemons reach groups started later through them."""
+        address = launchers.choose_address(0, 3)
+        process = self.launcher.start_module(
+            "wire", WIRE_MODULE, ("--address", address), address
+        )
+        await process.wait_ready()
+        self.wire = await wires.connect(address)
+        return self.wire
+
     async def start_group(self, options: GroupOptions) -> Group:
         """Start the endpoints of a group and wait until they serve."""
         endpoints = self._place_endpoints(options)
         plan = make_plan(options.database, endpoints)
-        group = Group(plan, {})
+        group = Group(await self._relay(plan), {})
         for endpoint in endpoints:
             group.endpoints[endpoint.name] = self.launcher.start_module(
                 endpoint.name,
@@ -119,6 +134,17 @@
         self.groups[options.database] = group
         return group
 
+    async def _relay(self, plan: plans.Plan) -> plans.Plan:
+        """Return the plan with relays before its endpoints, if any run."""
+        if self.wire is None:
+            return plan
+        relayed = []
+        for endpoint in plan.endpoints:
+            ip = endpoint.address.rpartition(":")[0]
+            address = await self.wire.add_relay(f"{ip}:0", endpoint.address)
+            relayed.append(dataclasses.replace(endpoint, address=address))
+        return dataclasses.replace(plan, endpoints=tuple(relayed))
+
     def _place_endpoints(
         self, options: GroupOptions
     ) -> tuple[plans.Endpoint, ...]:
@@ -275,6 +301,9 @@
     plan: plans.Plan, endpoint: plans.Endpoint, options: GroupOptions
 ) -> list[str]:
     """Return the command line of an endpoint stand-in."""
+    lag_ms = options.replication_ms
+    if endpoint is plan.endpoints[-1]:
+        lag_ms += options.slowest_ms
     arguments = [
         *("--name", endpoint.name),
         *("--zone", endpoint.zone),
@@ -285,7 +314,7 @@
         *("--connections", str(options.connections)),
         *("--service-ms", str(options.service_ms)),
         *("--connect-ms", str(options.connect_ms)),
-        *("--replication-ms", str(options.replication_ms)),
+        *("--replication-ms", str(lag_ms)),
     ]
     for peer in plan.endpoints:
         if peer is not endpoint:
--- /dev/null
+++ b/tests/scenarios/ledgers.py
@@ -0,0 +1,113 @@
+"""Writes that are never repeated by their callers, and their outcomes."""
+
+import asyncio
+import collections
+import contextlib
+import enum
+
+from fescuestile import errors
+from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
+from tests.scenarios import worlds
+
+CALLERS = 6
+PAUSE_SECONDS = 0.01
+WRITE_TIMEOUT_SECONDS = 2.0
+
+
+class Outcome(enum.StrEnum):
+    """What a caller was told of a write."""
+
+    ACKNOWLEDGED = "acknowledged"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+# Values that a key may have in the end, each written by one "ADD key 1".
+ALLOWED = {
+    Outcome.ACKNOWLEDGED: {"1"},
+    Outcome.NOT_RUN: {""},
+    Outcome.UNKNOWN: {"", "1"},
+}
+
+
+class Ledger:
+    """Callers that each write one key after the other.
+
+    The callers' library repeats nothing, so that each answer of a daemon
+    is held against what happened.
+    """
+
+    def __init__(self, world: worlds.World) -> None:
+        """Start the callers on a world's loop."""
+        self._world = world
+        self._stopped = False
+        self.outcomes: dict[str, Outcome] = {}
+        self._futures = [
+            world.spawn(self._call(number)) for number in range(CALLERS)
+        ]
+
+    def count(self, outcome: Outcome) -> int:
+        """Return how many writes ended so."""
+        return collections.Counter(self.outcomes.values())[outcome]
+
+    async def wait_acknowledged(self, count, limit=15.0):
+        """Wait for further acknowledged writes."""
+        wanted = self.count(Outcome.ACKNOWLEDGED) + count
+
+        async def is_reached():
+            return self.count(Outcome.ACKNOWLEDGED) >= wanted
+
+        return await self._world.wait_until(is_reached, limit)
+
+    def stop(self):
+        """End the callers and wait for their last answers."""
+        self._stopped = True
+        for future in self._futures:
+            future.result(worlds.STEP_TIMEOUT_SECONDS)
+
+    async def find_broken(self):
+        """Return the writes whose outcome is not what was said."""
+        broken = {}
+        async with self._world.open_session(
+            self._world.daemons[-1]
+        ) as session:
+            for key, outcome in self.outcomes.items():
+                answer = await session.execute(
+                    worlds.DATABASE, "dispatch", f"GET {key}", read_only=True
+                )
+                if answer.payload.decode() not in ALLOWED[outcome]:
+                    broken[key] = (outcome, answer.payload)
+        return broken
+
+    async def _call(self, number):
+        daemons = list(self._world.fleet.daemons.values())
+        first = daemons[number % len(daemons)]
+        addresses = [daemon.caller_address for daemon in (first, *daemons)]
+        options = client_options.SessionOptions(
+            settle_unknown=False, retries_floor=0
+        )
+        session = client_session.Session(
+            addresses, f"caller-{number}", options=options
+        )
+        async with session:
+            count = 0
+            while not self._stopped:
+                count += 1
+                key = f"w-{number}-{count}"
+                self.outcomes[key] = await self._write(session, key)
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _write(self, session, key):
+        with contextlib.suppress(errors.UnknownOutcome):
+            try:
+                await session.execute(
+                    worlds.DATABASE,
+                    "fault-report",
+                    f"ADD {key} 1",
+                    timeout=WRITE_TIMEOUT_SECONDS,
+                )
+            except errors.NotRun:
+                return Outcome.NOT_RUN
+            return Outcome.ACKNOWLEDGED
+        return Outcome.UNKNOWN
--- /dev/null
+++ b/tests/scenarios/sessions.feature
@@ -0,0 +1,93 @@
+Feature: What a session may rely on
+
+  @invariant_1
+  Scenario: A session reads its own write beside a replica that is behind
+    Given a fleet whose last replica lags 1500 milliseconds
+    When a session writes on "d0" and roams to "d3" 5 times
+    Then each read through "d3" returned the session's last write
+
+  @invariant_1
+  Scenario: Reads go to replicas, and to a primary while they are too old
+    Given a fleet whose last replica lags 1500 milliseconds
+    And the other replica is frozen
+    When a session reads history of at most 1 second through "d3"
+    Then the primary answers
+
+  @invariant_1
+  Scenario: A write outlives the primary that acknowledged it
+    Given today's fleet with a declared database
+    When a session writes on "d0"
+    And the primary is killed
+    Then the session reads its write through "d3" within 9 seconds
+
+  @invariant_3
+  Scenario Outline: A daemon killed inside a transaction leaves nothing of it
+    Given today's fleet with a declared database
+    And a session has an open transaction that wrote through "<entry>"
+    When the <victim> daemon of the transaction is killed
+    Then the transaction ends as not run
+    And nothing of the transaction is seen, and the key can be written
+
+    Examples:
+      | entry | victim |
+      | d3    | entry  |
+      | d3    | owner  |
+
+  @invariant_3
+  Scenario: Transactions of many sessions do not mix
+    Given today's fleet with a declared database
+    When 24 sessions run transactions at once and every third rolls back
+    Then each committed transaction is whole and no other is seen
+
+  @invariant_4
+  Scenario: Each caller gets its own large answer whole
+    Given today's fleet with a declared database
+    When 8 sessions read 6 answers of 200 kilobytes each at once
+    Then each answer is the one that was asked for, whole
+
+  @invariant_4
+  @invariant_5
+  @invariant_6
+  Scenario: Connections to the primary go silent for good
+    Given a fleet behind relays
+    And callers write without repeats
+    When the open connections to the primary go silent
+    Then writes are acknowledged again within 3 seconds
+    And each write's outcome is what its caller was told
+
+  @invariant_5
+  @invariant_6
+  Scenario: Daemons die under load, one after the other
+    Given today's fleet with a declared database
+    And callers write without repeats
+    When daemon "d1" is killed
+    And daemon "d2" is killed
+    Then writes are acknowledged again within 5 seconds
+    And each write's outcome is what its caller was told
+
+  @invariant_5
+  @invariant_6
+  Scenario: The primary dies under load
+    Given today's fleet with a declared database
+    And callers write without repeats
+    When the primary is killed
+    Then writes are acknowledged again within 9 seconds
+    And each write's outcome is what its caller was told
+
+  @invariant_6
+  Scenario Outline: A daemon dies between a write and its acknowledgement
+    Given a fleet whose replicas lag 700 milliseconds
+    When a session adds 1 to a count through "d3"
+    And the <victim> daemon of the write is killed before its answer
+    Then the session is answered and the count is 1
+
+    Examples:
+      | victim |
+      | entry  |
+      | owner  |
+
+  @invariant_6
+  Scenario: The same request through two daemons runs once
+    Given today's fleet with a declared database
+    When the same request adds 1 to a count through every daemon at once
+    Then every daemon gives the same answer and the count is 1
--- /dev/null
+++ b/tests/scenarios/test_sessions.py
@@ -0,0 +1,391 @@
+import asyncio
+import contextlib
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from fescuestile import errors
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_client import options as client_options
+from fescuestile_standins import fleet as fleets
+from tests.scenarios import ledgers
+from tests.scenarios import worlds
+
+scenarios("sessions.feature")
+
+BEFORE_ANSWER_SECONDS = 0.25
+
+
+@pytest.fixture
+def ledger(world):
+    running = ledgers.Ledger(world)
+    yield running
+    running.stop()
+
+
+def execute(session, text, kind="fault-report", **options):
+    return session.execute(worlds.DATABASE, kind, text, **options)
+
+
+def read(session, key, kind="history", **options):
+    return execute(session, f"GET {key}", kind, read_only=True, **options)
+
+
+async def look_at(session, key):
+    return (await read(session, key, "dispatch")).payload
+
+
+def find_owner(world):
+    """Return the daemon that owns the primary."""
+    reply = world.run(
+        world.call(world.daemons[0], "Status", pb.StatusRequest())
+    )
+    primary = world.fleet.groups[worlds.DATABASE].first_primary
+    for endpoint in reply.endpoints:
+        if endpoint.endpoint == primary:
+            return world.fleet.daemons[endpoint.owner.rpartition("-")[0]]
+    raise AssertionError("the primary has no owner")
+
+
+def find_victim(world, victim):
+    return world.notes["entry"] if victim == "entry" else find_owner(world)
+
+
+def open_anywhere(world, first, **options):
+    """Return a session that may go on at any daemon."""
+    others = world.fleet.daemons.values()
+    return world.fleet.open_session(
+        first, *others, options=client_options.SessionOptions(**options)
+    )
+
+
+@given(parsers.parse("a fleet whose last replica lags {lag:d} milliseconds"))
+def start_with_slow_replica(world, lag):
+    world.start_today(fleets.GroupOptions(slowest_ms=lag))
+
+
+@given(parsers.parse("a fleet whose replicas lag {lag:d} milliseconds"))
+def start_with_slow_replicas(world, lag):
+    world.start_today(fleets.GroupOptions(replication_ms=lag))
+
+
+@given("a fleet behind relays")
+def start_relayed(world):
+    world.start_today(relayed=True)
+
+
+@given("the other replica is frozen")
+def freeze_replica(world):
+    endpoints = world.fleet.groups[worlds.DATABASE].endpoints
+    list(endpoints.values())[1].freeze()
+
+
+@when(
+    parsers.parse(
+        'a session writes on "{first}" and roams to "{second}" {times:d} times'
+    )
+)
+def write_and_roam(world, first, second, times):
+    async def work():
+        read_values = []
+        async with open_anywhere(world, world.fleet.daemons[first]) as session:
+            for number in range(times):
+                await session.roam(world.fleet.daemons[first].caller_address)
+                await execute(session, f"PUT pump {number}")
+                await session.roam(world.fleet.daemons[second].caller_address)
+                answer = await read(session, "pump")
+                read_values.append(answer.payload.decode())
+        return read_values
+
+    world.notes["values"] = world.run(work())
+    world.notes["expected"] = [str(number) for number in range(times)]
+
+
+@then(
+    parsers.parse(
+        'each read through "{name}" returned the session\'s last write'
+    )
+)
+def check_own_writes(world, name):
+    assert world.notes["values"] == world.notes["expected"]
+
+
+@when(
+    parsers.parse(
+        "a session reads history of at most {seconds:d} second"
+        ' through "{name}"'
+    )
+)
+def read_history(world, seconds, name):
+    async def work():
+        async with world.open_session(world.fleet.daemons[name]) as session:
+            # Reports of the frozen replica have to grow old first.
+            await asyncio.sleep(2 * seconds)
+            return await read(session, "pump", staleness=float(seconds))
+
+    world.notes["answer"] = world.run(work())
+
+
+@then("the primary answers")
+def check_primary(world):
+    group = world.fleet.groups[worlds.DATABASE]
+    assert world.notes["answer"].endpoint == group.first_primary
+
+
+@when(parsers.parse('a session writes on "{name}"'))
+def write_once(world, name):
+    async def work():
+        async with world.open_session(world.fleet.daemons[name]) as session:
+            await execute(session, "PUT pump hisses")
+            return session.token
+
+    world.notes["token"] = world.run(work())
+
+
+@when("the primary is killed")
+def kill_primary(world):
+    group = world.fleet.groups[worlds.DATABASE]
+    group.endpoints[group.first_primary].kill()
+
+
+@then(
+    parsers.parse(
+        'the session reads its write through "{name}" within {limit:d} seconds'
+    )
+)
+def check_write_survived(world, name, limit):
+    async def work():
+        daemon = world.fleet.daemons[name]
+        async with world.fleet.open_session(
+            daemon, token=world.notes["token"]
+        ) as session:
+            return await read(session, "pump", "dispatch", timeout=limit)
+
+    assert world.run(work()).payload == b"hisses"
+
+
+@given(
+    parsers.parse(
+        'a session has an open transaction that wrote through "{name}"'
+    )
+)
+def open_transaction(world, name):
+    async def begin():
+        session = open_anywhere(world, world.fleet.daemons[name])
+        await session.start()
+        transaction = session.transaction(worlds.DATABASE, "fault-report")
+        await transaction.__aenter__()
+        await transaction.execute("PUT pump torn")
+        return session, transaction
+
+    world.notes["entry"] = world.fleet.daemons[name]
+    world.notes["transaction"] = world.run(begin())
+
+
+@when(parsers.parse("the {victim} daemon of the transaction is killed"))
+def kill_transaction_daemon(world, victim):
+    process = find_victim(world, victim).process
+    process.kill()
+    world.run(process.wait_exit())
+
+
+@then("the transaction ends as not run")
+def check_transaction_lost(world):
+    session, transaction = world.notes["transaction"]
+
+    async def commit():
+        try:
+            with pytest.raises(errors.FescuestileError) as caught:
+                await transaction.execute("PUT gauge torn")
+            with contextlib.suppress(errors.FescuestileError):
+                await transaction.__aexit__(type(caught.value), None, None)
+        finally:
+            await session.close()
+        return caught.value
+
+    assert isinstance(world.run(commit()), errors.NotRun)
+
+
+@then("nothing of the transaction is seen, and the key can be written")
+def check_nothing_left(world):
+    async def work():
+        async with world.open_session(world.daemons[0]) as session:
+            before = await look_at(session, "pump")
+            await execute(session, "PUT pump whole")
+            after = await look_at(session, "pump")
+            return before, after, await look_at(session, "gauge")
+
+    assert world.run(work()) == (b"", b"whole", b"")
+
+
+@when(
+    parsers.parse(
+        "{count:d} sessions run transactions at once"
+        " and every third rolls back"
+    )
+)
+def run_transactions(world, count):
+    class RollBackError(Exception):
+        pass
+
+    async def transact(number):
+        daemon = world.daemons[number % len(world.daemons)]
+        async with world.open_session(daemon) as session:
+            with contextlib.suppress(RollBackError):
+                async with session.transaction(
+                    worlds.DATABASE, "dispatch"
+                ) as transaction:
+                    for part in ("a", "b", "c"):
+                        await transaction.execute(f"PUT {part}-{number} x")
+                    if number % 3 == 0:
+                        raise RollBackError
+
+    async def work():
+        await asyncio.gather(*(transact(number) for number in range(count)))
+
+    world.run(work())
+    world.notes["count"] = count
+
+
+@then("each committed transaction is whole and no other is seen")
+def check_transactions(world):
+    async def look():
+        async with world.open_session(world.daemons[0]) as session:
+            return {
+                number: [
+                    (
+                        await read(session, f"{part}-{number}", "dispatch")
+                    ).payload
+                    for part in ("a", "b", "c")
+                ]
+                for number in range(world.notes["count"])
+            }
+
+    for number, values in world.run(look()).items():
+        expected = b"" if number % 3 == 0 else b"x"
+        assert values == [expected] * 3, number
+
+
+@when(
+    parsers.parse(
+        "{count:d} sessions read {each:d} answers of"
+        " {kilobytes:d} kilobytes each at once"
+    )
+)
+def read_large(world, count, each, kilobytes):
+    def make_value(key):
+        return (key * (kilobytes * 1000 // len(key) + 1))[: kilobytes * 1000]
+
+    async def work(number):
+        keys = [f"big-{number}-{part}" for part in range(each)]
+        daemon = world.daemons[number % len(world.daemons)]
+        async with world.open_session(daemon) as session:
+            for key in keys:
+                await execute(session, f"PUT {key} {make_value(key)}")
+            answers = await asyncio.gather(
+                *(read(session, key) for key in keys)
+            )
+        return [
+            answer.payload.decode() == make_value(key)
+            for key, answer in zip(keys, answers, strict=True)
+        ]
+
+    async def all_work():
+        return await asyncio.gather(*(work(number) for number in range(count)))
+
+    world.notes["whole"] = world.run(all_work())
+
+
+@then("each answer is the one that was asked for, whole")
+def check_whole(world):
+    for session in world.notes["whole"]:
+        assert all(session)
+
+
+@given("callers write without repeats")
+def start_ledger(world, ledger):
+    world.run(ledger.wait_acknowledged(30))
+
+
+@when("the open connections to the primary go silent")
+def silence_primary(world):
+    plan = world.fleet.groups[worlds.DATABASE].plan
+    ip = plan.endpoints[0].address.rpartition(":")[0]
+    met = world.run(world.fleet.wire.silence(f"{ip}/32"))
+    assert met > 0
+
+
+@when(parsers.parse('daemon "{name}" is killed'))
+def kill_daemon(world, name):
+    world.fleet.daemons[name].process.kill()
+
+
+@then(parsers.parse("writes are acknowledged again within {limit:d} seconds"))
+def check_writes_go_on(world, ledger, limit):
+    world.run(ledger.wait_acknowledged(ledgers.CALLERS * 2, float(limit)))
+
+
+@then("each write's outcome is what its caller was told")
+def check_outcomes(world, ledger):
+    ledger.stop()
+    assert ledger.count(ledgers.Outcome.ACKNOWLEDGED) > 30
+    assert world.run(ledger.find_broken()) == {}
+
+
+@when(parsers.parse('a session adds 1 to a count through "{name}"'))
+def add_in_background(world, name):
+    async def work():
+        async with open_anywhere(
+            world, world.fleet.daemons[name], timeout=15.0
+        ) as session:
+            return await execute(session, "ADD count 1")
+
+    world.notes["entry"] = world.fleet.daemons[name]
+    world.notes["adding"] = world.spawn(work())
+
+
+@when(
+    parsers.parse(
+        "the {victim} daemon of the write is killed before its answer"
+    )
+)
+def kill_writing_daemon(world, victim):
+    process = find_victim(world, victim).process
+    world.run(asyncio.sleep(BEFORE_ANSWER_SECONDS))
+    assert not world.notes["adding"].done()
+    process.kill()
+
+
+@then("the session is answered and the count is 1")
+def check_count_once(world):
+    world.notes["adding"].result(worlds.STEP_TIMEOUT_SECONDS)
+    assert world.run(read_count(world)) == b"1"
+
+
+async def read_count(world):
+    async with world.open_session(world.daemons[0]) as session:
+        return await look_at(session, "count")
+
+
+@when("the same request adds 1 to a count through every daemon at once")
+def add_everywhere(world):
+    async def add(daemon):
+        async with world.open_session(daemon) as session:
+            return await execute(
+                session, "ADD count 1", request_id="deposit-7"
+            )
+
+    async def work():
+        return await asyncio.gather(*(add(d) for d in world.daemons))
+
+    world.notes["answers"] = world.run(work())
+
+
+@then("every daemon gives the same answer and the count is 1")
+def check_same_answer(world):
+    assert {answer.payload for answer in world.notes["answers"]} == {b"1"}
+    assert world.run(read_count(world)) == b"1"
--- a/tests/scenarios/worlds.py
+++ b/tests/scenarios/worlds.py
@@ -60,14 +60,19 @@
         """Run a coroutine in the background; return its future."""
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
-    def start_today(self):
-        """Start platform, one group and four daemons, and declare."""
-        self.run(self._start_today())
+    def start_today(self, options=None, relayed=False):
+        """Start platform, one group and four daemons, and declare.
 
-    async def _start_today(self):
+        :param relayed: daemons reach the endpoints through relays
+        """
+        if relayed:
+            self.run(self.fleet.start_wire())
+        self.run(self._start_today(options or fleets.GroupOptions()))
+
+    async def _start_today(self, options):
         await asyncio.gather(
             self.fleet.start_platform(),
-            self.fleet.start_group(fleets.GroupOptions()),
+            self.fleet.start_group(options),
         )
         await self.fleet.start_daemon("d0", TODAY[0])
         await asyncio.gather(
