--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -20,10 +20,14 @@
 
 @dataclasses.dataclass
 class Traffic:
-    """Messages and bytes that one daemon sent."""
+    """What one daemon sent.
+
+    :ivar entries: copies of entries, pushed or piggy-backed
+    """
 
     messages: int = 0
     octets: int = 0
+    entries: int = 0
 
 
 class Fleet:
@@ -150,6 +154,7 @@
     def _deliver(self, sender: str, send: gossip.Send) -> None:
         traffic = self.traffic[sender]
         traffic.messages += 1
+        traffic.entries += len(getattr(send.message, "entries", ()))
         if self.count_bytes:
             traffic.octets += len(CODEC.encode(send.message))
         if send.to not in self.nodes or self._is_cut(sender, send.to):
--- a/measurements/load.py
+++ b/measurements/load.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import json
+import os
 import sys
 import time
 
@@ -56,13 +57,25 @@
         self._options = options
         self._latencies = latencies.Latencies()
         self._failures = 0
-        self._counts_from = time.monotonic() + WARM_UP_SECONDS
-        self._ends_at = self._counts_from + options.seconds
+        self._counts_from = 0.0
+        self._ends_at = 0.0
 
     async def run(self) -> LoadReport:
-        """Send and report."""
-        count = self._options.sessions
-        await asyncio.gather(*(self._run_session(n) for n in range(count)))
+        """Open all sessions, send and report."""
+        opened = [
+            sessions.Session([self._options.address], f"{os.getpid()}-{n}")
+            for n in range(self._options.sessions)
+        ]
+        await asyncio.gather(*(session.start() for session in opened))
+        self._counts_from = time.monotonic() + WARM_UP_SECONDS
+        self._ends_at = self._counts_from + self._options.seconds
+        await asyncio.gather(
+            *(
+                self._run_session(session, number)
+                for number, session in enumerate(opened)
+            )
+        )
+        await asyncio.gather(*(session.close() for session in opened))
         return LoadReport(
             statements=self._latencies.count,
             failures=self._failures,
@@ -71,20 +84,19 @@
             p99=self._latencies.get_percentile(99) * MILLISECONDS,
         )
 
-    async def _run_session(self, number: int) -> None:
+    async def _run_session(
+        self, session: sessions.Session, number: int
+    ) -> None:
         options = self._options
         pause = options.sessions / options.rate if options.rate else 0.0
         due = time.monotonic() + pause * number / options.sessions
-        async with sessions.Session(
-            [options.address], f"caller-{number}"
-        ) as session:
-            turn = number
-            while time.monotonic() < self._ends_at:
-                if pause:
-                    await asyncio.sleep(max(0.0, due - time.monotonic()))
-                    due += pause
-                await self._send(session, turn)
-                turn += 1
+        turn = number
+        while time.monotonic() < self._ends_at:
+            if pause:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                due += pause
+            await self._send(session, turn)
+            turn += 1
 
     async def _send(self, session: sessions.Session, turn: int) -> None:
         writes = self._options.writes
--- a/measurements/slope_gossip.py
+++ b/measurements/slope_gossip.py
@@ -79,13 +79,14 @@
         )
 
 
-class PlanSpread(slopes.SlopeMeasurement):
-    """What one changed plan costs, by members."""
+class EntrySpread(slopes.SlopeMeasurement):
+    """How one changed entry spreads, by members."""
 
-    name = "slope_gossip_plan"
-    description = "Spread of one plan revision, by members."
+    name = "slope_gossip_entry"
+    description = "Spread of one changed plan or member, by members."
     size_name = "members, in 4 zones"
-    sizes = (4, 100, 200, 400)
+    logarithmic = True
+    sizes = (8, 50, 100, 200, 400)
 
     def measure(self, size: int, seed: int) -> slopes.Values:
         """Announce one revision and count what it adds."""
@@ -94,47 +95,21 @@
             next(iter(builders.build_revisions(1).values()))
         )
         first = next(iter(fleet.nodes))
-        added = measure_added(fleet, lambda: fleet.announce(first, entry))
-        reached = [
-            fleet.changed_at[(name, entry.key)]
-            for name in fleet.nodes
-            if name != first
-        ]
-        began = fleet.changed_at[(first, entry.key)]
+        fleet.traffic.clear()
+        spent = slopes.measure_once(lambda: fleet.run(SPREAD_SECONDS))
+        fleet.announce(first, entry)
+        more = slopes.measure_once(lambda: fleet.run(SPREAD_SECONDS))
+        copies = sum(traffic.entries for traffic in fleet.traffic.values())
+        reached = [fleet.changed_at[(name, entry.key)] for name in fleet.nodes]
         return {
-            "bytes sent per daemon": added / size,
-            "seconds until in force everywhere": max(reached) - began,
+            "copies sent per daemon": copies / size,
+            "seconds until in force everywhere": max(reached) - min(reached),
+            "CPU µs per daemon, without links": (more - spent)
+            / size
+            * slopes.MICROSECONDS,
         }
 
 
-class MemberSpread(slopes.SlopeMeasurement):
-    """What one daemon that leaves costs the others, by members."""
-
-    name = "slope_gossip_member"
-    description = "Spread of one change of a member, by members."
-    size_name = "members, in 4 zones"
-    sizes = (4, 100, 200, 400)
-
-    def measure(self, size: int, seed: int) -> slopes.Values:
-        """Let one daemon leave and count what it adds."""
-        fleet = build_settled(seed, size, ZONES)
-        last = list(fleet.nodes)[-1]
-        added = measure_added(fleet, lambda: fleet.leave(last))
-        return {"bytes sent per daemon": added / size}
-
-
-def measure_added(fleet: fleets.Fleet, change: slopes.Work) -> float:
-    """Return the bytes that a change adds to those of a quiet fleet."""
-    fleet.count_bytes = True
-    fleet.traffic.clear()
-    fleet.run(SPREAD_SECONDS)
-    quiet = count_octets(fleet)
-    fleet.traffic.clear()
-    change()
-    fleet.run(SPREAD_SECONDS)
-    return float(count_octets(fleet) - quiet)
-
-
 class JoinByPlans(slopes.SlopeMeasurement):
     """What a daemon that starts takes from a peer, by plans."""
 
@@ -171,7 +146,6 @@
     return (
         QuietGossip(),
         QuietBridges(),
-        PlanSpread(),
-        MemberSpread(),
+        EntrySpread(),
         JoinByPlans(),
     )
--- /dev/null
+++ b/measurements/slope_links.py
@@ -0,0 +1,176 @@
+"""Slopes of the links between daemons, over real websockets."""
+
+import asyncio
+import collections.abc
+import contextlib
+import socket
+import time
+import tracemalloc
+
+from websockets.asyncio import client as websockets_client
+
+from fescuestile import codec
+from fescuestile import gossip_messages
+from fescuestile import link_messages
+from fescuestile import members
+from fescuestile import requests
+from fescuestile_daemon import links
+from measurements import builders
+from measurements import frame
+from measurements import slopes
+
+HOST = "127.0.0.1"
+BYTES_PER_KIBIBYTE = 1024
+PING = gossip_messages.Ping(sequence=123456, digest=2**63)
+POLL_SECONDS = 0.001
+FORWARD = link_messages.Forward(
+    id=1234567,
+    endpoint="werkstatt-db-0001-1",
+    term=3,
+    remaining=4.2,
+    request=requests.Request(
+        request_id="0f3c5a6e9b7d4c1e8a2f-000123",
+        caller="station-1234",
+        database="werkstatt-db-0001",
+        kind="history",
+        level=1,
+        staleness=5.0,
+        deadline=0.0,
+        repeatable=True,
+        action=requests.Action.STATEMENT,
+        text="GET pump-1234",
+        read_only=True,
+    ),
+)
+
+
+class Counter:
+    """Counts the messages that arrive."""
+
+    def __init__(self) -> None:
+        """Start at none."""
+        self.count = 0
+
+    async def take(self, peer: str, message: object) -> None:
+        """Count a message."""
+        self.count += 1
+
+
+@contextlib.asynccontextmanager
+async def serve_links(
+    own: members.Member,
+) -> collections.abc.AsyncIterator[links.Links]:
+    """Run the links of one daemon on a port of the OS."""
+    served = links.Links(own, HOST)
+    served.add_classes(gossip_messages.CLASSES)
+    _, port = own.link_address.split(":")
+    await served.start(HOST, int(port))
+    try:
+        yield served
+    finally:
+        await served.close()
+
+
+def build_local_members(count: int) -> list[members.Member]:
+    """Return members with free ports of this machine."""
+    return [
+        members.Member(
+            f"host-{number:04}", "z", f"{HOST}:{find_port()}", f"{HOST}:1"
+        )
+        for number in range(count)
+    ]
+
+
+def find_port() -> int:
+    """Return a free port of the OS."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
+class FramesByCount(slopes.SlopeMeasurement):
+    """Processor time of frames, both ends of a link together."""
+
+    name = "slope_links_frames"
+    description = "Frames over a link, by their number."
+    size_name = "frames"
+    sizes = (500, 1000, 2000, 4000)
+
+    def measure(self, size: int, seed: int) -> slopes.Values:
+        """Send frames one after the other."""
+        return {
+            "CPU ms, pings": asyncio.run(self._measure(size, PING)),
+            "CPU ms, forwards": asyncio.run(self._measure(size, FORWARD)),
+        }
+
+    async def _measure(self, size: int, message: object) -> float:
+        near, far = build_local_members(2)
+        counter = Counter()
+        async with serve_links(near) as sender, serve_links(far) as receiver:
+            receiver.add_handler(type(message), counter.take)
+            await sender.send(far, message)
+            spent = []
+            for _ in range(slopes.REPEATS):
+                spent.append(
+                    await self._send(size, sender, far, message, counter)
+                )
+        return min(spent) * slopes.MILLISECONDS
+
+    async def _send(
+        self,
+        size: int,
+        sender: links.Links,
+        far: members.Member,
+        message: object,
+        counter: Counter,
+    ) -> float:
+        counter.count = 0
+        began = time.process_time()
+        for _ in range(size):
+            await sender.send(far, message)
+            await asyncio.sleep(0)
+        while counter.count < size:
+            await asyncio.sleep(POLL_SECONDS)
+        return time.process_time() - began
+
+
+class MemoryByLinks(slopes.SlopeMeasurement):
+    """Memory of a daemon's open links."""
+
+    name = "slope_links_memory"
+    description = "Memory of open links, by their number."
+    size_name = "links"
+    sizes = (4, 100, 200, 400)
+
+    def measure(self, size: int, seed: int) -> slopes.Values:
+        """Open links to one daemon; each end counts for half."""
+        return {"memory KiB": asyncio.run(self._measure(size))}
+
+    async def _measure(self, size: int) -> float:
+        own = build_local_members(1)[0]
+        greetings = codec.Codec(link_messages.CLASSES)
+        async with serve_links(own):
+            tracemalloc.start()
+            before, _ = tracemalloc.get_traced_memory()
+            opened = []
+            for member in builders.build_members(size):
+                peer = await websockets_client.connect(
+                    f"ws://{own.link_address}",
+                    compression=None,
+                    ping_interval=None,
+                )
+                await peer.send(
+                    greetings.encode(link_messages.Greeting(member))
+                )
+                await peer.recv()
+                opened.append(peer)
+            after, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            await asyncio.gather(*(peer.close() for peer in opened))
+        return (after - before) / 2 / BYTES_PER_KIBIBYTE
+
+
+def create_measurements() -> tuple[frame.Measurement, ...]:
+    """Return the measurements of this module."""
+    return (FramesByCount(), MemoryByLinks())
--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import gc
+import math
 import time
 
 from matplotlib import figure
@@ -35,12 +36,19 @@
     :ivar intercept: quantity at size 0
     :ivar residual: largest distance of a point from the line, as a share
         of the largest value
+    :ivar logarithmic: the line is over the size's logarithm to base 2
     """
 
     quantity: str
     slope: float
     intercept: float
     residual: float
+    logarithmic: bool = False
+
+    def predict(self, size: float) -> float:
+        """Return the line's value at a size."""
+        place = math.log2(size) if self.logarithmic else size
+        return self.intercept + self.slope * place
 
 
 Values = collections.abc.Mapping[str, float]
@@ -52,10 +60,12 @@
 
     :cvar size_name: what the size counts
     :cvar sizes: sizes to run at, four or more
+    :cvar logarithmic: fit against the size's logarithm to base 2
     """
 
     size_name: str
     sizes: tuple[int, ...]
+    logarithmic: bool = False
 
     @abc.abstractmethod
     def measure(self, size: int, seed: int) -> Values:
@@ -68,12 +78,10 @@
         fits: list[FitRow] = []
         for quantity in measured[0][1]:
             values = [found[quantity] for _, found in measured]
-            fit = fit_line(quantity, self.sizes, values)
+            fit = fit_line(quantity, self.sizes, values, self.logarithmic)
             fits.append(fit)
             points += [
-                PointRow(
-                    quantity, size, value, fit.intercept + fit.slope * size
-                )
+                PointRow(quantity, size, value, fit.predict(size))
                 for size, value in zip(self.sizes, values, strict=True)
             ]
         return frame.Report(self.name, seed, (*points, *fits))
@@ -122,10 +130,14 @@
     quantity: str,
     sizes: collections.abc.Sequence[float],
     values: collections.abc.Sequence[float],
+    logarithmic: bool = False,
 ) -> FitRow:
     """Fit a straight line by least squares."""
-    slope, intercept = numpy.polyfit(sizes, values, 1)
-    fitted = numpy.polyval((slope, intercept), sizes)
+    places = numpy.log2(sizes) if logarithmic else numpy.asarray(sizes)
+    slope, intercept = numpy.polyfit(places, values, 1)
+    fitted = numpy.polyval((slope, intercept), places)
     scale = max(map(abs, values)) or 1.0
     residual = float(numpy.max(numpy.abs(fitted - values))) / scale
-    return FitRow(quantity, float(slope), float(intercept), residual)
+    return FitRow(
+        quantity, float(slope), float(intercept), residual, logarithmic
+    )
