Send metrics, name requests in the log, write the docs

A first filter of the entry daemon counts outcomes, times requests and binds the request's id to the log; a sampler sets gauges.

--- /dev/null
+++ b/measurements/capacity_page.py
@@ -0,0 +1,127 @@
+"""Tables of the capacity page."""
+
+import collections.abc
+import itertools
+
+from measurements import capacity_bad_hours
+from measurements import capacity_lines
+from measurements import capacity_roles
+from measurements import slope_file
+from measurements import slopes
+
+BEGIN = "<!-- tables: written by python -m measurements.capacity page -->"
+END = "<!-- end of tables -->"
+HEADER = (
+    "| when | figure | value | budget | verdict | from | mechanism | state |\n"
+    "| --- | --- | ---: | ---: | --- | --- | --- | --- |"
+)
+
+
+def render(recorded: slope_file.SlopeFile) -> str:
+    """Return all tables in Markdown."""
+    lines = list_all(recorded)
+    parts = [
+        _render_role(role, list(group))
+        for role, group in itertools.groupby(lines, key=lambda line: line.role)
+    ]
+    over = [line for line in lines if line.verdict == "OVER"]
+    return "\n\n".join([*parts, _render_over(over), _render_slopes(recorded)])
+
+
+def replace_tables(page: str, tables: str) -> str:
+    """Return the page with its tables replaced.
+
+    :raises ValueError: the page has no markers
+    """
+    head, rest = page.split(BEGIN)
+    _, tail = rest.split(END)
+    return f"{head}{BEGIN}\n\n{tables}\n\n{END}{tail}"
+
+
+def read_tables(page: str) -> str:
+    """Return the tables that a page holds."""
+    return page.split(BEGIN)[1].split(END)[0].strip()
+
+
+def _render_role(
+    role: str, lines: collections.abc.Sequence[capacity_lines.Line]
+) -> str:
+    rows = [_render_line(line) for line in lines]
+    return "\n".join([f"### {role}", "", HEADER, *rows])
+
+
+def _render_line(line: capacity_lines.Line) -> str:
+    budget = "" if line.budget is None else _format(line.budget, line.unit)
+    cells = (
+        line.when,
+        line.figure,
+        _format(line.value, line.unit),
+        budget,
+        line.verdict,
+        line.basis,
+        line.mechanism,
+        line.state,
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def _render_over(
+    lines: collections.abc.Sequence[capacity_lines.Line],
+) -> str:
+    rows = [
+        f"| {line.role} | {line.when} | {line.figure} "
+        f"| {_format(line.value, line.unit)} "
+        f"| {_format(line.budget or 0.0, line.unit)} | {line.remedy} |"
+        for line in lines
+    ]
+    title = "### Over the budget, and what would bring it under"
+    header = (
+        "| role | when | figure | value | budget | remedy |\n"
+        "| --- | --- | --- | ---: | ---: | --- |"
+    )
+    return "\n".join([title, "", header, *rows])
+
+
+def _render_slopes(recorded: slope_file.SlopeFile) -> str:
+    header = (
+        "| slope | size | quantity | line | worst residual | sizes |\n"
+        "| --- | --- | --- | --- | ---: | --- |"
+    )
+    rows = [
+        f"| `{name}` | {slope.size_name} | {fit.quantity} "
+        f"| {_describe_fit(fit)} | {fit.residual:.1%} "
+        f"| {_list_sizes(slope, fit)} |"
+        for name, slope in sorted(recorded.recorded.items())
+        for fit in slope.fits
+    ]
+    return "\n".join(["### Slopes", "", header, *rows])
+
+
+def _describe_fit(fit: slopes.FitRow) -> str:
+    size = "log2(size)" if fit.logarithmic else "size"
+    return f"{fit.intercept:.4g} + {fit.slope:.4g} x {size}"
+
+
+def _list_sizes(slope: slope_file.RecordedSlope, fit: slopes.FitRow) -> str:
+    return ", ".join(
+        f"{point.size:g}"
+        for point in slope.points
+        if point.quantity == fit.quantity
+    )
+
+
+def _format(value: float, unit: str) -> str:
+    return f"{value:.3g} {unit}".strip()
+
+
+def list_all(
+    recorded: slope_file.SlopeFile,
+) -> list[capacity_lines.Line]:
+    """Return all lines, by role."""
+    lines = [
+        *capacity_roles.list_lines(recorded),
+        *capacity_bad_hours.list_lines(recorded),
+    ]
+    return sorted(
+        lines, key=lambda line: capacity_lines.ROLES.index(line.role)
+    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -17,9 +17,13 @@
 from fescuestile_daemon import endpoint_adapter
 from fescuestile_daemon import entry
 from fescuestile_daemon import filters
+from fescuestile_daemon import gauges
 from fescuestile_daemon import group_board
 from fescuestile_daemon import groups_actor
 from fescuestile_daemon import links
+from fescuestile_daemon import measure_filter
+from fescuestile_daemon import metric_names
+from fescuestile_daemon import metrics
 from fescuestile_daemon import owner
 from fescuestile_daemon import published
 from fescuestile_daemon import report_buffer
@@ -62,6 +66,8 @@
         self.own = make_member(options.daemon, state)
         self.time_source = clock.SystemClock()
         self.loop = asyncio.get_running_loop()
+        self.metrics = metrics.create_sink(options.statsd)
+        self.gauges = gauges.GaugeSampler(self.metrics, self._list_gauges())
         self.membership = published.Published(
             members.MembershipSnapshot(self.own, (self.own,))
         )
@@ -115,6 +121,8 @@
         """Listen for other daemons and begin the work at endpoints."""
         ip, port = addresses.split_address(self.options.daemon.link_address)
         await self.links.start(ip, port)
+        await self.metrics.start()
+        self.gauges.start()
         self.push.start()
         self.interest.start()
         self.owner.start()
@@ -143,6 +151,8 @@
         await self.owner.close()
         await self.links.close()
         self.groups.stop()
+        await self.gauges.close()
+        await self.metrics.close()
         log.info("daemon stopped", id=self.own.id)
 
     def _make_owner_parts(self) -> owner.OwnerParts:
@@ -164,6 +174,7 @@
     def _make_caller_parts(self) -> caller_server.CallerParts:
         chain = filters.create_chain(
             (
+                measure_filter.MeasureFilter(self.metrics, self.time_source),
                 entry.SessionFilter(),
                 entry.RouteFilter(
                     self.board,
@@ -183,6 +194,20 @@
             time_source=self.time_source,
         )
 
+    def _list_gauges(self) -> gauges.Gauges:
+        return {
+            metric_names.SESSIONS_OPEN: lambda: self.callers.session_count,
+            metric_names.LINKS_OPEN: lambda: self.links.count,
+            metric_names.MEMBERS_SERVING: lambda: len(
+                self.membership.get().list_serving()
+            ),
+            metric_names.DATABASES: lambda: len(self.plans.get()),
+            metric_names.DATABASES_WATCHED: lambda: len(self.owner.groups),
+            metric_names.ENDPOINTS_OWNED: lambda: sum(
+                len(group.owned) for group in self.owner.groups.values()
+            ),
+        }
+
     def _assign_later(self, assignment: groups_actor.Assignment) -> None:
         self.loop.call_soon_threadsafe(self.owner.assign, assignment)
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -137,6 +137,11 @@
             await link.socket.close()
         await self._tasks.close()
 
+    @property
+    def count(self) -> int:
+        """Number of links that stand."""
+        return len(self._links)
+
     def is_connected(self, member_id: str) -> bool:
         """Tell whether a link to a daemon stands."""
         return member_id in self._links
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -6,6 +6,8 @@
 
 from fescuestile_daemon import metrics
 from fescuestile_daemon import settings
+from tests import endpoint_groups
+from tests import fleets
 
 
 @pytest.fixture
@@ -48,3 +50,20 @@
     sink.count("statements")
     await sink.close()
     assert isinstance(sink, metrics.NullSink)
+
+
+async def test_a_daemon_sends_outcomes_and_gauges(server):
+    port = server.getsockname()[1]
+    statsd = {"address": f"127.0.0.1:{port}", "prefix": "p", "interval": "1h"}
+    async with endpoint_groups.serve_group() as group:
+        plan = fleets.build_group_plan(group)
+        async with (
+            fleets.serve_daemons(1, plan, statsd=statsd) as daemons,
+            fleets.open_session(daemons[0]) as session,
+        ):
+            await session.execute(fleets.DATABASE, "fault-report", "PUT a 1")
+            daemons[0].gauges.sample()
+    lines = server.recv(1500).decode().splitlines()
+    assert "p.requests.answered.primary:1|c" in lines
+    assert "p.sessions.open:1|g" in lines
+    assert "p.endpoints.owned:3|g" in lines
