Put the settings that did nothing to use, or take them away

limits.sessions, timing.probe_interval and timing.probe_timeout were read and checked but used by nothing (found by searching for each key). The first refuses sessions above it as not run (the new test opened a second session before), the others pace the heartbeats of the endpoint watch in place of constants of the same values. daemon.region and timing.suspicion had no reader and are gone.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
@@ -1,7 +1,6 @@
 """Callers' border: one gRPC stream is one session."""
 
 import asyncio
-import collections.abc
 import dataclasses
 
 import grpc
@@ -15,6 +14,7 @@
 from fescuestile_api import fescuestile_pb2 as pb
 from fescuestile_api import models
 from fescuestile_daemon import caller_frames
+from fescuestile_daemon import caller_handler
 from fescuestile_daemon import entry
 from fescuestile_daemon import filters
 from fescuestile_daemon import group_board
@@ -26,12 +26,7 @@
 
 STEP = "session"
 STREAM_SEQUENCE = 0
-
-Frames = collections.abc.AsyncIterator[bytes]
-ServeStream = collections.abc.Callable[
-    [Frames, "grpc.aio.ServicerContext[bytes, bytes]"],
-    collections.abc.Awaitable[None],
-]
+OPEN_RETRY_SECONDS = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,7 +65,9 @@
                 ),
             )
         )
-        self._server.add_generic_rpc_handlers((_make_handler(self._serve),))
+        self._server.add_generic_rpc_handlers(
+            (caller_handler.make_handler(self._serve),)
+        )
         try:
             self._server.add_insecure_port(address)
         except RuntimeError as error:
@@ -108,7 +105,7 @@
 
     async def _serve(
         self,
-        frames: Frames,
+        frames: caller_handler.Frames,
         context: "grpc.aio.ServicerContext[bytes, bytes]",
     ) -> None:
         stream = CallerStream(self, context)
@@ -141,7 +138,7 @@
         self._tracker: sessions.SessionTracker | None = None
         self._transactions: dict[str, requests.Request] = {}
 
-    async def serve(self, frames: Frames) -> None:
+    async def serve(self, frames: caller_handler.Frames) -> None:
         """Read requests and write answers until the caller ends."""
         writer = asyncio.create_task(self._write())
         try:
@@ -213,15 +210,9 @@
             return True
         ring = self._parts.keys.get()
         if ring is None:
-            self._fail(
-                STREAM_SEQUENCE,
-                errors.NotRun(
-                    message="the daemon has no signing keys yet",
-                    step=STEP,
-                    retry_after=0.2,
-                ),
-            )
-            return True
+            return self._refuse_open("the daemon has no signing keys yet")
+        if self._server.session_count > self._parts.limits.sessions:
+            return self._refuse_open("the daemon has its limit of sessions")
         caller = opened.ok.caller
         session = sessions.Session(caller)
         if opened.ok.token:
@@ -235,6 +226,16 @@
         self._outbox.put_nowait(self._describe_opened())
         return True
 
+    def _refuse_open(self, message: str) -> bool:
+        error = errors.NotRun(
+            message=message,
+            step=STEP,
+            field="sessions",
+            retry_after=OPEN_RETRY_SECONDS,
+        )
+        self._fail(STREAM_SEQUENCE, error)
+        return True
+
     def _describe_opened(self) -> pb.DaemonFrame:
         membership = self._parts.membership.get()
         others = [
@@ -384,17 +385,3 @@
 
 def _refuse(message: str, field: str) -> errors.InvalidInput:
     return errors.InvalidInput(message=message, step=STEP, field=field)
-
-
-def _make_handler(
-    serve: ServeStream,
-) -> "grpc.GenericRpcHandler[bytes, bytes]":
-    """Return a handler that leaves decoding to the border models.
-
-    So a malformed frame is answered on its stream and ends nothing.
-    """
-    service = pb.DESCRIPTOR.services_by_name["CallerService"]
-    return grpc.method_handlers_generic_handler(
-        service.full_name,
-        {"Session": grpc.stream_stream_rpc_method_handler(serve)},
-    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/group_watch.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/group_watch.py
@@ -10,14 +10,13 @@
 from fescuestile import plans
 from fescuestile import ports
 from fescuestile import positions
+from fescuestile_daemon import settings
 
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REDIAL_DELAY_SECONDS = 0.2
-HEARTBEAT_SECONDS = 0.25
 CHASE_SECONDS = 1.0
-HEARTBEAT_TIMEOUT_SECONDS = 0.5
 
 Observer = collections.abc.Callable[
     [str, endpoint_messages.Report, float], None
@@ -37,12 +36,12 @@
         dialer: ports.EndpointDialer,
         time_source: clock.Clock,
         observe: Observer,
-        report_interval: float,
+        timing: settings.TimingOptions,
     ) -> None:
         """Prepare a watch.
 
         :param observe: called with database, report and its time
-        :param report_interval: least seconds between two reports
+        :param timing: pace of heartbeats and reports
         """
         self.database = database
         self.endpoint = endpoint
@@ -51,7 +50,7 @@
         self._dialer = dialer
         self._clock = time_source
         self._observe = observe
-        self._interval = report_interval
+        self._timing = timing
         self._task: asyncio.Task[None] | None = None
         self._wanted = positions.START
         self._chaser: asyncio.Task[None] | None = None
@@ -119,15 +118,17 @@
     async def _read(self, connection: ports.EndpointConnection) -> None:
         beats = asyncio.create_task(self._beat(connection))
         try:
-            async for report in connection.subscribe(self._interval):
+            async for report in connection.subscribe(
+                self._timing.report_interval
+            ):
                 self._take(report)
         finally:
             beats.cancel()
 
     async def _beat(self, connection: ports.EndpointConnection) -> None:
         while True:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-            result = await connection.inspect(HEARTBEAT_TIMEOUT_SECONDS)
+            await asyncio.sleep(self._timing.probe_interval)
+            result = await connection.inspect(self._timing.probe_timeout)
             if result.is_error():
                 log.warning(
                     "endpoint silent",
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -267,7 +267,7 @@
                     self._parts.dialer,
                     self._parts.time_source,
                     self._observe,
-                    self._parts.timing.report_interval,
+                    self._parts.timing,
                 )
                 watch.start()
                 self._watches[key] = watch
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
@@ -29,7 +29,6 @@
 
     :ivar name: host name in logs, metrics and status
     :ivar zone: availability zone
-    :ivar region: region of the zone, or empty when there is one
     :ivar ip: IP that outgoing connections bind to
     :ivar caller_address: ``IP:port`` for callers
     :ivar link_address: ``IP:port`` for links from other daemons
@@ -44,7 +43,6 @@
 
     name: units.Name
     zone: units.Name
-    region: typing.Literal[""] | units.Name = ""
     ip: units.Ip
     caller_address: units.Address
     link_address: units.Address
@@ -127,7 +125,6 @@
 
     :ivar probe_interval: between two heartbeats to an endpoint
     :ivar probe_timeout: until a heartbeat counts as unanswered
-    :ivar suspicion: silence after which an endpoint is suspected
     :ivar report_interval: least time between two endpoint reports
     :ivar gossip_interval: between two rounds of gossip
     :ivar member_suspicion: from suspicion of a daemon to its death
@@ -135,9 +132,8 @@
     :ivar failover_step_timeout: for one step of a failover
     """
 
-    probe_interval: units.Duration = 0.2
+    probe_interval: units.Duration = 0.25
     probe_timeout: units.Duration = 0.5
-    suspicion: units.Duration = 1.0
     report_interval: units.Duration = 0.02
     gossip_interval: units.Duration = 0.2
     member_suspicion: units.Duration = 1.0
--- a/tests/integration/test_borders.py
+++ b/tests/integration/test_borders.py
@@ -7,7 +7,10 @@
 import pytest
 from websockets.asyncio import client as websockets_client
 
+from fescuestile import errors
 from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
 from tests import endpoint_groups
 from tests import fleets
 
@@ -87,3 +90,18 @@
     writer.close()
     await check_service(daemons[0])
     await check_service(daemons[1])
+
+
+async def test_sessions_over_the_limit_are_refused():
+    async with endpoint_groups.serve_group() as group:
+        plan = fleets.build_group_plan(group)
+        async with (
+            fleets.serve_daemons(1, plan, limits={"sessions": 1}) as daemons,
+            fleets.open_session(daemons[0]),
+        ):
+            address = daemons[0].options.daemon.caller_address
+            options = client_options.SessionOptions(timeout=0.3)
+            session = client_session.Session([address], "c", options=options)
+            with pytest.raises(errors.NotRun):
+                await session.start()
+            await session.close()
