Give each test process a loopback IP of its own

Cause: a daemon's port was free when the test asked the OS for it and taken by another test process when the daemon listened (one error in a run beside others: the link address was in use). Ruled out: a leak inside the test, which closes its daemons. On an IP of its own no other process can take the port.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import os
 import socket
 
 from fescuestile import members
@@ -13,13 +14,18 @@
 from fescuestile_daemon import settings
 from fescuestile_standins import endpoint_server
 from tests import builders
-from tests import endpoint_groups
 
 DATABASE = "werkstatt-db"
 KEYS = sessions.KeyRing(sessions.SigningKey("k1", b"0123456789abcdef"))
 
 
-def find_port(ip: str = endpoint_groups.HOST) -> int:
+def choose_host() -> str:
+    """Return a loopback IP that test processes running now don't share."""
+    high, low = divmod(os.getpid() % (100 * 250), 250)
+    return f"127.{high + 100}.{low + 1}.1"
+
+
+def find_port(ip: str) -> int:
     """Return a free port of the OS."""
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -31,14 +37,14 @@
     number: int, sections=None, **daemon_changes
 ) -> settings.Settings:
     """Return the settings of a daemon on this machine."""
-    host = endpoint_groups.HOST
+    host = choose_host()
     options = {
         "name": f"host-{number}",
         "zone": builders.ZONES[(number - 1) % len(builders.ZONES)],
         "ip": host,
-        "caller_address": f"{host}:{find_port()}",
-        "link_address": f"{host}:{find_port()}",
-        "operator_address": f"{host}:{find_port()}",
+        "caller_address": f"{host}:{find_port(host)}",
+        "link_address": f"{host}:{find_port(host)}",
+        "operator_address": f"{host}:{find_port(host)}",
     }
     return settings.Settings.model_validate(
         {
