Run fewer at a time only where a trial shows that it costs nothing

Ruled out on the way: judging by the moving mean (it lags), and by a yardstick that moves during the trial.

--- a/packages/fescuestile/src/fescuestile/concurrency.py
+++ b/packages/fescuestile/src/fescuestile/concurrency.py
@@ -9,9 +9,13 @@
 class ConcurrencyOptions:
     """How the limit follows the service time.
 
-    :ivar tolerance: slowdown against the usual that lowers the limit
-    :ivar decrease: factor of the limit at each lowering
+    :ivar tolerance: slowdown against the usual that calls for a trial
+    :ivar decrease: factor of the limit in a trial
     :ivar increase: statements added for each full round in good time
+    :ivar trial_rounds: times that a trial fills its limit
+    :ivar hold_samples: statements between a vain trial and the next
+    :ivar kept_throughput: share of the throughput that a lower limit must
+        keep to stay
     :ivar recent_weight: weight of a new sample in the recent slowdown
     :ivar usual_weight: weight of a new sample in the usual service time
     """
@@ -19,15 +23,51 @@
     tolerance: float = 2.0
     decrease: float = 0.7
     increase: float = 0.25
+    trial_rounds: int = 4
+    hold_samples: int = 200
+    kept_throughput: float = 0.75
     recent_weight: float = 0.2
     usual_weight: float = 0.005
 
 
+class _Mean:
+    """Mean of slowdowns."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._total = 0.0
+
+    def add(self, value: float) -> None:
+        self.count += 1
+        self._total += value
+
+    def get(self) -> float:
+        return self._total / self.count
+
+
+@dataclasses.dataclass(slots=True)
+class _Trial:
+    """A lower limit that is tried out.
+
+    :ivar limit: limit before
+    :ivar slowdown: mean slowdown before
+    :ivar skip: statements to leave out, started under the limit before
+    """
+
+    limit: float
+    slowdown: float
+    skip: int
+    mean: _Mean = dataclasses.field(default_factory=_Mean)
+
+
 class ConcurrencyLimit:
-    """Limit that shrinks while an endpoint answers slower than usual.
+    """Limit that shrinks while running less at a time costs nothing.
 
-    Each kind is compared with its own usual service time, so a change in
-    the mix of kinds is no slowdown. A lasting change becomes the usual.
+    When an endpoint answers slower than usual, fewer run for a trial. The
+    lower limit stays if the endpoint then answers as much faster, so that
+    the statements were only waiting on each other; else it was slow for
+    another reason, and the limit comes back. Each kind is compared with its
+    own usual service time; a lasting change becomes the usual.
     """
 
     def __init__(
@@ -43,7 +83,10 @@
         self._options = options or ConcurrencyOptions()
         self._usual: dict[str, float] = {}
         self._slowdown = 1.0
-        self._wait_samples = 0
+        self._slow = _Mean()
+        self._trial: _Trial | None = None
+        # Statements until there may be another trial.
+        self._pause = 0
 
     @property
     def limit(self) -> int:
@@ -51,13 +94,16 @@
         return max(1, int(self._limit + 1e-9))
 
     def set_cap(self, cap: int) -> None:
-        """Change the cap.
+        """Change the cap and start from it.
 
         :param cap: statements at a time
         """
-        grown = cap > self._cap
-        self._cap = cap
-        self._limit = float(cap) if grown else min(self._limit, float(cap))
+        if cap != self._cap:
+            self._cap = cap
+            self._limit = float(cap)
+            self._trial = None
+            self._slow = _Mean()
+            self._pause = 0
 
     def observe(self, kind: str, seconds: float) -> None:
         """Take the service time of a statement that ended.
@@ -70,17 +116,39 @@
         usual = self._usual.get(kind, seconds)
         slowdown = seconds / usual
         self._slowdown += options.recent_weight * (slowdown - self._slowdown)
-        self._usual[kind] = usual + options.usual_weight * (seconds - usual)
-        self._adjust()
-
-    def _adjust(self) -> None:
-        if self._slowdown <= self._options.tolerance:
-            step = self._options.increase / self.limit
+        if self._trial is None and not self._slow.count:
+            # Before and during a trial the yardstick stays the same.
+            usual += options.usual_weight * (seconds - usual)
+        self._usual[kind] = usual
+        if self._trial is not None:
+            self._try_out(self._trial, slowdown)
+        elif self._slowdown <= options.tolerance:
+            self._slow = _Mean()
+            step = options.increase / self.limit
             self._limit = min(float(self._cap), self._limit + step)
+        elif self._pause:
+            self._pause -= 1
+        elif self.limit > 1:
+            self._slow.add(slowdown)
+            if self._slow.count >= options.trial_rounds * self.limit:
+                self._start_trial()
+
+    def _start_trial(self) -> None:
+        self._trial = _Trial(self._limit, self._slow.get(), self.limit)
+        self._slow = _Mean()
+        self._limit = max(1.0, self._limit * self._options.decrease)
+
+    def _try_out(self, trial: _Trial, slowdown: float) -> None:
+        if trial.skip:
+            trial.skip -= 1
             return
-        # One lowering a round: its effect must show before the next.
-        if self._wait_samples:
-            self._wait_samples -= 1
+        trial.mean.add(slowdown)
+        if trial.mean.count < self._options.trial_rounds * self.limit:
             return
-        self._limit = max(1.0, self._limit * self._options.decrease)
-        self._wait_samples = self.limit
+        self._trial = None
+        faster = trial.slowdown / trial.mean.get()
+        before = max(1, int(trial.limit + 1e-9))
+        kept = faster * self.limit / before
+        if kept < self._options.kept_throughput:
+            self._limit = trial.limit
+            self._pause = self._options.hold_samples
