--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -20,7 +20,6 @@
 from fescuestile import plans
 from fescuestile import rank_shares
 from fescuestile import requests
-from fescuestile import service_times
 
 STEP = "admit"
 MIN_RETRY_AFTER_SECONDS = 0.01
@@ -44,6 +43,7 @@
         held while work travels to the endpoint and back
     :ivar wait_margin: factor of the expected wait that a deadline allows
     :ivar service_margin: factor of the mean service time, likewise
+    :ivar service_weight: weight of a new sample in the service time
     :ivar load_window: seconds over which a rank's load is averaged
     :ivar follows_latency: fewer run while work takes longer than usual
     """
@@ -55,6 +55,7 @@
     floor_margin: float = 1.1
     wait_margin: float = 1.25
     service_margin: float = 2.0
+    service_weight: float = 0.05
     load_window: float = 1.0
     follows_latency: bool = True
 
@@ -118,7 +119,7 @@
         self._peer = peer
         self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
         self._concurrency = concurrency.ConcurrencyLimit(options.slots)
-        self._service = service_times.ServiceTimes(options.initial_service)
+        self._service: dict[str, float] = {}
         self._running = 0
         self._running_cost = 0.0
         self._waiting = 0
@@ -156,7 +157,7 @@
             return expression.Error(self._refuse("the deadline passed", 0.0))
         if not self._can_start_at_once():
             wait = self.expected_wait(work.level, now, work.kind, work.caller)
-            service = self._service.get(work.kind)
+            service = self._get_service(work.kind)
             late = now + self._add_margin(wait, service) - work.deadline
             if late > 0 and not work.continues:
                 message = f"expected wait of {wait:.3f} s passes the deadline"
@@ -167,7 +168,7 @@
                 return expression.Error(refused)
         ticket = Ticket(work=work, offered_at=now)
         self._enqueue(rank, ticket)
-        share = self._service.get(work.kind) / self._options.slots
+        share = self._get_service(work.kind) / self._options.slots
         rank.note_load(share, now, self._options.load_window)
         return expression.Ok(ticket)
 
@@ -209,7 +210,9 @@
         self._share_out(rank, seconds - ticket.cost, ticket.owed)
         if not measured:
             return
-        self._service.observe(kind, seconds)
+        usual = self._service.get(kind, seconds)
+        weight = self._options.service_weight
+        self._service[kind] = usual + weight * (seconds - usual)
         if self._options.follows_latency:
             self._concurrency.observe(kind, seconds)
 
@@ -284,12 +287,15 @@
     def _get_rank(self, level: int) -> rank_shares.Rank:
         return self._ranks[self._clamp(level)]
 
+    def _get_service(self, kind: str) -> float:
+        return self._service.get(kind, self._options.initial_service)
+
     def _add_margin(self, wait: float, service: float) -> float:
         options = self._options
         return wait * options.wait_margin + service * options.service_margin
 
     def _sum_service(self, counts: typing.Iterable[tuple[str, int]]) -> float:
-        return sum(self._service.get(kind) * count for kind, count in counts)
+        return sum(self._get_service(kind) * count for kind, count in counts)
 
     def _can_start_at_once(self) -> bool:
         return not self._waiting and self._running < self._concurrency.limit
@@ -332,10 +338,10 @@
     def _start_next(self, now: float) -> Ticket | None:
         top = rank_shares.find_top(self._ranks)
         assert top is not None
-        rank = rank_shares.choose_rank(self._ranks, top, self._service.get)
+        rank = rank_shares.choose_rank(self._ranks, top, self._get_service)
         ticket = rank.queue.pop()
         self._waiting -= 1
-        cost = self._service.get(ticket.work.kind)
+        cost = self._get_service(ticket.work.kind)
         late = now + self._add_margin(0.0, cost) - ticket.work.deadline
         # With nothing running it starts whatever the estimate, so that a
         # wrong estimate is measured again.
