--- a/packages/fescuestile/src/fescuestile/concurrency.py
+++ b/packages/fescuestile/src/fescuestile/concurrency.py
@@ -13,6 +13,7 @@
     :ivar decrease: factor of the limit in a trial
     :ivar increase: statements added for each full round in good time
     :ivar trial_rounds: times that a trial fills its limit
+    :ivar longest_trial: seconds; no trial is made that would last longer
     :ivar hold_samples: statements between a vain trial and the next
     :ivar kept_throughput: share of the throughput that a lower limit must
         keep to stay
@@ -24,6 +25,7 @@
     decrease: float = 0.7
     increase: float = 0.25
     trial_rounds: int = 4
+    longest_trial: float = 1.0
     hold_samples: int = 200
     kept_throughput: float = 0.75
     recent_weight: float = 0.2
@@ -31,18 +33,25 @@
 
 
 class _Mean:
-    """Mean of slowdowns."""
+    """Mean slowdown, and mean service time in seconds."""
 
     def __init__(self) -> None:
         self.count = 0
-        self._total = 0.0
+        self._slowdowns = 0.0
+        self._seconds = 0.0
 
-    def add(self, value: float) -> None:
+    def add(self, slowdown: float, seconds: float) -> None:
         self.count += 1
-        self._total += value
+        self._slowdowns += slowdown
+        self._seconds += seconds
 
-    def get(self) -> float:
-        return self._total / self.count
+    @property
+    def slowdown(self) -> float:
+        return self._slowdowns / self.count
+
+    @property
+    def seconds(self) -> float:
+        return self._seconds / self.count
 
 
 @dataclasses.dataclass(slots=True)
@@ -121,7 +130,7 @@
             usual += options.usual_weight * (seconds - usual)
         self._usual[kind] = usual
         if self._trial is not None:
-            self._try_out(self._trial, slowdown)
+            self._try_out(self._trial, slowdown, seconds)
         elif self._slowdown <= options.tolerance:
             self._slow = _Mean()
             step = options.increase / self.limit
@@ -129,24 +138,29 @@
         elif self._pause:
             self._pause -= 1
         elif self.limit > 1:
-            self._slow.add(slowdown)
+            self._slow.add(slowdown, seconds)
             if self._slow.count >= options.trial_rounds * self.limit:
-                self._start_trial()
+                self._start_trial(self._slow)
 
-    def _start_trial(self) -> None:
-        self._trial = _Trial(self._limit, self._slow.get(), self.limit)
+    def _start_trial(self, slow: _Mean) -> None:
         self._slow = _Mean()
+        # It fills the lower limit, once more to end what runs already.
+        rounds = self._options.trial_rounds + 1
+        if slow.seconds * rounds > self._options.longest_trial:
+            self._pause = self._options.hold_samples
+            return
+        self._trial = _Trial(self._limit, slow.slowdown, self.limit)
         self._limit = max(1.0, self._limit * self._options.decrease)
 
-    def _try_out(self, trial: _Trial, slowdown: float) -> None:
+    def _try_out(self, trial: _Trial, slowdown: float, seconds: float) -> None:
         if trial.skip:
             trial.skip -= 1
             return
-        trial.mean.add(slowdown)
+        trial.mean.add(slowdown, seconds)
         if trial.mean.count < self._options.trial_rounds * self.limit:
             return
         self._trial = None
-        faster = trial.slowdown / trial.mean.get()
+        faster = trial.slowdown / trial.mean.slowdown
         before = max(1, int(trial.limit + 1e-9))
         kept = faster * self.limit / before
         if kept < self._options.kept_throughput:
