--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -1,6 +1,7 @@
 """One daemon: builds its parts, starts and closes them in order."""
 
 import asyncio
+import random
 import secrets
 
 import structlog
@@ -16,15 +17,21 @@
 from fescuestile_daemon import dispatch
 from fescuestile_daemon import endpoint_adapter
 from fescuestile_daemon import entry
+from fescuestile_daemon import failover_runner
 from fescuestile_daemon import filters
+from fescuestile_daemon import gauges
 from fescuestile_daemon import group_board
 from fescuestile_daemon import groups_actor
 from fescuestile_daemon import links
+from fescuestile_daemon import measure_filter
+from fescuestile_daemon import metric_names
+from fescuestile_daemon import metrics
 from fescuestile_daemon import owner
 from fescuestile_daemon import published
 from fescuestile_daemon import report_buffer
 from fescuestile_daemon import settings
 from fescuestile_daemon import state_push
+from fescuestile_daemon import switchovers
 
 log = structlog.get_logger(__name__)
 
@@ -62,6 +69,8 @@
         self.own = make_member(options.daemon, state)
         self.time_source = clock.SystemClock()
         self.loop = asyncio.get_running_loop()
+        self.metrics = metrics.create_sink(options.statsd)
+        self.gauges = gauges.GaugeSampler(self.metrics, self._list_gauges())
         self.membership = published.Published(
             members.MembershipSnapshot(self.own, (self.own,))
         )
@@ -93,6 +102,13 @@
             self.time_source,
         )
         self.owner = owner.Owner(self._make_owner_parts())
+        self.failovers = failover_runner.FailoverRunner(
+            self._make_failover_parts()
+        )
+        self.owner.on_report.append(self.failovers.observe)
+        self.switchovers = switchovers.Switchovers(
+            self.failovers, self.board, self.links, self.membership
+        )
         self.dispatcher = dispatch.Dispatcher(
             self.own.id,
             self.owner,
@@ -115,9 +131,12 @@
         """Listen for other daemons and begin the work at endpoints."""
         ip, port = addresses.split_address(self.options.daemon.link_address)
         await self.links.start(ip, port)
+        await self.metrics.start()
+        self.gauges.start()
         self.push.start()
         self.interest.start()
         self.owner.start()
+        self.failovers.start()
 
     async def start_callers(self) -> None:
         """Listen for callers."""
@@ -140,9 +159,13 @@
         await self.callers.close()
         await self.interest.close()
         await self.push.close()
+        await self.switchovers.close()
+        await self.failovers.close()
         await self.owner.close()
         await self.links.close()
         self.groups.stop()
+        await self.gauges.close()
+        await self.metrics.close()
         log.info("daemon stopped", id=self.own.id)
 
     def _make_owner_parts(self) -> owner.OwnerParts:
@@ -161,9 +184,22 @@
             drain_timeout=self.options.daemon.drain_seconds,
         )
 
+    def _make_failover_parts(self) -> failover_runner.RunnerParts:
+        return failover_runner.RunnerParts(
+            own_id=self.own.id,
+            time_source=self.time_source,
+            random_source=random.Random(self.own.id),
+            board=self.board,
+            link_pool=self.links,
+            membership=self.membership,
+            find_watch=self.owner.find_watch,
+            step_timeout=self.options.timing.failover_step_timeout,
+        )
+
     def _make_caller_parts(self) -> caller_server.CallerParts:
         chain = filters.create_chain(
             (
+                measure_filter.MeasureFilter(self.metrics, self.time_source),
                 entry.SessionFilter(),
                 entry.RouteFilter(
                     self.board,
@@ -183,8 +219,26 @@
             time_source=self.time_source,
         )
 
+    def _list_gauges(self) -> gauges.Gauges:
+        return {
+            metric_names.SESSIONS_OPEN: lambda: self.callers.session_count,
+            metric_names.LINKS_OPEN: lambda: self.links.count,
+            metric_names.MEMBERS_SERVING: lambda: len(
+                self.membership.get().list_serving()
+            ),
+            metric_names.DATABASES: lambda: len(self.plans.get()),
+            metric_names.DATABASES_WATCHED: lambda: len(self.owner.groups),
+            metric_names.ENDPOINTS_OWNED: lambda: sum(
+                len(group.owned) for group in self.owner.groups.values()
+            ),
+        }
+
     def _assign_later(self, assignment: groups_actor.Assignment) -> None:
-        self.loop.call_soon_threadsafe(self.owner.assign, assignment)
+        self.loop.call_soon_threadsafe(self._assign, assignment)
+
+    def _assign(self, assignment: groups_actor.Assignment) -> None:
+        self.owner.assign(assignment)
+        self.failovers.assign(assignment)
 
     def _tell_membership(self, snapshot: members.MembershipSnapshot) -> None:
         self.groups.tell(groups_actor.MembershipChanged(snapshot))
--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -4,15 +4,29 @@
 import configparser
 import dataclasses
 import typing
+import uuid
 
+import grpc
+
+from fescuestile import errors
 from fescuestile import plans
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
+from fescuestile_api import models
+from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
 from fescuestile_standins import launcher as launchers
+from fescuestile_standins import wire as wires
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
 FIRST_ENDPOINT_HOST = 11
 PLATFORM_MODULE = "fescuestile_standins.platform"
 ENDPOINT_MODULE = "fescuestile_standins.endpoint"
+WIRE_MODULE = "fescuestile_standins.wire"
 DAEMON_BINARY = "fescuestiled"
+CALL_TIMEOUT_SECONDS = 5.0
+SERVE_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
 
 SettingsChanges = typing.Mapping[str, typing.Mapping[str, str]]
 
@@ -25,6 +39,7 @@
     :ivar service_ms: milliseconds that a statement takes
     :ivar connect_ms: milliseconds until a connection is accepted
     :ivar replication_ms: milliseconds that replicas lag
+    :ivar slowest_ms: milliseconds that the last replica lags besides
     """
 
     database: str = "werkstatt-db"
@@ -34,6 +49,7 @@
     service_ms: float = 2.0
     connect_ms: float = 10.0
     replication_ms: float = 0.0
+    slowest_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -77,6 +93,7 @@
         self.launcher = launcher
         self.zones = tuple(zones)
         self.platform: launchers.Process | None = None
+        self.wire: wires.WireClient | None = None
         self.groups: dict[str, Group] = {}
         self.daemons: dict[str, DaemonProcess] = {}
 
@@ -89,11 +106,21 @@
         await self.platform.wait_ready()
         return self.platform
 
+    async def start_wire(self) -> wires.WireClient:
+        """Start relays; daemons reach groups started later through them."""
+        address = launchers.choose_address(0, 3)
+        process = self.launcher.start_module(
+            "wire", WIRE_MODULE, ("--address", address), address
+        )
+        await process.wait_ready()
+        self.wire = await wires.connect(address)
+        return self.wire
+
     async def start_group(self, options: GroupOptions) -> Group:
         """Start the endpoints of a group and wait until they serve."""
         endpoints = self._place_endpoints(options)
         plan = make_plan(options.database, endpoints)
-        group = Group(plan, {})
+        group = Group(await self._relay(plan), {})
         for endpoint in endpoints:
             group.endpoints[endpoint.name] = self.launcher.start_module(
                 endpoint.name,
@@ -107,6 +134,17 @@
         self.groups[options.database] = group
         return group
 
+    async def _relay(self, plan: plans.Plan) -> plans.Plan:
+        """Return the plan with relays before its endpoints, if any run."""
+        if self.wire is None:
+            return plan
+        relayed = []
+        for endpoint in plan.endpoints:
+            ip = endpoint.address.rpartition(":")[0]
+            address = await self.wire.add_relay(f"{ip}:0", endpoint.address)
+            relayed.append(dataclasses.replace(endpoint, address=address))
+        return dataclasses.replace(plan, endpoints=tuple(relayed))
+
     def _place_endpoints(
         self, options: GroupOptions
     ) -> tuple[plans.Endpoint, ...]:
@@ -175,6 +213,63 @@
         await process.wait_ready()
         return daemon
 
+    async def declare(self, group: Group) -> int:
+        """Declare a group's plan at some daemon and wait until all serve it.
+
+        :returns: the plan's revision
+        """
+        some = next(iter(self.daemons.values()))
+        request = pb.DeclareRequest(
+            plan=models.write_plan(group.plan),
+            change_id=uuid.uuid4().hex,
+            operator="demo",
+        )
+        async with grpc.aio.insecure_channel(some.operator_address) as channel:
+            stub = pb_grpc.OperatorServiceStub(channel)
+            reply = await stub.Declare(request, timeout=CALL_TIMEOUT_SECONDS)
+        await asyncio.gather(
+            *(
+                self.wait_serving(daemon, group.plan)
+                for daemon in self.daemons.values()
+            )
+        )
+        return int(reply.revision)
+
+    async def wait_serving(
+        self, daemon: DaemonProcess, plan: plans.Plan
+    ) -> None:
+        """Wait until a daemon answers current reads of a database.
+
+        :raises: the last error when it took too long
+        """
+        kind = plan.kinds[0].name
+        last: BaseException | None = None
+        try:
+            async with asyncio.timeout(SERVE_TIMEOUT_SECONDS):
+                while True:
+                    try:
+                        async with self.open_session(daemon) as session:
+                            await session.execute(
+                                plan.database, kind, "GET -", read_only=True
+                            )
+                        return
+                    except errors.FescuestileError as error:
+                        last = error
+                    await asyncio.sleep(POLL_SECONDS)
+        except TimeoutError:
+            raise last or TimeoutError(daemon.name) from None
+
+    def open_session(
+        self,
+        *daemons: DaemonProcess,
+        caller: str = "station-7",
+        token: bytes = b"",
+        options: client_options.SessionOptions | None = None,
+    ) -> client_session.Session:
+        """Return a session on some daemons, to be used in ``async with``."""
+        addresses = [daemon.caller_address for daemon in daemons]
+        return client_session.Session(addresses, caller, token, options)
+
     def _find_platform(self) -> str:
         if self.platform is None:
             return launchers.choose_address(0, 2)
@@ -206,6 +301,9 @@
     plan: plans.Plan, endpoint: plans.Endpoint, options: GroupOptions
 ) -> list[str]:
     """Return the command line of an endpoint stand-in."""
+    lag_ms = options.replication_ms
+    if endpoint is plan.endpoints[-1]:
+        lag_ms += options.slowest_ms
     arguments = [
         *("--name", endpoint.name),
         *("--zone", endpoint.zone),
@@ -216,7 +314,7 @@
         *("--connections", str(options.connections)),
         *("--service-ms", str(options.service_ms)),
         *("--connect-ms", str(options.connect_ms)),
-        *("--replication-ms", str(options.replication_ms)),
+        *("--replication-ms", str(lag_ms)),
     ]
     for peer in plan.endpoints:
         if peer is not endpoint:
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -20,6 +20,7 @@
 from fescuestile import plans
 from fescuestile import rank_shares
 from fescuestile import requests
+from fescuestile import results
 
 STEP = "admit"
 MIN_RETRY_AFTER_SECONDS = 0.01
@@ -170,7 +171,7 @@
         self._enqueue(rank, ticket)
         share = self._get_service(work.kind) / self._options.slots
         rank.note_load(share, now, self._options.load_window)
-        return expression.Ok(ticket)
+        return results.succeed(ticket)
 
     def take(self, now: float) -> Batch:
         """Hand out the work that may start and the work that expired.
--- a/packages/fescuestile/src/fescuestile/confirmation.py
+++ b/packages/fescuestile/src/fescuestile/confirmation.py
@@ -54,6 +54,7 @@
         """
         self._plan = plan
         self._reports: dict[str, endpoint_messages.Report] = {}
+        self._answers: dict[str, positions.Position] = {}
         self._confirmed = positions.START
         self._history = positions.EMPTY_HISTORY
 
@@ -74,17 +75,45 @@
         if report.endpoint not in self._plan.endpoint_by_name:
             return False
         self._reports[report.endpoint] = report
-        holding = self._list_holding(report.last)
-        if len(holding) < self._plan.majority:
+        if not counts_for(report, positions.Position(report.last.term, 0)):
             return False
-        index = holding[self._plan.majority - 1].last.index
-        position = positions.Position(report.last.term, index)
-        if position <= self._confirmed:
+        if report.last.term >= self._history.last.term:
+            self._history = report.history
+        return self._confirm(report.last.term)
+
+    def note_answer(self, primary: str, position: positions.Position) -> None:
+        """Take the primary's answer to a write as its word.
+
+        :param position: position that its log holds, in its term
+        """
+        known = self._answers.get(primary, positions.START)
+        self._answers[primary] = max(known, position)
+        self._confirm(position.term)
+
+    def _confirm(self, term: int) -> bool:
+        """Move the confirmed position on; return whether it moved."""
+        held = sorted(
+            (
+                self._find_held(name, term)
+                for name in self._plan.endpoint_by_name
+            ),
+            reverse=True,
+        )
+        position = positions.Position(term, held[self._plan.majority - 1])
+        if not position.index or position <= self._confirmed:
             return False
         self._confirmed = position
-        self._history = holding[0].history
         return True
 
+    def _find_held(self, name: str, term: int) -> int:
+        """Return the last index of a term that an endpoint holds, or 0."""
+        answered = self._answers.get(name, positions.START)
+        index = answered.index if answered.term == term else 0
+        report = self._reports.get(name)
+        if report and counts_for(report, positions.Position(term, 0)):
+            index = max(index, report.last.index)
+        return index
+
     def settle(self, position: positions.Position) -> Standing:
         """Return what is known of a written position."""
         confirmed = self._confirmed
@@ -94,27 +123,12 @@
             if position.index <= confirmed.index:
                 return Standing.CONFIRMED
             return Standing.PENDING
+        if self._history.last.term < confirmed.term:
+            return Standing.PENDING
         if self._history.find_term(position.index) == position.term:
             return Standing.CONFIRMED
         return Standing.LOST
 
-    def _list_holding(
-        self, position: positions.Position
-    ) -> list[endpoint_messages.Report]:
-        """Return reports that count in a term, the longest log first."""
-        first = positions.Position(position.term, 0)
-        holding = [
-            report
-            for name, report in self._reports.items()
-            if name in self._plan.endpoint_by_name
-            and counts_for(report, first)
-        ]
-        return sorted(holding, key=_find_index, reverse=True)
-
-
-def _find_index(report: endpoint_messages.Report) -> int:
-    return report.last.index
-
 
 def find_confirmed(
     plan: plans.Plan,
