--- a/measurements/capacity_entry.py
+++ b/measurements/capacity_entry.py
@@ -7,7 +7,9 @@
 SIZE = capacity_lines.SIZE
 
 PUSHES_PER_SECOND = 20.0
-PLANNED_PUSHES_PER_SECOND = 4.0
+PLANNED_PUSHES_PER_SECOND = 2.0
+PLANNED_KEEP_ALIVE_SECONDS = 10.0
+KEEP_ALIVE_SECONDS = 0.75
 INTEREST_RENEWALS_PER_SECOND = 0.5
 REPORTS_PER_SECOND = 50.0
 HEARTBEATS_PER_SECOND = 4.0
@@ -18,7 +20,7 @@
     "owners, so an entry daemon serves about as many databases as it owns"
 )
 FEWER_PUSHES = (
-    f"{GATHER}; push on a new term at once and lag each 250 ms, from the "
+    f"{GATHER}; push on a new term at once and lag each 500 ms, from the "
     "primary's owner only"
 )
 IDLE_LINKS = (
@@ -26,7 +28,8 @@
     "probes the peer already, 10 s else"
 )
 FEWER_REPORTS = (
-    "subscribe each 250 ms; confirmations ask the replicas themselves"
+    "subscribe each 250 ms, as heartbeats too; confirmations ask the "
+    "replicas themselves"
 )
 
 
@@ -138,7 +141,7 @@
             "group states in, sessions gathered",
             capacity_costs.to_kilobytes(planned * costs.push_bytes),
             "KB/s",
-            f"{SIZE.owned:.1f} databases x 4/s x `slope_state_push` bytes",
+            f"{SIZE.owned:.1f} databases x 2/s x `slope_state_push` bytes",
             "state_push",
             capacity_lines.TRAFFIC_BUDGET,
             capacity_lines.PLANNED,
@@ -149,7 +152,7 @@
             "processor for group states, sessions gathered",
             capacity_costs.to_percent(planned * costs.push_in_ms),
             "% of a core",
-            f"{SIZE.owned:.1f} databases x 4/s x as above",
+            f"{SIZE.owned:.1f} databases x 2/s x as above",
             "state_push, groups_actor",
             capacity_lines.CPU_BUDGET,
             capacity_lines.PLANNED,
@@ -175,6 +178,23 @@
             capacity_lines.CPU_BUDGET,
             remedy=f"{IDLE_LINKS}; {GATHER}",
         ),
+        Line(
+            role,
+            when,
+            "processor for idle links, gathered, keep-alive each 10 s",
+            capacity_costs.to_percent(
+                costs.link_ms
+                * (SIZE.zone_daemons + SIZE.watched)
+                * KEEP_ALIVE_SECONDS
+                / PLANNED_KEEP_ALIVE_SECONDS
+            ),
+            "% of a core",
+            "links to the zone and to the owners of the databases served x "
+            "`slope_links_memory`",
+            "links",
+            capacity_lines.CPU_BUDGET,
+            capacity_lines.PLANNED,
+        ),
         Line(
             role,
             when,
@@ -193,7 +213,10 @@
     role, when = capacity_lines.OWNER, capacity_lines.QUIET
     reports = SIZE.watched * (REPORTS_PER_SECOND + HEARTBEATS_PER_SECOND)
     writes = SIZE.owned / SIZE.endpoints_per_database
-    planned = SIZE.watched * 2 * HEARTBEATS_PER_SECOND
+    planned = SIZE.watched * HEARTBEATS_PER_SECOND
+    gathered = (
+        SIZE.owned * SIZE.endpoints_per_database * PLANNED_PUSHES_PER_SECOND
+    )
     pushes = SIZE.owned * SIZE.interested * PUSHES_PER_SECOND
     state = f"assumed: {SIZE.interested:.0f} interested daemons"
     return [
@@ -261,11 +284,44 @@
             "reports in, each 250 ms",
             capacity_costs.to_kilobytes(planned * costs.report_bytes),
             "KB/s",
-            "control connections x (4 reports + 4 heartbeats)/s",
+            "control connections x 4 reports/s, heartbeats in one",
             "group_watch",
             capacity_lines.TRAFFIC_BUDGET,
             capacity_lines.PLANNED,
         ),
+        Line(
+            role,
+            when,
+            "processor for reports, each 250 ms",
+            capacity_costs.to_percent(planned * costs.report_ms),
+            "% of a core",
+            "control connections x 4 reports/s x as above",
+            "group_watch, report_buffer, groups_actor",
+            capacity_lines.CPU_BUDGET,
+            capacity_lines.PLANNED,
+        ),
+        Line(
+            role,
+            when,
+            "processor for group states sent, sessions gathered",
+            capacity_costs.to_percent(gathered * costs.push_out_ms),
+            "% of a core",
+            f"{SIZE.owned:.1f} groups x 3 daemons x 2/s x as above",
+            "state_push",
+            capacity_lines.CPU_BUDGET,
+            capacity_lines.PLANNED,
+        ),
+        Line(
+            role,
+            when,
+            "group states out, sessions gathered",
+            capacity_costs.to_kilobytes(gathered * costs.push_bytes),
+            "KB/s",
+            f"{SIZE.owned:.1f} groups x 3 daemons x 2/s x bytes",
+            "state_push",
+            capacity_lines.TRAFFIC_BUDGET,
+            capacity_lines.PLANNED,
+        ),
         Line(
             role,
             capacity_lines.ORDINARY,
--- a/measurements/capacity_lines.py
+++ b/measurements/capacity_lines.py
@@ -11,7 +11,18 @@
 BRIDGE = "Bridge between zones and regions"
 OPERATOR = "Operators' RPC"
 PLATFORM = "Platform, all daemons together"
-ROLES = (ENTRY, OWNER, DRIVER, WATCHER, MEMBER, BRIDGE, OPERATOR, PLATFORM)
+TOTAL = "One daemon in all roles"
+ROLES = (
+    ENTRY,
+    OWNER,
+    DRIVER,
+    WATCHER,
+    MEMBER,
+    BRIDGE,
+    OPERATOR,
+    PLATFORM,
+    TOTAL,
+)
 
 QUIET = "quiet hour"
 ORDINARY = "ordinary day"
--- a/measurements/capacity_page.py
+++ b/measurements/capacity_page.py
@@ -6,6 +6,7 @@
 from measurements import capacity_bad_hours
 from measurements import capacity_lines
 from measurements import capacity_roles
+from measurements import capacity_totals
 from measurements import slope_file
 from measurements import slopes
 
@@ -114,14 +115,13 @@
     return f"{value:.3g} {unit}".strip()
 
 
-def list_all(
-    recorded: slope_file.SlopeFile,
-) -> list[capacity_lines.Line]:
+def list_all(recorded: slope_file.SlopeFile) -> list[capacity_lines.Line]:
     """Return all lines, by role."""
     lines = [
         *capacity_roles.list_lines(recorded),
         *capacity_bad_hours.list_lines(recorded),
     ]
+    lines += capacity_totals.list_lines(lines)
     return sorted(
         lines, key=lambda line: capacity_lines.ROLES.index(line.role)
     )
