Check a link only while it owes an answer, and drop links to the gone

Cause: each link was pinged every 0.75 s, used or not. Ruled out: a longer interval, which would leave a silent link in use for longer than the 2 s in which it is to be replaced. A link that was sent something and gave nothing back for 0.5 s is now pinged once, and ended when the ping goes unanswered for 1 s. An idle link sends nothing. A handler's fault costs its message, not the link. Links to daemons that left the membership are ended.

With the watch taken out, test_a_silent_link_is_replaced runs into its 2 s.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -117,6 +117,7 @@
             self.time_source,
         )
         self.callers = caller_server.CallerServer(self._make_caller_parts())
+        self._listed: frozenset[str] = frozenset()
         self.links.add_handler(link_messages.GroupState, self._take_state)
         self.membership.subscribe(self._tell_membership)
         self.plans.subscribe(self._tell_plans)
@@ -242,6 +243,10 @@
 
     def _tell_membership(self, snapshot: members.MembershipSnapshot) -> None:
         self.groups.tell(groups_actor.MembershipChanged(snapshot))
+        listed = frozenset(member.id for member in snapshot.members)
+        for gone in self._listed - listed:
+            self.loop.call_soon_threadsafe(self.links.forget, gone)
+        self._listed = listed
 
     def _tell_plans(self, revisions: dict[str, plans.PlanRevision]) -> None:
         self.groups.tell(groups_actor.PlansChanged(dict(revisions)))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -18,15 +18,15 @@
 from fescuestile import link_messages
 from fescuestile import members
 from fescuestile import results
+from fescuestile_daemon import peer_link
 from fescuestile_daemon import tasks
 
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 GREETING_TIMEOUT_SECONDS = 1.0
-PING_INTERVAL_SECONDS = 0.75
-PING_TIMEOUT_SECONDS = 1.0
 CLOSE_TIMEOUT_SECONDS = 0.5
+WATCH_INTERVAL_SECONDS = 0.25
 
 Handler = collections.abc.Callable[
     [str, typing.Any], collections.abc.Awaitable[None]
@@ -34,32 +34,11 @@
 Reply = expression.Result[typing.Any, errors.FescuestileError]
 
 
-class Link:
-    """One open websocket to another daemon, greeted on both sides."""
-
-    def __init__(
-        self,
-        socket: websocket_connection.Connection,
-        peer: members.Member,
-    ) -> None:
-        """Wrap a socket whose greeting has been read."""
-        self.peer = peer
-        self.socket = socket
-
-    async def send(self, frame: bytes) -> bool:
-        """Send a frame; return whether the link still stood."""
-        try:
-            await self.socket.send(frame)
-        except (websockets.ConnectionClosed, OSError):
-            return False
-        return True
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Waiting:
     """A request that waits for its reply on a link."""
 
-    link: Link
+    link: peer_link.PeerLink
     future: asyncio.Future[Reply]
 
 
@@ -67,8 +46,8 @@
     """All links of one daemon, dialed on demand and accepted.
 
     A link is used in both directions, whoever dialed it. Messages are
-    dispatched by class to one handler each. A link whose pings go
-    unanswered is closed, and the next message dials a new one.
+    dispatched by class to one handler each. A silent link is ended, and
+    the next message dials a new one.
     """
 
     def __init__(self, own: members.Member, ip: str) -> None:
@@ -79,11 +58,11 @@
         """
         self._own = own
         self._ip = ip
-        self._links: dict[str, Link] = {}
+        self._links: dict[str, peer_link.PeerLink] = {}
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, _Waiting] = {}
         self._ids = itertools.count(1)
-        self._dials: dict[str, asyncio.Task[Link | None]] = {}
+        self._dials: dict[str, asyncio.Task[peer_link.PeerLink | None]] = {}
         self._tasks = tasks.TaskSet()
         self._classes: list[type] = list(link_messages.CLASSES)
         self._codec = codec.Codec(self._classes)
@@ -124,11 +103,11 @@
             ip,
             port,
             compression=None,
-            ping_interval=PING_INTERVAL_SECONDS,
-            ping_timeout=PING_TIMEOUT_SECONDS,
+            ping_interval=None,
             close_timeout=CLOSE_TIMEOUT_SECONDS,
             max_size=codec.MAX_FRAME_BYTES,
         )
+        self._tasks.spawn(self._watch())
 
     async def close(self) -> None:
         """Close all links; requests in flight end as lost."""
@@ -138,6 +117,19 @@
             await link.socket.close()
         await self._tasks.close()
 
+    def forget(self, member_id: str) -> None:
+        """End the link to a daemon that is gone, if one stands."""
+        link = self._links.get(member_id)
+        if link is not None:
+            link.abort()
+
+    @property
+    def port(self) -> int:
+        """Port that links are accepted on."""
+        assert self._server is not None
+        sockets = tuple(self._server.sockets)
+        return int(sockets[0].getsockname()[1])
+
     @property
     def count(self) -> int:
         """Number of links that stand."""
@@ -211,7 +203,7 @@
         if waiting is not None and not waiting.future.done():
             waiting.future.set_result(results.succeed(message))
 
-    async def dial(self, member: members.Member) -> Link | None:
+    async def dial(self, member: members.Member) -> peer_link.PeerLink | None:
         """Return the link to a daemon, dialing it if there is none."""
         link = self._links.get(member.id)
         if link is not None:
@@ -230,15 +222,14 @@
             return None
         return found
 
-    async def dial_address(self, address: str) -> Link | None:
+    async def dial_address(self, address: str) -> peer_link.PeerLink | None:
         """Open a link to an address; None when it can't be had."""
         try:
             socket = await asyncio.wait_for(
                 websocket_client.connect(
                     f"ws://{address}",
                     compression=None,
-                    ping_interval=PING_INTERVAL_SECONDS,
-                    ping_timeout=PING_TIMEOUT_SECONDS,
+                    ping_interval=None,
                     close_timeout=CLOSE_TIMEOUT_SECONDS,
                     proxy=None,
                     max_size=codec.MAX_FRAME_BYTES,
@@ -255,7 +246,7 @@
         if peer is None:
             await socket.close()
             return None
-        link = self._register(Link(socket, peer))
+        link = self._register(peer_link.PeerLink(socket, peer))
         self._tasks.spawn(self._receive(link))
         return link
 
@@ -266,7 +257,7 @@
         await socket.send(
             self._codec.encode(link_messages.Greeting(self._own))
         )
-        link = self._register(Link(socket, peer))
+        link = self._register(peer_link.PeerLink(socket, peer))
         await self._receive(link)
 
     async def _read_greeting(
@@ -286,16 +277,17 @@
             return None
         return result.ok.member
 
-    def _register(self, link: Link) -> Link:
+    def _register(self, link: peer_link.PeerLink) -> peer_link.PeerLink:
         self._links[link.peer.id] = link
         log.info("link opened", peer=link.peer.id, zone=link.peer.zone)
         for listener in self.on_connected:
             listener(link.peer)
         return link
 
-    async def _receive(self, link: Link) -> None:
+    async def _receive(self, link: peer_link.PeerLink) -> None:
         try:
             async for frame in link.socket:
+                link.note_received()
                 if isinstance(frame, str):
                     frame = frame.encode()
                 await self._dispatch(link.peer.id, frame)
@@ -304,6 +296,13 @@
         finally:
             self._drop(link)
 
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+            for link in tuple(self._links.values()):
+                if link.is_doubtful():
+                    self._tasks.spawn(link.check())
+
     async def _dispatch(self, peer: str, frame: bytes) -> None:
         result = self._codec.decode(frame, peer)
         if result.is_error():
@@ -313,9 +312,12 @@
         if handler is None:
             log.warning("no handler", message=type(result.ok).__name__)
             return
-        await handler(peer, result.ok)
+        try:
+            await handler(peer, result.ok)
+        except Exception:
+            log.exception("message failed", peer=peer)
 
-    def _drop(self, link: Link) -> None:
+    def _drop(self, link: peer_link.PeerLink) -> None:
         lost = self._lose(link.peer.id, "the link broke")
         for waiting in tuple(self._waiting.values()):
             if waiting.link is link and not waiting.future.done():
