Do not promote a failed primary again while others are a majority

Cause: a primary that is cut from its replicas still answers the driver; its unconfirmed tail made its log the longest, so it was promoted again, up to three times, until the replicas' grants happened to come first. A slow detection was ruled out: the daemon's log showed terms 3 and 4 with the same primary, each after 1.5 s. The driver now leaves the suspected endpoint out when the other grants are a majority: what only it holds was never confirmed.

Also scenarios of failover with real processes and over the pure steps.

--- a/measurements/failover_bench.py
+++ b/measurements/failover_bench.py
@@ -119,6 +119,19 @@
     control: wire.WireClient
     groups: list[relayed_group.RelayedGroup]
     writers: dict[str, Writer]
+    _lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+    async def cut(self, side: str, others: list[str]) -> None:
+        """Cut a side of ``wire`` from others."""
+        async with self._lock:
+            for other in others:
+                await self.control.cut(side, other)
+
+    async def heal(self, side: str, others: list[str]) -> None:
+        """Heal the cuts of a side from others."""
+        async with self._lock:
+            for other in others:
+                await self.control.heal(side, other)
 
     def list_daemon_sides(self) -> list[str]:
         """Return the sides of all daemons in the rules of ``wire``."""
--- a/measurements/failover_kinds.py
+++ b/measurements/failover_kinds.py
@@ -80,13 +80,11 @@
 
     async def cause(self, victim: Victim) -> None:
         """Cut it off."""
-        for side in victim.list_replica_sides():
-            await victim.bench.control.cut(victim.side, side)
+        await victim.bench.cut(victim.side, victim.list_replica_sides())
 
     async def end(self, victim: Victim) -> None:
         """Heal the cut."""
-        for side in victim.list_replica_sides():
-            await victim.bench.control.heal(victim.side, side)
+        await victim.bench.heal(victim.side, victim.list_replica_sides())
 
 
 class CutFromDaemons(Failure):
@@ -96,13 +94,13 @@
 
     async def cause(self, victim: Victim) -> None:
         """Cut it off."""
-        for side in victim.bench.list_daemon_sides():
-            await victim.bench.control.cut(victim.side, side)
+        sides = victim.bench.list_daemon_sides()
+        await victim.bench.cut(victim.side, sides)
 
     async def end(self, victim: Victim) -> None:
         """Heal the cut."""
-        for side in victim.bench.list_daemon_sides():
-            await victim.bench.control.heal(victim.side, side)
+        sides = victim.bench.list_daemon_sides()
+        await victim.bench.heal(victim.side, sides)
 
 
 class ShortFreeze(Failure):
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
@@ -140,7 +140,7 @@
         if reason is None:
             self._advance(look.database, failover_steps.Cleared())
         elif suspicion.can_reach_majority(evidence):
-            self._suspect(group, look.database, reason)
+            self._suspect(group, look.database, reason, evidence.primary)
         self._check_target(group, look, evidence.primary)
         self._advance(look.database, failover_steps.Ticked())
         self._recall_strays(group, look)
@@ -169,7 +169,11 @@
         )
 
     def _suspect(
-        self, group: _Group, database: str, reason: suspicion.Reason
+        self,
+        group: _Group,
+        database: str,
+        reason: suspicion.Reason,
+        primary: str,
     ) -> None:
         owners = group.owned.owners
         ranked = rendezvous.choose(database, owners, len(owners))
@@ -181,7 +185,7 @@
                 reason=str(reason),
                 rank=rank,
             )
-        self._advance(database, failover_steps.Suspected(rank))
+        self._advance(database, failover_steps.Suspected(rank, primary))
 
     def _check_target(self, group: _Group, look: Looked, primary: str) -> None:
         leader = look.reports.get(primary)
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -20,7 +20,7 @@
 RESEND_SECONDS = 0.15
 STEP_TIMEOUT_SECONDS = 0.6
 REFUSED_TIMEOUT_SECONDS = 0.15
-TARGET_WAIT_SECONDS = 0.1
+GRANT_WAIT_SECONDS = 0.1
 RETRY_SECONDS = 0.3
 FOLLOW_SECONDS = 1.0
 CATCH_UP_SECONDS = 5.0
@@ -46,14 +46,20 @@
     plan: plans.Plan,
     grants: typing.Mapping[str, Report],
     target: str = "",
+    avoid: str = "",
 ) -> str:
     """Return the endpoint to promote among those that granted the term.
 
     :param grants: reports of at least a majority
     :param target: endpoint to prefer
+    :param avoid: endpoint to leave out when the others are a majority:
+        what only it holds was never confirmed
     :returns: the target, when a majority's logs are no more advanced than
         its own, else the most advanced; ties go by name
     """
+    others = {name: grants[name] for name in grants if name != avoid}
+    if len(others) >= plan.majority:
+        grants = others
     wanted = grants.get(target)
     if wanted is not None:
         behind = [
@@ -108,6 +114,7 @@
             return driver, ()
         jitter = self._random.uniform(0, JITTER_SECONDS)
         wait = event.rank * RANK_DELAY_SECONDS + jitter
+        driver = dataclasses.replace(driver, avoid=event.primary)
         return self._wait(driver, wait, now), ()
 
     def _wait(
@@ -194,29 +201,35 @@
         driver = dataclasses.replace(
             driver, grants=types.MappingProxyType(grants)
         )
-        if not self._is_fenced(driver) or self._waits_for_target(driver):
+        if not self._is_fenced(driver) or self._waits_for_grant(driver):
             return driver, ()
         return self._promote(driver, now)
 
     def _promote(self, driver: steps.Driver, now: float) -> steps.Outcome:
         if now - driver.since > GRANT_LIFETIME_SECONDS:
             return self._abandon(driver, "the grants are too old", now)
-        chosen = choose_endpoint(self.plan, driver.grants, driver.target)
         driver = dataclasses.replace(
             driver,
             step=steps.Step.PROMOTING,
-            chosen=chosen,
+            chosen=self._choose(driver),
             since=now,
             sent_at=now,
         )
         return driver, self._list_sends(driver)
 
-    def _waits_for_target(self, driver: steps.Driver) -> bool:
-        """Tell whether more grants may let a switchover have its target."""
-        if not driver.target or len(driver.grants) >= len(self.plan.endpoints):
+    def _choose(self, driver: steps.Driver) -> str:
+        return choose_endpoint(
+            self.plan, driver.grants, driver.target, driver.avoid
+        )
+
+    def _waits_for_grant(self, driver: steps.Driver) -> bool:
+        """Tell whether one more grant may bring a better choice."""
+        if len(driver.grants) >= len(self.plan.endpoints):
             return False
-        chosen = choose_endpoint(self.plan, driver.grants, driver.target)
-        return chosen != driver.target
+        chosen = self._choose(driver)
+        if driver.target:
+            return chosen != driver.target
+        return bool(driver.avoid) and driver.avoid in driver.grants
 
     def _has_grants(self, driver: steps.Driver) -> bool:
         fencing = driver.step is steps.Step.FENCING
@@ -277,7 +290,7 @@
                 if elapsed >= FOLLOW_SECONDS:
                     return _rest(driver), ()
             case steps.Step.FENCING | steps.Step.PROMOTING:
-                late = elapsed >= TARGET_WAIT_SECONDS
+                late = elapsed >= GRANT_WAIT_SECONDS
                 if late and self._has_grants(driver):
                     return self._promote(driver, now)
                 if elapsed >= _find_timeout(driver):
@@ -326,7 +339,7 @@
 
 def _rest(driver: steps.Driver) -> steps.Driver:
     return dataclasses.replace(
-        driver, step=steps.Step.IDLE, target="", chosen=""
+        driver, step=steps.Step.IDLE, target="", avoid="", chosen=""
     )
 
 
--- a/packages/fescuestile/src/fescuestile/failover_steps.py
+++ b/packages/fescuestile/src/fescuestile/failover_steps.py
@@ -34,6 +34,7 @@
     :ivar refused: an endpoint promised the term to another driver
     :ivar chosen: endpoint to promote, the only one in this term
     :ivar target: endpoint that a switchover asked for, or empty
+    :ivar avoid: primary that has failed, or empty
     :ivar followed: endpoints that follow the new primary
     :ivar since: monotonic seconds at which the step began
     :ivar sent_at: monotonic seconds at which its commands were last sent
@@ -50,6 +51,7 @@
     refused: bool = False
     chosen: str = ""
     target: str = ""
+    avoid: str = ""
     followed: frozenset[str] = frozenset()
     since: float = 0.0
     sent_at: float = 0.0
@@ -61,9 +63,11 @@
     """The primary has failed.
 
     :ivar rank: place of this daemon among the drivers, from 0
+    :ivar primary: primary that has failed, empty when there is none
     """
 
     rank: int
+    primary: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -28,7 +28,7 @@
 Role = endpoint_messages.Role
 NAMES = ("a", "b", "c")
 _ACTIVE = (failover_steps.Step.FENCING, failover_steps.Step.PROMOTING)
-_SENDS = (
+SENDS = (
     failover_steps.SendFence,
     failover_steps.SendPromote,
     failover_steps.SendFollow,
@@ -292,7 +292,7 @@
         answered: bool,
     ) -> tuple[str, "World"]:
         world = self.copy(name, losses=0 if answered else 1)
-        event = _perform(world.endpoints[name], action, id_)
+        event = perform(world.endpoints[name], action, id_)
         world.elected = max(world.elected, world.find_primary().term)
         world.sample(name)
         label = f"{name} gets {type(action).__name__} of {id_}"
@@ -302,7 +302,7 @@
         world.drivers[id_] = driver
         sends = world.sends[id_] - {action}
         if driver.step is not self.drivers[id_].step:
-            sends = frozenset(a for a in actions if isinstance(a, _SENDS))
+            sends = frozenset(a for a in actions if isinstance(a, SENDS))
         world.sends[id_] = sends
         if not world.left.crashes:
             world._drop_refused()
@@ -380,7 +380,7 @@
     return frozenset((n, r.last) for n, r in driver.grants.items())
 
 
-def _perform(
+def perform(
     endpoint: endpoint_state.EndpointState,
     action: failover_steps.Action,
     driver: str,
--- /dev/null
+++ b/tests/scenarios/failover.feature
@@ -0,0 +1,63 @@
+Feature: Failover and write acknowledgement
+
+  @invariant_2
+  Scenario Outline: A failed primary is replaced and nothing is lost
+    Given four daemons before a group under writes
+    When the primary is <failure>
+    Then writes under a new term are acknowledged within 9 seconds
+    When the failure ends
+    Then all endpoints follow one primary
+    And every acknowledged write is in its log
+
+    Examples:
+      | failure           |
+      | killed            |
+      | frozen            |
+      | cut from replicas |
+      | cut from daemons  |
+
+  @invariant_2
+  Scenario Outline: A failover needs no platform
+    Given four daemons before a group under writes
+    And the platform is <platform>
+    When the primary is killed
+    Then writes under a new term are acknowledged within 9 seconds
+    When the failure ends
+    Then all endpoints follow one primary
+    And every acknowledged write is in its log
+
+    Examples:
+      | platform |
+      | killed   |
+      | frozen   |
+
+  @invariant_2
+  Scenario: The primary fails together with the daemons of its zone
+    Given four daemons before a group under writes
+    When the daemons of the primary's zone are killed
+    And the primary is killed
+    Then writes under a new term are acknowledged within 9 seconds
+    And every acknowledged write is in the new primary's log
+
+  @invariant_2
+  Scenario: A freeze of under a second changes no primary
+    Given four daemons before a group under writes
+    When the primary is frozen for 0.9 seconds
+    Then 3 seconds later the term is the same
+    And every acknowledged write is in its log
+
+  @invariant_2
+  Scenario: A replaced primary and its daemons wake and answer no stale read
+    Given four daemons before a group under writes
+    And a caller's session through the primary's zone
+    When the primary and the daemons of its zone are frozen
+    Then writes under a new term are acknowledged within 9 seconds
+    When a caller writes through another zone
+    And the session reads while all wake
+    Then the read sees that write
+
+  @invariant_2
+  Scenario: A minority acknowledges nothing
+    Given four daemons before a group under writes
+    When both replicas are killed
+    Then no further write is acknowledged
--- /dev/null
+++ b/tests/scenarios/failover_drivers.feature
@@ -0,0 +1,35 @@
+Feature: Drivers of a failover, step by step
+
+  @invariant_2
+  Scenario Outline: A driver stops after a step and another resumes
+    Given a group whose primary has failed
+    When a driver stops <moment>
+    And another driver drives to its end
+    Then exactly one endpoint is primary of the highest term
+    And it holds every confirmed write
+    When the first driver goes on where it stopped
+    Then exactly one endpoint is primary of the highest term
+    And it holds every confirmed write
+
+    Examples:
+      | moment                 |
+      | before its first fence |
+      | after one grant        |
+      | after a majority       |
+      | after the promotion    |
+      | after one follow       |
+
+  @invariant_2
+  Scenario Outline: Two drivers at once elect one primary a term
+    Given a group whose primary has failed
+    When two drivers race in order <seed>
+    Then no term had two primaries
+    And exactly one endpoint is primary of the highest term
+    And it holds every confirmed write
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- /dev/null
+++ b/tests/scenarios/test_failover.py
@@ -0,0 +1,242 @@
+"""Steps of failover.feature, with real processes."""
+
+import asyncio
+import contextlib
+import threading
+import time
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from fescuestile_client import session as sessions
+from measurements import failover_bench
+from measurements import failover_gap
+from measurements import failover_kinds
+
+scenarios("failover.feature")
+
+FAILURES: dict[str, type[failover_kinds.Failure]] = {
+    kind.name: kind
+    for kind in (
+        failover_kinds.Kill,
+        failover_kinds.Freeze,
+        failover_kinds.CutFromReplicas,
+        failover_kinds.CutFromDaemons,
+    )
+}
+STEP_SECONDS = 60.0
+QUIET_SECONDS = 2.0
+ZONE_DAEMONS = ("host-1", "host-4")
+
+
+class World:
+    """A bench on a loop of its own, so that writers go on between steps."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self._stack = contextlib.AsyncExitStack()
+        self.failure: failover_kinds.Failure
+        self.victim: failover_kinds.Victim
+        self.began = 0.0
+        self.term = 0
+        self.session: sessions.Session
+
+    def run(self, work):
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(STEP_SECONDS)
+
+    def start(self):
+        context = failover_bench.serve(1, failover_gap.OPTIONS)
+        self.bench = self.run(self._stack.enter_async_context(context))
+        self.group = self.bench.groups[0]
+        self.writer = self.bench.writers[self.group.plan.database]
+        self.find_victim()
+
+    def find_victim(self):
+        report = self.run(failover_bench.wait_whole(self.group))
+        self.term = report.term
+        self.victim = failover_kinds.Victim(
+            self.bench, self.group, report.endpoint
+        )
+
+    def open_session(self, daemon):
+        address = self.bench.fleet.daemons[daemon].caller_address
+        session = sessions.Session([address], "technician")
+        self.run(self._stack.enter_async_context(session))
+        return session
+
+    def execute(self, session, text):
+        return session.execute(
+            self.group.plan.database,
+            "fault-report",
+            text,
+            read_only=text.startswith("GET"),
+            timeout=10.0,
+        )
+
+    def close(self):
+        self.run(self._stack.aclose())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+
+@pytest.fixture
+def world():
+    world = World()
+    yield world
+    world.close()
+
+
+@given("four daemons before a group under writes")
+def start_world(world):
+    world.start()
+
+
+@given(parsers.parse("the platform is {state}"))
+def disturb_platform(world, state):
+    platform = world.bench.fleet.platform
+    {"killed": platform.kill, "frozen": platform.freeze}[state]()
+
+
+@given("a caller's session through the primary's zone")
+def open_zone_session(world):
+    world.session = world.open_session(ZONE_DAEMONS[0])
+    world.run(world.execute(world.session, "PUT pump old"))
+
+
+@when(parsers.parse("the primary is frozen for {seconds:f} seconds"))
+def freeze_shortly(world, seconds):
+    process = world.group.processes[world.victim.primary]
+    process.freeze()
+    world.run(asyncio.sleep(seconds))
+    process.wake()
+
+
+@when(parsers.re(r"the primary is (?P<failure>[a-z ]+)$"))
+def cause_failure(world, failure):
+    world.failure = FAILURES[failure]()
+    world.began = time.monotonic()
+    world.run(world.failure.cause(world.victim))
+
+
+@when("the failure ends")
+def end_failure(world):
+    world.run(world.failure.end(world.victim))
+
+
+@when("the daemons of the primary's zone are killed")
+def kill_zone_daemons(world):
+    for name in ZONE_DAEMONS:
+        world.bench.fleet.daemons[name].process.kill()
+
+
+@when("the primary and the daemons of its zone are frozen")
+def freeze_zone(world):
+    world.began = time.monotonic()
+    for process in list_zone_processes(world):
+        process.freeze()
+
+
+@when("a caller writes through another zone")
+def write_elsewhere(world):
+    session = world.open_session("host-2")
+    world.run(world.execute(session, "PUT pump new"))
+
+
+@when("the session reads while all wake")
+def read_on_waking(world):
+    async def read():
+        reading = asyncio.create_task(world.execute(world.session, "GET pump"))
+        await asyncio.sleep(0.1)
+        for process in list_zone_processes(world):
+            process.wake()
+        return await reading
+
+    world.answer = world.run(read())
+
+
+@when("both replicas are killed")
+def kill_replicas(world):
+    for name, process in world.group.processes.items():
+        if name != world.victim.primary:
+            process.kill()
+    world.began = time.monotonic()
+
+
+@then(
+    parsers.parse(
+        "writes under a new term are acknowledged within {n:d} seconds"
+    )
+)
+def check_new_term(world, n):
+    work = failover_bench.wait_for_writes(
+        world.writer, world.began, world.term + 1
+    )
+    assert world.run(work).at - world.began < n
+
+
+@then("all endpoints follow one primary")
+def check_whole(world):
+    world.find_victim()
+
+
+@then("every acknowledged write is in its log")
+def check_log(world):
+    assert find_lost(world) == set()
+
+
+@then("every acknowledged write is in the new primary's log")
+def check_new_log(world):
+    reports = world.run(failover_bench.inspect(world.group))
+    primary = max(reports.values(), key=lambda report: report.term)
+    world.victim = failover_kinds.Victim(
+        world.bench, world.group, primary.primary
+    )
+    assert find_lost(world) == set()
+
+
+@then(parsers.parse("{seconds:d} seconds later the term is the same"))
+def check_term(world, seconds):
+    world.run(asyncio.sleep(seconds))
+    before = world.term
+    world.find_victim()
+    assert world.term == before
+
+
+@then("the read sees that write")
+def check_read(world):
+    assert world.answer.payload == b"new"
+
+
+@then("no further write is acknowledged")
+def check_none_acknowledged(world):
+    world.run(asyncio.sleep(QUIET_SECONDS))
+    settled = world.began + 0.2
+    late = [one for one in world.writer.acknowledged if one.at > settled]
+    assert late == []
+    assert world.writer.unknown > 0
+
+
+def list_zone_processes(world):
+    daemons = world.bench.fleet.daemons
+    return [
+        world.group.processes[world.victim.primary],
+        *(daemons[name].process for name in ZONE_DAEMONS),
+    ]
+
+
+def find_lost(world):
+    """Return acknowledged keys that the primary's log lacks."""
+    acknowledged = {one.key for one in world.writer.acknowledged}
+    assert len(acknowledged) > 10
+    reports = world.run(failover_bench.inspect(world.group))
+    primary = reports[world.victim.primary]
+    held = world.run(failover_bench.read_keys(world.group, primary))
+    return acknowledged - held
--- a/tests/unit/test_failover.py
+++ b/tests/unit/test_failover.py
@@ -193,6 +193,25 @@
     assert actions == (steps.SendPromote(NAMES[2], 2),)
 
 
+def test_a_failed_primary_that_still_grants_is_not_promoted_again():
+    rules = build_rules()
+    driver = steps.Driver("d1", highest=1)
+    driver, _ = rules.advance(driver, steps.Suspected(0, NAMES[0]), 0.0)
+    driver, _ = rules.advance(driver, steps.Ticked(), 0.1)
+    longer = grant(1, 2, last=Position(1, 99))
+    for report in (longer, grant(2, 2)):
+        event = steps.FenceReplied(2, report)
+        driver, actions = rules.advance(driver, event, 0.1)
+        assert not actions
+    others: tuple[tuple[steps.Event, str], ...] = (
+        (steps.FenceReplied(2, grant(3, 2)), NAMES[2]),
+        (steps.Ticked(), NAMES[0]),
+    )
+    for following, chosen in others:
+        _, actions = rules.advance(driver, following, 0.3)
+        assert actions == (steps.SendPromote(chosen, 2),)
+
+
 def test_a_switchover_is_given_up_when_its_target_stays_behind():
     rules = build_rules()
     driver, _ = rules.advance(
