Record primary changes at the platform and in the audit trail

What the platform does not take waits and is written once it is back; an older term never replaces a newer one.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -1,6 +1,7 @@
 """A whole daemon: the statement path and the control part together."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -8,6 +9,7 @@
 from fescuestile_daemon import control
 from fescuestile_daemon import daemon
 from fescuestile_daemon import platform_adapter
+from fescuestile_daemon import primary_record
 from fescuestile_daemon import settings
 
 log = structlog.get_logger(__name__)
@@ -21,15 +23,16 @@
         self.options = options
         self.daemon = daemon.Daemon(options, members.MemberState.JOINING)
         self._draining: asyncio.Task[bool] | None = None
+        platform = platform_adapter.PlatformAdapter(
+            options.platform.addresses,
+            options.daemon.ip,
+            options.platform.timeout,
+        )
         self.control = control.Control(
             control.ControlParts(
                 own=self.daemon.own,
                 options=options,
-                platform=platform_adapter.PlatformAdapter(
-                    options.platform.addresses,
-                    options.daemon.ip,
-                    options.platform.timeout,
-                ),
+                platform=platform,
                 link_pool=self.daemon.links,
                 board=self.daemon.board,
                 membership=self.daemon.membership,
@@ -41,12 +44,17 @@
                 switchover=self.daemon.switchovers.carry_out,
             )
         )
+        self.record = primary_record.PrimaryRecord(
+            self.daemon.own.id, platform, self.control.trail, random.Random()
+        )
+        self.daemon.failovers.on_published.append(self.record.take)
         self.daemon.membership.subscribe(self._greet_as)
 
     async def start(self) -> None:
         """Join the fleet, take the configuration, then take callers."""
         await self.daemon.start_links()
         await self.control.start()
+        self.record.start()
         self.control.become_ready()
         await self.daemon.start_callers()
 
@@ -74,6 +82,7 @@
             self._draining.cancel()
             await asyncio.gather(self._draining, return_exceptions=True)
         await self.daemon.callers.close()
+        await self.record.close()
         await self.control.close()
         await self.daemon.close()
 
