Check current reads and transactions over all orders, with planted bugs

A read served by a replaced primary is found when the majority's word is left out; a transaction that commits under a later term is found when its term is not kept.

--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -109,26 +109,21 @@
     violation: str | None = None
     keys: dict[str, typing.Hashable] = dataclasses.field(default_factory=dict)
 
-    def copy(self, *changed: str, **spent: int) -> "World":
+    def copy(self, *changed: str, **spent: int) -> typing.Self:
         """Return a copy with its own endpoints of the names given."""
         left = self.left
         for name, number in spent.items():
             left = dataclasses.replace(
                 left, **{name: getattr(left, name) - number}
             )
-        world = World(
-            self.build,
-            left,
-            self.rules,
-            self.endpoints.copy(),
-            self.drivers.copy(),
-            self.sends.copy(),
-            self.trackers.copy(),
-            self.written,
-            self.acknowledged,
-            self.elected,
-            keys=self.keys.copy(),
-        )
+        world = object.__new__(type(self))
+        world.__dict__.update(self.__dict__)
+        world.left = left
+        world.endpoints = self.endpoints.copy()
+        world.drivers = self.drivers.copy()
+        world.sends = self.sends.copy()
+        world.trackers = self.trackers.copy()
+        world.keys = self.keys.copy()
         for name in changed:
             world.endpoints[name] = self.endpoints[name].copy()
             world.keys.pop(name, None)
--- /dev/null
+++ b/tests/model_check/read_world.py
@@ -0,0 +1,111 @@
+"""One read that may not be stale, among the steps of a failover."""
+
+import dataclasses
+import typing
+
+from fescuestile import endpoint_messages
+from fescuestile import positions
+from fescuestile import read_confirmation
+from tests.model_check import failover_world
+
+Role = endpoint_messages.Role
+
+
+@dataclasses.dataclass(frozen=True)
+class Read:
+    """A read under way.
+
+    :ivar needed: writes that were acknowledged before it began
+    :ivar served: entries that it saw, None before it was served
+    :ivar words: endpoints' terms, asked after it began
+    """
+
+    endpoint: str
+    term: int
+    needed: frozenset[positions.Position]
+    served: frozenset[positions.Position] | None = None
+    words: frozenset[tuple[str, int]] = frozenset()
+
+
+@dataclasses.dataclass
+class ReadWorld(failover_world.World):
+    """A world with one read.
+
+    :ivar words_needed: size of a majority; a planted bug lowers it
+    """
+
+    words_needed: int = 2
+    read: Read | None = None
+
+    def make_key(self) -> typing.Hashable:
+        return (super().make_key(), self.read)
+
+    def list_steps(
+        self,
+    ) -> typing.Iterator[tuple[str, failover_world.World]]:
+        yield from super().list_steps()
+        if self.read is None:
+            yield from self._list_begins()
+            return
+        if self.read.served is None:
+            yield from self._list_serves(self.read)
+        yield from self._list_words(self.read)
+
+    def _list_begins(self) -> typing.Iterator[tuple[str, "ReadWorld"]]:
+        if not self.acknowledged:
+            return
+        for name, endpoint in self.endpoints.items():
+            if endpoint.role is Role.PRIMARY:
+                world = self.copy()
+                world.read = Read(name, endpoint.term, self.acknowledged)
+                yield f"a read begins at {name}", world
+
+    def _list_serves(
+        self, read: Read
+    ) -> typing.Iterator[tuple[str, "ReadWorld"]]:
+        endpoint = self.endpoints[read.endpoint]
+        if endpoint.role is Role.PRIMARY and endpoint.term == read.term:
+            held = frozenset(entry.position for entry in endpoint.log)
+            yield "it is served", self._change(read, served=held)
+
+    def _list_words(
+        self, read: Read
+    ) -> typing.Iterator[tuple[str, "ReadWorld"]]:
+        asked = {name for name, _ in read.words}
+        for name, endpoint in self.endpoints.items():
+            if name != read.endpoint and name not in asked:
+                words = read.words | {(name, endpoint.term)}
+                yield f"{name} gives its word", self._change(read, words=words)
+
+    def _change(self, read: Read, **changes: typing.Any) -> "ReadWorld":
+        world = self.copy()
+        world.read = dataclasses.replace(read, **changes)
+        world._answer(world.read)
+        return world
+
+    def _answer(self, read: Read) -> None:
+        """Check the answer if the read may be answered now."""
+        plan = failover_world.make_plan(self.words_needed)
+        rounds = read_confirmation.ReadRounds(plan)
+        ticket = rounds.begin_read()
+        number = rounds.begin_round() or 0
+        for name, term in read.words:
+            report = self.endpoints[name].report()
+            rounds.observe(number, dataclasses.replace(report, term=term))
+        if read.served is None or not rounds.is_confirmed(
+            ticket, read.term, read.endpoint
+        ):
+            return
+        if not read.needed <= read.served:
+            self.violation = f"{read.endpoint} answered a stale read"
+
+
+def make_world(words_needed: int) -> ReadWorld:
+    """Return a new group with one write and one failover to come."""
+    scope = failover_world.Scope(writes=1, attempts=1)
+    world = failover_world.make_world(failover_world.Build(), scope)
+    fields = {
+        field.name: getattr(world, field.name)
+        for field in dataclasses.fields(world)
+    }
+    return ReadWorld(**fields, words_needed=words_needed)
--- a/tests/model_check/test_failover_rules.py
+++ b/tests/model_check/test_failover_rules.py
@@ -1,11 +1,17 @@
 """No acknowledged write is lost, in any order of steps."""
 
+import itertools
+
 import pytest
 
+from fescuestile import endpoint_messages
 from fescuestile import failover
+from fescuestile_standins import endpoint_commands
+from fescuestile_standins import endpoint_state
 from tests.model_check import explorer
 from tests.model_check import failover_world
 from tests.model_check import planted_bugs
+from tests.model_check import read_world
 
 Build = failover_world.Build
 Scope = failover_world.Scope
@@ -104,3 +110,63 @@
     monkeypatch.setattr(failover, "rank_log", rank)
     outcome = explore("divergent", Scope(writes=0, attempts=1))
     assert outcome.violation is not None
+
+
+@pytest.mark.invariant_2
+def test_no_order_of_steps_answers_a_stale_read():
+    outcome = explorer.explore(read_world.make_world(2), LIMIT)
+    assert outcome.violation is None, outcome.trace
+    assert outcome.states > 100
+
+
+@pytest.mark.invariant_2
+def test_a_read_without_the_majoritys_word_is_found_stale():
+    outcome = explorer.explore(read_world.make_world(1), LIMIT)
+    assert outcome.violation is not None
+
+
+TRANSACTION_STEPS = (
+    ("begin 1", endpoint_messages.Begin(1, 1)),
+    ("write 1", endpoint_messages.Execute(2, 1, "PUT k v", False)),
+    ("commit 1", endpoint_messages.Commit(3, 1)),
+    ("commit 2", endpoint_messages.Commit(4, 2)),
+)
+
+
+def find_mixed_terms(runner_class):
+    """Return orders in which a transaction commits in another term."""
+    found = []
+    labels = ["fence", *(label for label, _ in TRANSACTION_STEPS)]
+    commands = dict(TRANSACTION_STEPS)
+    for order in itertools.permutations(labels):
+        state = endpoint_state.EndpointState("a")
+        state.bootstrap("a")
+        runner = runner_class(state)
+        for label in order:
+            if label == "fence":
+                state.fence(2, "d")
+                state.promote(2, "d")
+            else:
+                runner.run(commands[label])
+        if any(entry.changes for entry in state.log.list_after(1)) and (
+            order.index("begin 1") < order.index("write 1")
+        ):
+            (written,) = [entry for entry in state.log if entry.changes]
+            if written.position.term != 1:
+                found.append(order)
+    return found
+
+
+class LateCommitRunner(endpoint_commands.CommandRunner):
+    """Commits a transaction under whatever term there is."""
+
+    def run(self, command):
+        if isinstance(command, endpoint_messages.Commit) and self._transaction:
+            self._transaction.term = command.term
+        return super().run(command)
+
+
+@pytest.mark.invariant_2
+def test_no_transaction_commits_under_a_later_term():
+    assert find_mixed_terms(endpoint_commands.CommandRunner) == []
+    assert find_mixed_terms(LateCommitRunner)
