--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -28,7 +28,7 @@
 Role = endpoint_messages.Role
 NAMES = ("a", "b", "c")
 _ACTIVE = (failover_steps.Step.FENCING, failover_steps.Step.PROMOTING)
-_SENDS = (
+SENDS = (
     failover_steps.SendFence,
     failover_steps.SendPromote,
     failover_steps.SendFollow,
@@ -109,26 +109,21 @@
     violation: str | None = None
     keys: dict[str, typing.Hashable] = dataclasses.field(default_factory=dict)
 
-    def copy(self, *changed: str, **spent: int) -> "World":
+    def copy(self, *changed: str, **spent: int) -> typing.Self:
         """Return a copy with its own endpoints of the names given."""
         left = self.left
         for name, number in spent.items():
             left = dataclasses.replace(
                 left, **{name: getattr(left, name) - number}
             )
-        world = World(
-            self.build,
-            left,
-            self.rules,
-            self.endpoints.copy(),
-            self.drivers.copy(),
-            self.sends.copy(),
-            self.trackers.copy(),
-            self.written,
-            self.acknowledged,
-            self.elected,
-            keys=self.keys.copy(),
-        )
+        world = object.__new__(type(self))
+        world.__dict__.update(self.__dict__)
+        world.left = left
+        world.endpoints = self.endpoints.copy()
+        world.drivers = self.drivers.copy()
+        world.sends = self.sends.copy()
+        world.trackers = self.trackers.copy()
+        world.keys = self.keys.copy()
         for name in changed:
             world.endpoints[name] = self.endpoints[name].copy()
             world.keys.pop(name, None)
@@ -292,7 +287,7 @@
         answered: bool,
     ) -> tuple[str, "World"]:
         world = self.copy(name, losses=0 if answered else 1)
-        event = _perform(world.endpoints[name], action, id_)
+        event = perform(world.endpoints[name], action, id_)
         world.elected = max(world.elected, world.find_primary().term)
         world.sample(name)
         label = f"{name} gets {type(action).__name__} of {id_}"
@@ -302,7 +297,7 @@
         world.drivers[id_] = driver
         sends = world.sends[id_] - {action}
         if driver.step is not self.drivers[id_].step:
-            sends = frozenset(a for a in actions if isinstance(a, _SENDS))
+            sends = frozenset(a for a in actions if isinstance(a, SENDS))
         world.sends[id_] = sends
         if not world.left.crashes:
             world._drop_refused()
@@ -380,7 +375,7 @@
     return frozenset((n, r.last) for n, r in driver.grants.items())
 
 
-def _perform(
+def perform(
     endpoint: endpoint_state.EndpointState,
     action: failover_steps.Action,
     driver: str,
