--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -13,7 +13,9 @@
 from fescuestile import ports
 from fescuestile import positions
 from fescuestile import requests
+from fescuestile import results
 from fescuestile_daemon import confirmations
+from fescuestile_daemon import current_reads
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import filters
 
@@ -53,6 +55,16 @@
     )
 
 
+def is_current_read(exchange: WorkExchange) -> bool:
+    """Tell whether the answer must not come from a replaced primary."""
+    return (
+        exchange.request.action is requests.Action.STATEMENT
+        and exchange.request.read_only
+        and exchange.request.staleness == 0
+        and not exchange.replica
+    )
+
+
 class DivertFilter(filters.Filter[WorkExchange]):
     """Bounds the reads that a primary takes over from its replicas."""
 
@@ -118,6 +130,48 @@
         return outcome
 
 
+class CurrentReadFilter(filters.Filter[WorkExchange]):
+    """Holds a current read's answer until the primary is confirmed."""
+
+    def __init__(
+        self,
+        reads: current_reads.CurrentReads,
+        time_source: clock.Clock,
+        longest_wait: float,
+    ) -> None:
+        """Confirm by rounds of questions.
+
+        :param longest_wait: seconds
+        """
+        self._reads = reads
+        self._clock = time_source
+        self._longest_wait = longest_wait
+
+    async def handle(
+        self,
+        exchange: WorkExchange,
+        proceed: filters.Proceed[WorkExchange],
+    ) -> filters.Outcome:
+        """Ask for words while the rest runs, then wait for a majority."""
+        if not is_current_read(exchange):
+            return await proceed(exchange)
+        ticket = self._reads.begin(exchange.plan)
+        outcome = await proceed(exchange)
+        if outcome.is_error():
+            return outcome
+        remaining = exchange.request.deadline - self._clock.now()
+        confirmed = await self._reads.confirm(
+            exchange.plan,
+            ticket,
+            exchange.term,
+            exchange.endpoint,
+            max(0.0, min(remaining, self._longest_wait)),
+        )
+        if confirmed.is_error():
+            return expression.Error(confirmed.error)
+        return outcome
+
+
 def find_target(position: positions.Position, term: int) -> positions.Position:
     """Return the position whose confirmation confirms a write.
 
@@ -251,9 +305,9 @@
     resolves = exchange.request.action is requests.Action.RESOLVE
     match reply.verdict:
         case endpoint_messages.Verdict.DONE:
-            return expression.Ok(_make_answer(exchange, reply))
+            return results.succeed(_make_answer(exchange, reply))
         case endpoint_messages.Verdict.NEVER_RUNS if resolves:
-            return expression.Ok(
+            return results.succeed(
                 dataclasses.replace(
                     _make_answer(exchange, reply), never_runs=True
                 )
