Show the failover scenarios failing without their mechanisms

The first form of the driver scenarios passed without the fence, since the old primary never woke; the new outline lets it.

--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -59,6 +59,7 @@
     """How many of each step there may be.
 
     :ivar crashing: endpoints that may come back empty
+    :ivar avoids: drivers leave the latest primary out where they can
     :ivar batch: entries copied at a time, None for all
     """
 
@@ -67,6 +68,7 @@
     crashes: int = 0
     losses: int = 0
     crashing: tuple[str, ...] = NAMES
+    avoids: bool = False
     batch: int | None = None
 
 
@@ -134,7 +136,7 @@
             if name not in self.keys:
                 self.keys[name] = _make_endpoint_key(endpoint)
         drivers = tuple(
-            (d.step, d.term, d.highest, d.chosen, _list_grants(d))
+            (d.step, d.term, d.highest, d.chosen, d.avoid, _list_grants(d))
             for d in self.drivers.values()
         )
         return (
@@ -256,7 +258,10 @@
                 continue
             for highest in {driver.highest, newest}:
                 world = self.copy(attempts=1)
-                known = dataclasses.replace(driver, highest=highest)
+                avoid = self.find_primary().name if self.left.avoids else ""
+                known = dataclasses.replace(
+                    driver, highest=highest, avoid=avoid
+                )
                 started, actions = self.rules.start_fencing(known, 0.0)
                 world.drivers[id_] = started
                 world.sends[id_] = frozenset(actions)
@@ -266,6 +271,7 @@
 
     def _list_deliveries(self) -> typing.Iterator[tuple[str, "World"]]:
         for id_, sends in self.sends.items():
+            yield from self._list_timeouts(id_)
             for action in sends:
                 if isinstance(action, failover_steps.SendFollow):
                     yield self._deliver(id_, action, action.endpoint, True)
@@ -279,6 +285,19 @@
                             id_, action, action.endpoint, False
                         )
 
+    def _list_timeouts(self, id_: str) -> typing.Iterator[tuple[str, "World"]]:
+        """A driver waits no longer for the grant that it would rather have."""
+        driver, actions = self.rules.advance(
+            self.drivers[id_],
+            failover_steps.Ticked(),
+            failover.GRANT_WAIT_SECONDS,
+        )
+        if driver.step is not self.drivers[id_].step:
+            world = self.copy()
+            world.drivers[id_] = driver
+            world.sends[id_] = frozenset(actions)
+            yield f"{id_} waits no longer", world
+
     def _deliver(
         self,
         id_: str,
--- a/tests/model_check/test_failover_rules.py
+++ b/tests/model_check/test_failover_rules.py
@@ -33,6 +33,7 @@
     ("start", "scope"),
     [
         ("new", Scope(writes=1, attempts=2, losses=1)),
+        ("new", Scope(writes=1, attempts=2, avoids=True)),
         ("new", Scope(writes=2, attempts=1, crashes=1, losses=1)),
         ("divergent", Scope(writes=1, attempts=1, losses=1)),
         ("contested", Scope(writes=1, attempts=1, losses=1, batch=1)),
--- a/tests/scenarios/failover_drivers.feature
+++ b/tests/scenarios/failover_drivers.feature
@@ -33,3 +33,16 @@
       | 2    |
       | 3    |
       | 4    |
+
+  @invariant_2
+  Scenario Outline: A replaced primary wakes and confirms nothing
+    Given a group whose primary has failed
+    When a driver stops <moment>
+    And the old primary wakes and writes
+    Then no majority confirms that write
+
+    Examples:
+      | moment              |
+      | after a majority    |
+      | after the promotion |
+      | after one follow    |
--- a/tests/scenarios/test_failover_drivers.py
+++ b/tests/scenarios/test_failover_drivers.py
@@ -10,8 +10,10 @@
 from pytest_bdd import then
 from pytest_bdd import when
 
+from fescuestile import confirmation
 from fescuestile import endpoint_messages
 from fescuestile import failover_steps
+from fescuestile_standins import endpoint_log
 from tests.model_check import failover_world
 
 scenarios("failover_drivers.feature")
@@ -149,3 +151,24 @@
     (primary,) = race.find_primaries()
     positions = [entry.position for entry in primary.log]
     assert race.confirmed in positions
+
+
+@when("the old primary wakes and writes")
+def write_on_waking(race):
+    old = race.endpoints["a"]
+    race.late = old.write({}, [])
+    for name in ("b", "c"):
+        replica = race.endpoints[name]
+        after = endpoint_log.find_common_index(
+            old.log.history, replica.log.history
+        )
+        replica.accept(old.term, after, old.log.list_after(after))
+
+
+@then("no majority confirms that write")
+def check_unconfirmed(race):
+    tracker = confirmation.ConfirmationTracker(race.rules.plan)
+    for endpoint in race.endpoints.values():
+        tracker.observe(endpoint.report())
+    standing = tracker.settle(race.late)
+    assert standing is not confirmation.Standing.CONFIRMED
