--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -18,15 +18,12 @@
 from fescuestile import endpoint_messages
 from fescuestile import failover
 from fescuestile import failover_steps
-from fescuestile import plans
 from fescuestile import positions
 from fescuestile_standins import endpoint_log
 from fescuestile_standins import endpoint_state
-from fescuestile_standins import rejoining
-from tests import builders
+from tests.model_check import failover_parts
 
 Role = endpoint_messages.Role
-NAMES = ("a", "b", "c")
 _ACTIVE = (failover_steps.Step.FENCING, failover_steps.Step.PROMOTING)
 SENDS = (
     failover_steps.SendFence,
@@ -35,71 +32,12 @@
 )
 
 
-RejoinRule = typing.Callable[
-    [endpoint_messages.Report, list[endpoint_messages.Report], int], bool
-]
-
-
-@dataclasses.dataclass(frozen=True)
-class Build:
-    """The code under check; planted bugs replace parts of it."""
-
-    endpoint: type[endpoint_state.EndpointState] = endpoint_state.EndpointState
-    tracker: type[confirmation.ConfirmationTracker] = (
-        confirmation.ConfirmationTracker
-    )
-    rules: type[failover.FailoverRules] = failover.FailoverRules
-    may_rejoin: RejoinRule = rejoining.may_rejoin
-    confirm_majority: int = 2
-    driver_majority: int = 2
-
-
-@dataclasses.dataclass(frozen=True)
-class Scope:
-    """How many of each step there may be.
-
-    :ivar crashing: endpoints that may come back empty
-    :ivar avoids: drivers leave the latest primary out where they can
-    :ivar batch: entries copied at a time, None for all
-    """
-
-    writes: int = 2
-    attempts: int = 2
-    crashes: int = 0
-    losses: int = 0
-    crashing: tuple[str, ...] = NAMES
-    avoids: bool = False
-    batch: int | None = None
-
-
-class MajorityPlan(plans.Plan):
-    """A plan whose majority a planted bug sets."""
-
-    size = 2
-
-    @property
-    def majority(self) -> int:
-        return self.size
-
-
-def make_plan(majority: int) -> plans.Plan:
-    endpoints = tuple(
-        builders.build_endpoint(number, name=name)
-        for number, name in enumerate(NAMES, start=1)
-    )
-    plan = builders.build_plan(endpoints=endpoints)
-    fields = {f.name: getattr(plan, f.name) for f in dataclasses.fields(plan)}
-    changed = MajorityPlan(**fields)
-    object.__setattr__(changed, "size", majority)
-    return changed
-
-
 @dataclasses.dataclass
 class World:
     """One state; steps work on copies."""
 
-    build: Build
-    left: Scope
+    build: failover_parts.Build
+    left: failover_parts.Scope
     rules: failover.FailoverRules
     endpoints: dict[str, endpoint_state.EndpointState]
     drivers: dict[str, failover_steps.Driver]
@@ -140,7 +78,7 @@
             for d in self.drivers.values()
         )
         return (
-            tuple(self.keys[name] for name in NAMES),
+            tuple(self.keys[name] for name in failover_parts.NAMES),
             drivers,
             tuple(self.sends.values()),
             self._list_evidence(),
@@ -224,7 +162,7 @@
         report = self.endpoints[name].report()
         tracker = self.trackers.get(report.term)
         if tracker is None:
-            plan = make_plan(self.build.confirm_majority)
+            plan = failover_parts.make_plan(self.build.confirm_majority)
             tracker = self.build.tracker(plan)
         tracker = copy.copy(tracker)
         tracker._reports = dict(tracker._reports)
@@ -306,7 +244,7 @@
         answered: bool,
     ) -> tuple[str, "World"]:
         world = self.copy(name, losses=0 if answered else 1)
-        event = perform(world.endpoints[name], action, id_)
+        event = failover_parts.perform(world.endpoints[name], action, id_)
         world.elected = max(world.elected, world.find_primary().term)
         world.sample(name)
         label = f"{name} gets {type(action).__name__} of {id_}"
@@ -355,7 +293,9 @@
                     world.endpoints[name].follow(send.term, send.primary)
                     yield f"{name} follows {send.primary}", world
             others = [r for n, r in reports.items() if n != name]
-            if self.build.may_rejoin(reports[name], others, len(NAMES)):
+            if self.build.may_rejoin(
+                reports[name], others, len(failover_parts.NAMES)
+            ):
                 world = self.copy(name)
                 world.endpoints[name].rejoin()
                 world._expire_grants(name)
@@ -394,42 +334,25 @@
     return frozenset((n, r.last) for n, r in driver.grants.items())
 
 
-def perform(
-    endpoint: endpoint_state.EndpointState,
-    action: failover_steps.Action,
-    driver: str,
-) -> failover_steps.Event:
-    match action:
-        case failover_steps.SendFence():
-            verdict = endpoint.fence(action.term, driver)
-            report = endpoint.report(0, verdict)
-            return failover_steps.FenceReplied(action.term, report)
-        case failover_steps.SendPromote():
-            verdict = endpoint.promote(action.term, driver)
-            report = endpoint.report(0, verdict)
-            return failover_steps.PromoteReplied(action.term, report)
-        case failover_steps.SendFollow():
-            verdict = endpoint.follow(action.term, action.primary)
-            report = endpoint.report(0, verdict)
-            return failover_steps.FollowReplied(action.term, report)
-    raise TypeError(f"{action} is not delivered")
-
-
 def make_world(
-    build: Build, scope: Scope, drivers: tuple[str, ...] = ("d1", "d2")
+    build: failover_parts.Build,
+    scope: failover_parts.Scope,
+    drivers: tuple[str, ...] = ("d1", "d2"),
 ) -> World:
     """Return a new group whose first primary is ``a``.
 
     All hold the first entry.
     """
-    endpoints = {name: build.endpoint(name) for name in NAMES}
+    endpoints = {name: build.endpoint(name) for name in failover_parts.NAMES}
     for endpoint in endpoints.values():
         endpoint.bootstrap("a")
         endpoint.accept(1, 0, endpoints["a"].log.list_after(0))
     return World(
         build=build,
         left=scope,
-        rules=build.rules(make_plan(build.driver_majority), random.Random(1)),
+        rules=build.rules(
+            failover_parts.make_plan(build.driver_majority), random.Random(1)
+        ),
         endpoints=endpoints,
         drivers={
             id_: failover_steps.Driver(id_, highest=1) for id_ in drivers
--- a/tests/model_check/planted_bugs.py
+++ b/tests/model_check/planted_bugs.py
@@ -5,6 +5,7 @@
 from fescuestile import failover
 from fescuestile import failover_steps
 from fescuestile_standins import endpoint_state
+from tests.model_check import failover_parts
 from tests.model_check import failover_world
 
 Role = endpoint_messages.Role
@@ -94,7 +95,7 @@
 
 
 def make_divergent_world(
-    build: failover_world.Build, scope: failover_world.Scope
+    build: failover_parts.Build, scope: failover_parts.Scope
 ) -> failover_world.World:
     """Return a group in its second term.
 
@@ -112,7 +113,7 @@
     follower.accept(2, 1, new.log.list_after(1))
     world.written += (new.write({}, []),)
     world.elected = 2
-    for name in failover_world.NAMES:
+    for name in failover_parts.NAMES:
         world.sample(name)
     _note_term(world, 2)
     follow = failover_steps.SendFollow("a", 2, "c")
@@ -121,7 +122,7 @@
 
 
 def make_contested_world(
-    build: failover_world.Build, scope: failover_world.Scope
+    build: failover_parts.Build, scope: failover_parts.Scope
 ) -> failover_world.World:
     """Return a group in its third term.
 
--- a/tests/model_check/read_world.py
+++ b/tests/model_check/read_world.py
@@ -6,6 +6,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import positions
 from fescuestile import read_confirmation
+from tests.model_check import failover_parts
 from tests.model_check import failover_world
 
 Role = endpoint_messages.Role
@@ -85,7 +86,7 @@
 
     def _answer(self, read: Read) -> None:
         """Check the answer if the read may be answered now."""
-        plan = failover_world.make_plan(self.words_needed)
+        plan = failover_parts.make_plan(self.words_needed)
         rounds = read_confirmation.ReadRounds(plan)
         ticket = rounds.begin_read()
         number = rounds.begin_round() or 0
@@ -102,8 +103,8 @@
 
 def make_world(words_needed: int) -> ReadWorld:
     """Return a new group with one write and one failover to come."""
-    scope = failover_world.Scope(writes=1, attempts=1)
-    world = failover_world.make_world(failover_world.Build(), scope)
+    scope = failover_parts.Scope(writes=1, attempts=1)
+    world = failover_world.make_world(failover_parts.Build(), scope)
     fields = {
         field.name: getattr(world, field.name)
         for field in dataclasses.fields(world)
--- a/tests/model_check/test_failover_rules.py
+++ b/tests/model_check/test_failover_rules.py
@@ -9,12 +9,13 @@
 from fescuestile_standins import endpoint_commands
 from fescuestile_standins import endpoint_state
 from tests.model_check import explorer
+from tests.model_check import failover_parts
 from tests.model_check import failover_world
 from tests.model_check import planted_bugs
 from tests.model_check import read_world
 
-Build = failover_world.Build
-Scope = failover_world.Scope
+Build = failover_parts.Build
+Scope = failover_parts.Scope
 LIMIT = 120_000
 STARTS = {
     "new": failover_world.make_world,
--- a/tests/scenarios/test_failover_drivers.py
+++ b/tests/scenarios/test_failover_drivers.py
@@ -14,6 +14,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import failover_steps
 from fescuestile_standins import endpoint_log
+from tests.model_check import failover_parts
 from tests.model_check import failover_world
 
 scenarios("failover_drivers.feature")
@@ -26,14 +27,14 @@
     "after the promotion": 3,
     "after one follow": 4,
 }
-SCOPE = failover_world.Scope(writes=0, attempts=9)
+SCOPE = failover_parts.Scope(writes=0, attempts=9)
 
 
 class Race:
     """Endpoints and drivers; one step is one command and its reply."""
 
     def __init__(self):
-        world = failover_world.make_world(failover_world.Build(), SCOPE)
+        world = failover_world.make_world(failover_parts.Build(), SCOPE)
         self.rules = world.rules
         self.endpoints = world.endpoints
         self.drivers = world.drivers
@@ -60,7 +61,7 @@
         endpoint = self.endpoints[action.endpoint]
         if endpoint.name in self.failed:
             return True
-        event = failover_world.perform(endpoint, action, name)
+        event = failover_parts.perform(endpoint, action, name)
         self._take(name, self.rules.advance(self.drivers[name], event, 0.0))
         if endpoint.role is Role.PRIMARY:
             self.primaries.setdefault(endpoint.term, set()).add(endpoint.name)
