Keep a daemon's own pause from looking like a silent primary

A daemon that wakes finds all its watches silent for as long as it slept; the rule for a silence seen by the owner alone could then suspect a healthy primary. Found by reading; silences now count from the end of the last pause. Also the failover tests wait until all daemons know the group: one run in three on a busy machine asked before. Run: test_failover (unit and integration) pass, the latter three times in a row.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
@@ -71,6 +71,7 @@
         self._tasks = tasks.TaskSet()
         self._groups: dict[str, groups_actor.OwnedGroup] = {}
         self._reports: dict[str, dict[str, groups_actor.Observation]] = {}
+        self._pauses = suspicion.OwnPauses(parts.time_source.now())
         self._words: dict[tuple[str, str], _Word] = {}
         self.on_published: list[OnPublished] = []
         self.on_abandoned: list[OnAbandoned] = []
@@ -126,6 +127,7 @@
     async def _look_always(self) -> None:
         while True:
             await asyncio.sleep(LOOK_SECONDS)
+            self._pauses.note_running(self._parts.time_source.now())
             for database in tuple(self._groups):
                 self._tell(self._look(database))
 
@@ -136,7 +138,9 @@
         for endpoint in plan.endpoints:
             watch = self._parts.find_watch(database, endpoint.name)
             if watch is not None:
-                silences[endpoint.name] = watch.silence
+                silences[endpoint.name] = self._pauses.bound(
+                    watch.silence, now
+                )
         reports = {
             name: suspicion.Observed(item.report, now - item.at)
             for name, item in self._reports.get(database, {}).items()
@@ -196,7 +200,9 @@
         watch = self._parts.find_watch(message.database, message.primary)
         if message.ask and watch is not None:
             answer = dataclasses.replace(
-                message, silence=watch.silence, ask=False
+                message,
+                silence=self._pauses.bound(watch.silence, now),
+                ask=False,
             )
             await self._parts.link_pool.reply(peer, answer)
 
--- a/packages/fescuestile/src/fescuestile/suspicion.py
+++ b/packages/fescuestile/src/fescuestile/suspicion.py
@@ -16,6 +16,7 @@
 ALONE_SECONDS = 4.0
 FRESH_SECONDS = 0.8
 VACANT_SECONDS = 1.0
+PAUSE_SECONDS = 0.5
 
 
 class Reason(enum.StrEnum):
@@ -80,6 +81,28 @@
     )
 
 
+class OwnPauses:
+    """Keeps the daemon's own pauses from looking like others' silence."""
+
+    def __init__(self, now: float) -> None:
+        """Start running.
+
+        :param now: monotonic seconds
+        """
+        self._ran_at = now
+        self._resumed_at = now
+
+    def note_running(self, now: float) -> None:
+        """Note that the daemon runs; call several times a second."""
+        if now - self._ran_at > PAUSE_SECONDS:
+            self._resumed_at = now
+        self._ran_at = now
+
+    def bound(self, silence: float, now: float) -> float:
+        """Return the part of a silence since the last pause, in seconds."""
+        return min(silence, now - self._resumed_at)
+
+
 def find_failure(evidence: Evidence) -> Reason | None:
     """Return why the primary has failed, None while it is trusted."""
     if not evidence.primary:
--- a/tests/integration/test_failover.py
+++ b/tests/integration/test_failover.py
@@ -24,16 +24,21 @@
 async def daemons(group):
     plan = fleets.build_group_plan(group)
     async with fleets.serve_daemons(3, plan) as daemons:
-        await endpoint_groups.wait_until(
-            lambda: all(
-                getattr(each.board.get(fleets.DATABASE), "primary", "")
-                for each in daemons
-                if fleets.DATABASE in each.owner.groups
-            )
-        )
+        await endpoint_groups.wait_until(lambda: are_ready(daemons))
         yield daemons
 
 
+def are_ready(daemons):
+    """Tell whether all know the group and its watchers the primary."""
+    boards = [each.board.get(fleets.DATABASE) for each in daemons]
+    watching = [
+        board
+        for each, board in zip(daemons, boards, strict=True)
+        if fleets.DATABASE in each.owner.groups
+    ]
+    return all(boards) and watching and all(b.primary for b in watching)
+
+
 async def write(session, text, limit=FAILOVER_SECONDS):
     """Write until it is acknowledged, under new request ids."""
     end = time.monotonic() + limit
--- a/tests/unit/test_failover.py
+++ b/tests/unit/test_failover.py
@@ -89,6 +89,16 @@
     assert not suspicion.can_reach_majority(build_evidence(age=2.0))
 
 
+def test_a_daemon_that_was_paused_blames_nobody_for_it():
+    pauses = suspicion.OwnPauses(0.0)
+    pauses.note_running(0.1)
+    assert pauses.bound(0.1, 0.1) == 0.1
+    pauses.note_running(9.1)
+    assert pauses.bound(9.0, 9.1) == 0.0
+    pauses.note_running(9.3)
+    assert pauses.bound(9.2, 9.3) == pytest.approx(0.2)
+
+
 def build_rules():
     return failover.FailoverRules(PLAN, random.Random(1))
 
