--- a/tests/scenarios/test_failover.py
+++ b/tests/scenarios/test_failover.py
@@ -30,6 +30,7 @@
 }
 STEP_SECONDS = 60.0
 QUIET_SECONDS = 2.0
+STEADY_WRITES = 20
 ZONE_DAEMONS = ("host-1", "host-4")
 
 
@@ -56,8 +57,14 @@
         self.bench = self.run(self._stack.enter_async_context(context))
         self.group = self.bench.groups[0]
         self.writer = self.bench.writers[self.group.plan.database]
+        self.run(self.wait_steady())
         self.find_victim()
 
+    async def wait_steady(self):
+        """Wait until the writers have written for a while."""
+        while len(self.writer.acknowledged) < STEADY_WRITES:
+            await asyncio.sleep(0.05)
+
     def find_victim(self):
         report = self.run(failover_bench.wait_whole(self.group))
         self.term = report.term
@@ -235,7 +242,7 @@
 def find_lost(world):
     """Return acknowledged keys that the primary's log lacks."""
     acknowledged = {one.key for one in world.writer.acknowledged}
-    assert len(acknowledged) > 10
+    assert len(acknowledged) >= STEADY_WRITES
     reports = world.run(failover_bench.inspect(world.group))
     primary = reports[world.victim.primary]
     held = world.run(failover_bench.read_keys(world.group, primary))
