Add scenarios of floods with real processes

Floods at 20 times what the primary serves, in the last and in the urgent rank; the primary's owner killed in the middle; 14 transactions left open.

--- /dev/null
+++ b/tests/scenarios/test_admission.py
@@ -0,0 +1,189 @@
+import asyncio
+import time
+
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from fescuestile import errors
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_standins import fleet as fleets
+from tests.scenarios import floods
+from tests.scenarios import worlds
+
+scenarios("admission.feature")
+
+FLOOD_SECONDS = 12.0
+KILL_FLOOD_SECONDS = 10.0
+
+
+@pytest.fixture
+def flood(world):
+    return floods.Flood(world)
+
+
+@given(
+    parsers.parse(
+        "today's fleet whose endpoints serve {rate:d} statements a second"
+    )
+)
+def start_slow_fleet(world, rate):
+    options = fleets.GroupOptions()
+    service_ms = 1000 * options.slots / rate
+    world.start_today(fleets.GroupOptions(service_ms=service_ms))
+    world.notes["rate"] = rate
+
+
+@when(
+    parsers.parse(
+        'callers send {one:d} of "{kind}" and {two:d} of "{other}" a second'
+    )
+)
+def add_usual_work(flood, one, kind, two, other):
+    flood.add(kind, one)
+    flood.add(other, two)
+
+
+@when(
+    parsers.parse(
+        '"{kind}" floods in at {times:d} times what the primary serves'
+    )
+)
+def add_flood(world, flood, kind, times):
+    flood.add(kind, times * world.notes["rate"])
+    world.notes["flood"] = kind
+
+
+@when("the primary's owner is killed in the middle")
+def kill_owner(world, flood):
+    reply = world.run(
+        world.call(world.daemons[0], "Status", pb.StatusRequest())
+    )
+    primary = world.fleet.groups[worlds.DATABASE].first_primary
+    name = next(e.owner for e in reply.endpoints if e.endpoint == primary)
+    owner = world.fleet.daemons[name.rpartition("-")[0]]
+
+    def kill():
+        owner.process.kill()
+        world.notes["killed_at"] = time.monotonic()
+
+    flood.run(KILL_FLOOD_SECONDS, kill)
+
+
+@then(parsers.parse('at least {share:d} % of "{kind}" is served'))
+def check_served(flood, share, kind):
+    if not flood.sent:
+        flood.run(FLOOD_SECONDS)
+    assert_share(flood.list_sent(kind), share)
+
+
+@then(parsers.parse('at least {share:d} % of the work served is "{kind}"'))
+def check_floor(flood, share, kind):
+    if not flood.sent:
+        flood.run(FLOOD_SECONDS)
+    served = flood.count_served()
+    assert served[kind] >= served.total() * share / 100, served
+
+
+@then(
+    "each write of the flood that was refused as not run did not run",
+)
+def check_not_run(world, flood):
+    kind = world.notes["flood"]
+    sent = [s for s in flood.sent if s.kind == kind]
+    refused = sum(isinstance(s.error, errors.NotRun) for s in sent)
+    assert refused > 0
+
+    async def read():
+        async with world.open_session(world.daemons[0]) as session:
+            answer = await session.execute(
+                worlds.DATABASE, "dispatch", f"GET {kind}", read_only=True
+            )
+        return int(answer.payload or 0)
+
+    served = sum(s.served for s in sent)
+    assert served <= world.run(read()) <= len(sent) - refused
+
+
+@then(
+    parsers.parse('"{kind}" is served again within {limit:d} seconds'),
+)
+def check_taken_up(world, flood, kind, limit):
+    killed_at = world.notes["killed_at"]
+    ends = [s.ended_at for s in flood.list_sent(kind, killed_at) if s.served]
+    world.notes["again_at"] = min(ends)
+    assert min(ends) - killed_at <= limit
+
+
+@then(
+    parsers.parse('from then on at least {share:d} % of "{kind}" is served'),
+)
+def check_served_again(world, flood, share, kind):
+    assert_share(flood.list_sent(kind, world.notes["again_at"]), share)
+
+
+@when(
+    parsers.parse("callers leave {count:d} transactions open on the primary")
+)
+def open_transactions(world, count):
+    async def begin(number):
+        daemon = world.daemons[number % len(world.daemons)]
+        session = world.open_session(daemon, f"caller-{number}")
+        await session.start()
+        transaction = session.transaction(
+            worlds.DATABASE, "dispatch", timeout=30.0
+        )
+        await transaction.__aenter__()
+        return session, transaction
+
+    async def begin_all():
+        return await asyncio.gather(*(begin(n) for n in range(count)))
+
+    world.notes["transactions"] = world.run(begin_all())
+
+
+@then(
+    parsers.parse("{count:d} statements are served within {limit:d} seconds")
+)
+def check_statements(world, count, limit):
+    async def run():
+        async with world.open_session(world.daemons[0]) as session:
+            async with asyncio.timeout(limit):
+                await asyncio.gather(
+                    *(
+                        session.execute(
+                            worlds.DATABASE, "fault-report", f"ADD n{n} 1"
+                        )
+                        for n in range(count)
+                    )
+                )
+
+    world.run(run())
+
+
+@then("one more transaction is refused as not run")
+def check_refused(world):
+    async def begin():
+        async with world.open_session(world.daemons[0]) as session:
+            transaction = session.transaction(
+                worlds.DATABASE, "dispatch", timeout=0.5
+            )
+            with pytest.raises(errors.NotRun):
+                await transaction.__aenter__()
+
+    async def end():
+        for session, transaction in world.notes["transactions"]:
+            await transaction.__aexit__(None, None, None)
+            await session.close()
+
+    world.run(begin())
+    world.run(end())
+
+
+def assert_share(sent, percent):
+    served = sum(s.served for s in sent)
+    missed = [str(s.error) for s in sent if not s.served]
+    assert served >= len(sent) * percent / 100, missed
