--- a/packages/fescuestile-client/src/fescuestile_client/stream.py
+++ b/packages/fescuestile-client/src/fescuestile_client/stream.py
@@ -228,7 +228,9 @@
             self._opened.set_result(None)
 
     def _take_roam(self) -> None:
-        if not self.draining:
+        if self._opened is not None and not self._opened.done():
+            self._lose(self._build_lost("the daemon takes no new sessions"))
+        elif not self.draining:
             self.draining = True
             self._on_drain()
 
--- a/tests/fake_daemon.py
+++ b/tests/fake_daemon.py
@@ -77,6 +77,7 @@
         self.requests: list[pb.Request] = []
         self.sends: list[Send] = []
         self.silent = False
+        self.draining = False
         self.address = ""
         self._server = grpc.aio.server()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -108,7 +109,10 @@
         self.opens.append(opening)
         if opening.token == b"garbled":
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "garbled")
-        if self.silent:
+        if self.draining:
+            roam = pb.DaemonFrame(roam=pb.Roam(reason="drain"))
+            await context.write(roam)
+        if self.silent or self.draining:
             await asyncio.Event().wait()
         opened = pb.Opened(daemon=self.name, alternatives=self.alternatives)
         await context.write(pb.DaemonFrame(opened=opened))
--- a/tests/scenarios/sessions.feature
+++ b/tests/scenarios/sessions.feature
@@ -45,6 +45,19 @@
     When 8 sessions read 6 answers of 200 kilobytes each at once
     Then each answer is the one that was asked for, whole
 
+  @invariant_4
+  Scenario Outline: Answers reach their own request, however they arrive
+    Given a daemon whose answers come <how>
+    When a session asks 20 requests at once, three times
+    Then each answer is the one that was asked for, whole
+
+    Examples:
+      | how          |
+      | late         |
+      | out of order |
+      | twice        |
+      | in pieces    |
+
   @invariant_4
   @invariant_5
   @invariant_6
@@ -91,3 +104,11 @@
     Given today's fleet with a declared database
     When the same request adds 1 to a count through every daemon at once
     Then every daemon gives the same answer and the count is 1
+
+  @invariant_6
+  Scenario: A request is repeated after the primary that ran it died
+    Given today's fleet with a declared database
+    When the same request adds 1 to a count through every daemon at once
+    And the primary is killed
+    And the same request adds 1 to a count through every daemon at once
+    Then every daemon gives the same answer and the count is 1
--- a/tests/scenarios/test_sessions.py
+++ b/tests/scenarios/test_sessions.py
@@ -11,8 +11,10 @@
 from fescuestile import errors
 from fescuestile_api import fescuestile_pb2 as pb
 from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
 from fescuestile_standins import fleet as fleets
 from tests.scenarios import ledgers
+from tests.scenarios import odd_daemons
 from tests.scenarios import worlds
 
 scenarios("sessions.feature")
@@ -295,6 +297,36 @@
         assert all(session)
 
 
+@given(parsers.parse("a daemon whose answers come {how}"))
+def start_odd_daemon(world, how):
+    world.notes["how"] = how
+
+
+@when("a session asks 20 requests at once, three times")
+def ask_odd_daemon(world):
+    texts = [f"GET key-{number}" for number in range(20)]
+
+    async def work():
+        matched = []
+        async with (
+            odd_daemons.create_daemon(world.notes["how"]) as daemon,
+            client_session.Session([daemon.address], "office") as session,
+        ):
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(execute(session, text, read_only=True) for text in texts)
+                )
+                matched.append(
+                    [
+                        answer.payload == odd_daemons.make_answer(text)
+                        for answer, text in zip(answers, texts, strict=True)
+                    ]
+                )
+        return matched
+
+    world.notes["whole"] = world.run(work())
+
+
 @given(
     parsers.parse(
         "callers write without repeats, each within {limit:d} milliseconds"
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -327,12 +327,13 @@
         assert caller.daemon == "daemon-2"
 
 
-async def test_a_daemon_that_opens_no_session_is_passed_over():
+@pytest.mark.parametrize("state", ["silent", "draining"])
+async def test_a_daemon_that_opens_no_session_is_passed_over(state):
     async with (
         fake_daemon.FakeDaemon("daemon-2") as second,
         fake_daemon.FakeDaemon() as first,
     ):
-        first.silent = True
+        setattr(first, state, True)
         async with build_session(first, second) as caller:
             assert caller.daemon == "daemon-2"
 
