Move primaries away from endpoints that are leaving

The owner of a leaving primary begins a planned switchover to the most advanced endpoint that stays; routing and owner already refuse new work. Shown failing without it: test_a_leaving_primary_hands_over...: no request is answered at all from 3 s on. The owner's own refusal is a second guard beside routing: with it alone taken out the scenarios pass.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -8,6 +8,7 @@
 from fescuestile import members
 from fescuestile_daemon import control
 from fescuestile_daemon import daemon
+from fescuestile_daemon import leaving_primaries
 from fescuestile_daemon import platform_adapter
 from fescuestile_daemon import primary_record
 from fescuestile_daemon import settings
@@ -47,6 +48,13 @@
         self.record = primary_record.PrimaryRecord(
             self.daemon.own.id, platform, self.control.trail, random.Random()
         )
+        self.leaving_primaries = leaving_primaries.LeavingPrimaries(
+            self.daemon.own.id,
+            self.daemon.marks,
+            self.daemon.board,
+            self.daemon.switchovers,
+            self.daemon.time_source,
+        )
         self.daemon.failovers.on_published.append(self.record.take)
         self.daemon.membership.subscribe(self._greet_as)
 
@@ -55,6 +63,7 @@
         await self.daemon.start_links()
         await self.control.start()
         self.record.start()
+        self.leaving_primaries.start()
         self.control.become_ready()
         await self.daemon.start_callers()
 
@@ -82,6 +91,7 @@
             self._draining.cancel()
             await asyncio.gather(self._draining, return_exceptions=True)
         await self.daemon.callers.close()
+        await self.leaving_primaries.close()
         await self.record.close()
         await self.control.close()
         await self.daemon.close()
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -4,6 +4,7 @@
 import pytest_asyncio
 from pytest_bdd import given
 from pytest_bdd import parsers
+from pytest_bdd import then
 from pytest_bdd import when
 
 from fescuestile_standins import fleet as fleets
@@ -57,3 +58,9 @@
     world.fleet.daemons[name].process.kill()
     world.run(world.fleet.daemons[name].process.wait_exit())
     world.run(world.restart(name))
+
+
+@then("a caller's write still succeeds")
+def check_write(world):
+    """Write through a daemon."""
+    world.run(world.write(world.daemons[2], "PUT pump broken"))
--- a/tests/scenarios/membership.feature
+++ b/tests/scenarios/membership.feature
@@ -10,6 +10,14 @@
     Then 3 seconds later no answer comes from "werkstatt-db-2"
     And no caller's request was lost
 
+  @invariant_7
+  Scenario: A leaving primary hands over and receives no new work
+    Given callers read history and write all the time
+    When the host list marks endpoint "werkstatt-db-1" as leaving
+    Then 3 seconds later no answer comes from "werkstatt-db-1"
+    And a caller's write still succeeds
+    And each write ran at most once and each acknowledged one once
+
   @invariant_7
   Scenario: The mark holds while the platform is down and the list stale
     Given callers read history and write all the time
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -117,11 +117,6 @@
     assert "nothing was changed" in str(error.details())
 
 
-@then("a caller's write still succeeds")
-def check_write(world):
-    world.run(world.write(world.daemons[2], "PUT pump broken"))
-
-
 @given(parsers.parse('daemon "{name}" is frozen until the others miss it'))
 def freeze(world, name):
     world.fleet.daemons[name].process.freeze()
