Let a joining daemon take each entry from one peer only

Cause: a joining daemon wanted every key from each seed, and each seed, on meeting it, also pushed all it held. A key asked of one peer is not asked of another for 2 s, and nothing is pushed to a peer that is not ready, since it asks by itself.

--- a/packages/fescuestile/src/fescuestile/gossip.py
+++ b/packages/fescuestile/src/fescuestile/gossip.py
@@ -25,6 +25,7 @@
 SYNC_COOLDOWN_SECONDS = 1.0
 SETTLE_SECONDS = 0.3
 SEEK_PEERS = 2
+ASK_AGAIN_SECONDS = 2.0
 
 Entry = gossip_messages.Entry
 
@@ -143,6 +144,15 @@
     abroad: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Asked:
+    """Whom an entry was asked of, in which order and when."""
+
+    peer: str
+    order: tuple[int, int]
+    at: float
+
+
 class Gossip:
     """Pushes, piggy-backing and exchange of differences."""
 
@@ -158,7 +168,8 @@
         self._repeats: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._wanted: dict[str, set[str]] = {}
+        self._wanted: dict[str, dict[str, tuple[int, int]]] = {}
+        self._asked: dict[str, _Asked] = {}
         self._answering: set[str] = set()
         self._sync_at: dict[str, float] = {}
         self._changed_at = float("-inf")
@@ -266,9 +277,12 @@
         return [Send(peer, reply)]
 
     def take_reply(
-        self, peer: str, reply: gossip_messages.SyncReply
+        self, peer: str, reply: gossip_messages.SyncReply, now: float
     ) -> list[Send]:
-        """Send what the peer lacks and ask for what is lacking here."""
+        """Send what the peer lacks and ask for what is lacking here.
+
+        A peer that is not ready asks for what it lacks itself.
+        """
         theirs = {listed.key: listed for listed in reply.listed}
         surplus = [
             entry
@@ -277,19 +291,23 @@
             for entry in self.table.list_bucket(bucket)
             if entry.key not in theirs or entry.order > theirs[entry.key].order
         ]
-        wanted = tuple(
-            listed.key
+        lacking = {
+            listed.key: listed.order
             for listed in reply.listed
             if self.table.is_newer(listed)
-        )
-        sends = self._push_pages(peer, surplus) if surplus else []
+        }
+        sends = []
         if reply.ready:
             self._answering.add(peer)
-        if wanted:
-            self._wanted[peer] = set(wanted)
-            sends.append(Send(peer, gossip_messages.Want(wanted)))
+        if surplus and reply.ready:
+            sends = self._push_pages(peer, surplus)
+        if lacking:
+            self._wanted[peer] = lacking
         elif reply.ready:
             self.synced.add(peer)
+        wanted = self._choose_wanted(peer, lacking, now)
+        if wanted:
+            sends.append(Send(peer, gossip_messages.Want(wanted)))
         return sends
 
     def answer_want(self, peer: str, want: gossip_messages.Want) -> list[Send]:
@@ -299,18 +317,19 @@
             peer, [entry for entry in found if entry is not None]
         )
 
-    def note_received(
-        self, peer: str, entries: collections.abc.Iterable[Entry]
-    ) -> None:
-        """Count entries that a daemon sent as answers to a Want."""
-        wanted = self._wanted.get(peer)
-        if wanted is None:
-            return
-        wanted.difference_update(entry.key for entry in entries)
-        if not wanted:
-            del self._wanted[peer]
-            if peer in self._answering:
-                self.synced.add(peer)
+    def note_received(self, entries: collections.abc.Iterable[Entry]) -> None:
+        """Count entries that arrived as answers to what is wanted."""
+        keys = [entry.key for entry in entries]
+        for key in keys:
+            self._asked.pop(key, None)
+        for peer, wanted in list(self._wanted.items()):
+            for key in keys:
+                if key in wanted and self._holds(key, wanted[key]):
+                    del wanted[key]
+            if not wanted:
+                del self._wanted[peer]
+                if peer in self._answering:
+                    self.synced.add(peer)
 
     def forget(self, peer: str) -> None:
         """Drop what is kept about a daemon that is gone."""
@@ -319,6 +338,27 @@
         self._wanted.pop(peer, None)
         self._sync_at.pop(peer, None)
 
+    def _holds(self, key: str, order: tuple[int, int]) -> bool:
+        held = self.table.get(key)
+        return held is not None and held.order >= order
+
+    def _choose_wanted(
+        self, peer: str, lacking: dict[str, tuple[int, int]], now: float
+    ) -> tuple[str, ...]:
+        """Return what to ask this peer for, not asked of others lately."""
+        chosen = []
+        for key, order in lacking.items():
+            asked = self._asked.get(key)
+            if (
+                asked is None
+                or asked.order < order
+                or asked.peer == peer
+                or now - asked.at >= ASK_AGAIN_SECONDS
+            ):
+                self._asked[key] = _Asked(peer, order, now)
+                chosen.append(key)
+        return tuple(chosen)
+
     def _push_pages(self, peer: str, entries: list[Entry]) -> list[Send]:
         pages: list[list[Entry]] = [[]]
         size = 0
--- a/packages/fescuestile/src/fescuestile/membership.py
+++ b/packages/fescuestile/src/fescuestile/membership.py
@@ -354,7 +354,7 @@
         self, sender: str, message: gossip_messages.Push, now: float
     ) -> None:
         self._take_all(sender, message.entries, now)
-        self.gossip.note_received(sender, message.entries)
+        self.gossip.note_received(message.entries)
         self._sends += self.gossip.correct(sender, message.entries)
 
     def _on_sync_request(
@@ -365,7 +365,7 @@
     def _on_sync_reply(
         self, sender: str, message: gossip_messages.SyncReply, now: float
     ) -> None:
-        self._sends += self.gossip.take_reply(sender, message)
+        self._sends += self.gossip.take_reply(sender, message, now)
 
     def _on_want(
         self, sender: str, message: gossip_messages.Want, now: float
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -133,6 +133,23 @@
     assert fleet.run_until(lambda: "new" in fleet.list_serving("a-1"), 1.0)
 
 
+def test_a_joining_daemon_takes_each_entry_from_one_peer_only():
+    fleet = fleets.build(1, {"a": 4})
+    for number in range(200):
+        plan = builders.build_plan(f"db-{number}")
+        revision = builders.build_revision(1, plan=plan)
+        fleet.announce("a-0", configuration.make_entry(revision))
+    fleet.run(30.0)
+    fleet.traffic.clear()
+    fleet.add("new", "a", ready=False)
+    for name in ("a-0", "a-1", "a-2", "a-3"):
+        fleet.join("new", name)
+    node = fleet.nodes["new"]
+    assert fleet.run_until(lambda: len(node.gossip.synced) == 4, 1.0)
+    copies = sum(traffic.entries for traffic in fleet.traffic.values())
+    assert 200 <= copies < 2 * 200
+
+
 def test_daemons_that_all_start_anew_have_a_watcher():
     fleet = fleets.Fleet(1)
     for name in "abc":
