Let a test daemon's ports stand on an IP that it does not dial from

The port was free when the test asked for it; the daemon started before it dials out from the same IP and the OS may give that connection the port. Ruled out: a port left open by an earlier test (they close, and the OS would not have handed it out). Addresses now stand on an IP that nothing binds to when it dials.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -16,13 +16,20 @@
 from tests import builders
 
 DATABASE = "werkstatt-db"
+LISTENING_HOSTS = 100
 KEYS = sessions.KeyRing(sessions.SigningKey("k1", b"0123456789abcdef"))
 
 
-def choose_host() -> str:
+def choose_host(number: int) -> str:
     """Return a loopback IP that test processes running now don't share."""
     high, low = divmod(os.getpid() % (100 * 250), 250)
-    return f"127.{high + 100}.{low + 1}.1"
+    return f"127.{high + 100}.{low + 1}.{number}"
+
+
+def choose_address(number: int) -> str:
+    """Return ``IP:port`` on an IP that no outgoing connection binds to."""
+    host = choose_host(number)
+    return f"{host}:{find_port(host)}"
 
 
 def find_port(ip: str) -> int:
@@ -37,14 +44,15 @@
     number: int, sections=None, **daemon_changes
 ) -> settings.Settings:
     """Return the settings of a daemon on this machine."""
-    host = choose_host()
+    host = choose_host(number)
+    listening = number + LISTENING_HOSTS
     options = {
         "name": f"host-{number}",
         "zone": builders.ZONES[(number - 1) % len(builders.ZONES)],
         "ip": host,
-        "caller_address": f"{host}:{find_port(host)}",
-        "link_address": f"{host}:{find_port(host)}",
-        "operator_address": f"{host}:{find_port(host)}",
+        "caller_address": choose_address(listening),
+        "link_address": choose_address(listening),
+        "operator_address": choose_address(listening),
     }
     return settings.Settings.model_validate(
         {
