Protect all connections by TLS, plain text only by explicit setting

Callers, operators, links, endpoints and platform use the files of [tls]; operators and peers are told apart by their authorities. Files are read again on change: new connections use the new keys, open sessions go on, files that do not fit are refused and the old keys stay. Tried before: to copy the pair into temporary files so that what was checked is what is loaded; dropped, hosts have no disk and a key would lie in a second place.

--- a/packages/fescuestile-cli/src/fescuestile_cli/calls.py
+++ b/packages/fescuestile-cli/src/fescuestile_cli/calls.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import pathlib
 import typing
 
 import expression
@@ -41,16 +42,36 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyFiles:
+    """Files for TLS, in PEM.
+
+    :ivar authority: who vouches for the daemons
+    :ivar certificate: the operator's certificate chain
+    :ivar key: its private key
+    """
+
+    authority: str
+    certificate: str
+    key: str
+
+
 def call(
-    address: str, choose: Call, request: object, step: str
+    address: str,
+    choose: Call,
+    request: object,
+    step: str,
+    files: KeyFiles | None = None,
 ) -> expression.Result[typing.Any, CallFailed]:
     """Make one call.
 
     :param address: ``IP:port`` of a daemon's operator service
     :param choose: picks the method of the stub
     :param step: name of the operation, for errors
+    :param files: files for TLS, None for plain text
+    :raises: InvalidInput when a file can't be read
     """
-    with grpc.insecure_channel(address) as channel:
+    with _open_channel(address, files) as channel:
         method = choose(pb_grpc.OperatorServiceStub(channel))
         try:
             reply = method(request, timeout=CALL_TIMEOUT_SECONDS)
@@ -59,6 +80,26 @@
     return expression.Ok(reply)
 
 
+def _open_channel(address: str, files: KeyFiles | None) -> grpc.Channel:
+    if files is None:
+        return grpc.insecure_channel(address)
+    credentials = grpc.ssl_channel_credentials(
+        _read("--ca-file", files.authority),
+        _read("--key-file", files.key),
+        _read("--certificate-file", files.certificate),
+    )
+    return grpc.secure_channel(address, credentials)
+
+
+def _read(option: str, path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise errors.InvalidInput(
+            f"cannot read the file: {error}", "read keys", path, option
+        ) from error
+
+
 def _explain(error: typing.Any, address: str, step: str) -> CallFailed:
     code = error.code()
     exit_code = EXIT_BY_STATUS.get(code, EXIT_UNAVAILABLE)
--- a/packages/fescuestile-cli/src/fescuestile_cli/command.py
+++ b/packages/fescuestile-cli/src/fescuestile_cli/command.py
@@ -25,6 +25,11 @@
 
 VERSION = "0.1.0"
 ADDRESS_VARIABLE = "FESCUESTILE_ADDRESS"
+KEY_FILE_VARIABLES = {
+    "ca-file": "FESCUESTILE_CA_FILE",
+    "certificate-file": "FESCUESTILE_CERTIFICATE_FILE",
+    "key-file": "FESCUESTILE_KEY_FILE",
+}
 FORMATS = ("table", "json")
 STEP = "read arguments"
 
@@ -33,6 +38,9 @@
 COMMON_OPTIONS = (
     option("address", "a", "IP:port of a daemon for operators", flag=False),
     option("output", "o", "table or json", flag=False, default="table"),
+    option("ca-file", None, "authority of the daemons (TLS)", flag=False),
+    option("certificate-file", None, "your certificate (TLS)", flag=False),
+    option("key-file", None, "your private key (TLS)", flag=False),
 )
 CHANGE_OPTIONS = (
     option("operator", None, "who makes the change", flag=False),
@@ -76,7 +84,9 @@
 
         :param tables: make the rows of one table each
         """
-        result = calls.call(self._address, choose, request, self.step)
+        result = calls.call(
+            self._address, choose, request, self.step, self._files
+        )
         if result.is_error():
             self.line_error(f"error: {result.error.error}")
             if self.change_id:
@@ -113,6 +123,7 @@
     def _check_common(self) -> None:
         if self.option("output") not in FORMATS:
             raise _refuse("--output", "expected table or json")
+        self._files = self._find_files()
         address = self.option("address") or os.environ.get(ADDRESS_VARIABLE)
         if not address:
             raise _refuse("--address", f"required, or {ADDRESS_VARIABLE}")
@@ -121,6 +132,19 @@
         except ValueError as error:
             raise _refuse("--address", str(error)) from None
 
+    def _find_files(self) -> calls.KeyFiles | None:
+        """Return the files for TLS, None when none is given."""
+        found: dict[str, str] = {
+            name: self.option(name) or os.environ.get(variable, "")
+            for name, variable in KEY_FILE_VARIABLES.items()
+        }
+        missing = [f"--{name}" for name, path in found.items() if not path]
+        if len(missing) == len(found):
+            return None
+        if missing:
+            raise _refuse(missing[0], "TLS needs all three files")
+        return calls.KeyFiles(*found.values())
+
 
 class DeclareCommand(OperatorCommand):
     """Declares a database group."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
@@ -19,6 +19,7 @@
 from fescuestile_daemon import filters
 from fescuestile_daemon import group_board
 from fescuestile_daemon import published
+from fescuestile_daemon import security
 from fescuestile_daemon import settings
 from fescuestile_daemon import tasks
 
@@ -39,6 +40,7 @@
     membership: published.Published[members.MembershipSnapshot]
     limits: settings.LimitsOptions
     time_source: clock.Clock
+    protection: security.Security
 
 
 class CallerServer:
@@ -68,12 +70,7 @@
         self._server.add_generic_rpc_handlers(
             (caller_handler.make_handler(self._serve),)
         )
-        try:
-            self._server.add_insecure_port(address)
-        except RuntimeError as error:
-            raise errors.ConnectionLost(
-                message=str(error), step="listen", peer=address
-            ) from error
+        self.parts.protection.add_caller_port(self._server, address)
         await self._server.start()
 
     @property
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/command.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/command.py
@@ -11,6 +11,7 @@
 
 from fescuestile import errors
 from fescuestile_daemon import logs
+from fescuestile_daemon import security
 from fescuestile_daemon import server
 from fescuestile_daemon import settings
 
@@ -45,6 +46,11 @@
         if read.is_error():
             self.line_error(str(read.error))
             return EXIT_BAD_INPUT
+        try:
+            security.create_security(read.ok.tls)
+        except errors.InvalidInput as error:
+            self.line_error(str(error))
+            return EXIT_BAD_INPUT
         if self.option("check"):
             self.line(f"{path}: the settings are valid")
             return EXIT_OK
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
@@ -30,6 +30,7 @@
 from fescuestile_daemon import plan_changes
 from fescuestile_daemon import platform_watch
 from fescuestile_daemon import published
+from fescuestile_daemon import security
 from fescuestile_daemon import settings
 from fescuestile_daemon import tasks
 
@@ -61,6 +62,7 @@
     marks: published.Published[configuration_actor.Marked]
     time_source: clock.Clock
     on_drain: collections.abc.Callable[[str], None]
+    protection: security.Security
     switchover: operator_server.Switchover = operator_server.refuse_switchover
     random_source: random.Random = dataclasses.field(
         default_factory=random.Random
@@ -110,7 +112,8 @@
                 self._make_fleet_status(),
                 self._take_change,
                 parts.switchover,
-            )
+            ),
+            parts.protection,
         )
         self._connect_links()
         parts.marks.subscribe(self._take_marks)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -29,6 +29,7 @@
 from fescuestile_daemon import owner
 from fescuestile_daemon import published
 from fescuestile_daemon import report_buffer
+from fescuestile_daemon import security
 from fescuestile_daemon import settings
 from fescuestile_daemon import state_push
 from fescuestile_daemon import switchovers
@@ -81,7 +82,8 @@
             published.Published(None)
         )
         self.marks = published.Published(configuration_actor.Marked())
-        self.links = links.Links(self.own, options.daemon.ip)
+        self.security = security.create_security(options.tls)
+        self.links = links.Links(self.own, options.daemon.ip, self.security)
         self.board = group_board.GroupBoard(self.loop)
         self.groups = groups_actor.GroupsActor.start(
             self.board, self.membership.get(), self._assign_later
@@ -132,6 +134,7 @@
         ip, port = addresses.split_address(self.options.daemon.link_address)
         await self.links.start(ip, port)
         await self.metrics.start()
+        self.security.start()
         self.gauges.start()
         self.push.start()
         self.interest.start()
@@ -166,13 +169,16 @@
         self.groups.stop()
         await self.gauges.close()
         await self.metrics.close()
+        await self.security.close()
         log.info("daemon stopped", id=self.own.id)
 
     def _make_owner_parts(self) -> owner.OwnerParts:
         return owner.OwnerParts(
             own_id=self.own.id,
             dialer=endpoint_adapter.make_dialer(
-                self.own.id, self.options.daemon.ip
+                self.own.id,
+                self.options.daemon.ip,
+                self.security.endpoint_client,
             ),
             time_source=self.time_source,
             board=self.board,
@@ -217,6 +223,7 @@
             membership=self.membership,
             limits=self.options.limits,
             time_source=self.time_source,
+            protection=self.security,
         )
 
     def _list_gauges(self) -> gauges.Gauges:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import itertools
+import ssl
 import typing
 
 import expression
@@ -15,6 +16,7 @@
 from fescuestile import ports
 from fescuestile import positions
 from fescuestile import results
+from fescuestile_daemon import security
 
 log = structlog.get_logger(__name__)
 STEP_CONNECT = "connect endpoint"
@@ -242,12 +244,16 @@
 class WebsocketDialer(ports.EndpointDialer):
     """Opens connections bound to the daemon's own IP."""
 
-    def __init__(self, daemon: str, ip: str) -> None:
+    def __init__(
+        self, daemon: str, ip: str, context: ssl.SSLContext | None = None
+    ) -> None:
         """Take who dials.
 
         :param daemon: id of the daemon
         :param ip: local IP that connections are bound to
+        :param context: TLS context, None for plain text
         """
+        self._context = context
         self._daemon = daemon
         self._ip = ip
         self._generations = itertools.count(1)
@@ -283,7 +289,8 @@
 
     async def _open(self, address: str) -> client.ClientConnection:
         return await client.connect(
-            f"ws://{address}",
+            security.make_uri(address, self._context),
+            ssl=self._context,
             proxy=None,
             compression=None,
             ping_interval=None,
@@ -299,10 +306,13 @@
     )
 
 
-def make_dialer(daemon: str, ip: str) -> WebsocketDialer:
+def make_dialer(
+    daemon: str, ip: str, context: ssl.SSLContext | None = None
+) -> WebsocketDialer:
     """Return the dialer of a daemon.
 
     :param daemon: id of the daemon
     :param ip: local IP that connections are bound to
+    :param context: TLS context, None for plain text
     """
-    return WebsocketDialer(daemon, ip)
+    return WebsocketDialer(daemon, ip, context)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -18,6 +18,7 @@
 from fescuestile import link_messages
 from fescuestile import members
 from fescuestile import results
+from fescuestile_daemon import security
 from fescuestile_daemon import tasks
 
 log = structlog.get_logger(__name__)
@@ -71,12 +72,19 @@
     unanswered is closed, and the next message dials a new one.
     """
 
-    def __init__(self, own: members.Member, ip: str) -> None:
+    def __init__(
+        self,
+        own: members.Member,
+        ip: str,
+        protection: security.Security | None = None,
+    ) -> None:
         """Prepare the links of a daemon.
 
         :param own: the daemon itself
         :param ip: IP that outgoing connections bind to
+        :param protection: TLS or plain text, plain text by default
         """
+        self._security = protection or security.PlainText()
         self._own = own
         self._ip = ip
         self._links: dict[str, Link] = {}
@@ -123,6 +131,7 @@
             self._accept,
             ip,
             port,
+            ssl=self._security.link_server,
             compression=None,
             ping_interval=PING_INTERVAL_SECONDS,
             ping_timeout=PING_TIMEOUT_SECONDS,
@@ -235,7 +244,8 @@
         try:
             socket = await asyncio.wait_for(
                 websocket_client.connect(
-                    f"ws://{address}",
+                    security.make_uri(address, self._security.link_client),
+                    ssl=self._security.link_client,
                     compression=None,
                     ping_interval=PING_INTERVAL_SECONDS,
                     ping_timeout=PING_TIMEOUT_SECONDS,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/operator_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/operator_server.py
@@ -21,6 +21,7 @@
 from fescuestile_daemon import caller_frames
 from fescuestile_daemon import fleet_status
 from fescuestile_daemon import plan_changes
+from fescuestile_daemon import security
 
 FAILURE_KEY = "fescuestile-failure-bin"
 STATUS_BY_ERROR: typing.Mapping[
@@ -256,9 +257,12 @@
 class OperatorServer:
     """Listens for operators."""
 
-    def __init__(self, service: OperatorService) -> None:
+    def __init__(
+        self, service: OperatorService, protection: security.Security
+    ) -> None:
         """Serve a service."""
         self._service = service
+        self._security = protection
         self._server: grpc.aio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -270,12 +274,7 @@
         pb_grpc.add_OperatorServiceServicer_to_server(
             self._service, self._server
         )
-        try:
-            self._server.add_insecure_port(address)
-        except RuntimeError as error:
-            raise errors.ConnectionLost(
-                message=str(error), step="listen", peer=address
-            ) from error
+        self._security.add_operator_port(self._server, address)
         await self._server.start()
 
     async def close(self) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/platform_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/platform_adapter.py
@@ -7,6 +7,7 @@
 import contextlib
 import itertools
 import random
+import ssl
 import typing
 
 import expression
@@ -17,6 +18,7 @@
 from fescuestile import errors
 from fescuestile import platform_messages
 from fescuestile import ports
+from fescuestile_daemon import security
 
 STEP = "platform"
 CALL_TIMEOUT_SECONDS = 2.0
@@ -63,6 +65,7 @@
         own_ip: str | None = None,
         timeout: float = CALL_TIMEOUT_SECONDS,
         random_source: random.Random | None = None,
+        context: ssl.SSLContext | None = None,
     ) -> None:
         """Take the platform's addresses.
 
@@ -70,7 +73,9 @@
             when one fails
         :param own_ip: source address of the connections
         :param timeout: seconds until a call counts as unanswered
+        :param context: TLS context, None for plain text
         """
+        self._context = context
         self._front_ends = tuple(front_ends)
         self._turn = 0
         self._source = (own_ip, 0) if own_ip else None
@@ -176,7 +181,8 @@
 
     def _dial(self) -> client.connect:
         return client.connect(
-            f"ws://{self._address}",
+            security.make_uri(self._address, self._context),
+            ssl=self._context,
             open_timeout=CONNECT_TIMEOUT_SECONDS,
             close_timeout=CONNECT_TIMEOUT_SECONDS,
             ping_interval=self._timeout,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -29,6 +29,7 @@
                     options.platform.addresses,
                     options.daemon.ip,
                     options.platform.timeout,
+                    context=self.daemon.security.platform_client,
                 ),
                 link_pool=self.daemon.links,
                 board=self.daemon.board,
@@ -38,6 +39,7 @@
                 marks=self.daemon.marks,
                 time_source=self.daemon.time_source,
                 on_drain=self.begin_drain,
+                protection=self.daemon.security,
                 switchover=self.daemon.switchovers.carry_out,
             )
         )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
@@ -120,6 +120,53 @@
     interval: units.Duration = 1.0
 
 
+TLS_FILE_KEYS = (
+    "certificate_file",
+    "key_file",
+    "peer_ca_file",
+    "operator_ca_file",
+    "endpoint_ca_file",
+    "platform_ca_file",
+)
+
+
+class TlsOptions(Options):
+    """``[tls]``: either all files, or plain text by explicit setting.
+
+    :ivar plain_text: ``yes`` for connections without TLS
+    :ivar certificate_file: the daemon's certificate chain, in PEM
+    :ivar key_file: its private key
+    :ivar peer_ca_file: authority of the daemons' certificates
+    :ivar operator_ca_file: authority of the operators' certificates
+    :ivar endpoint_ca_file: authority of the endpoints' certificates
+    :ivar platform_ca_file: authority of the platform's certificate
+    :ivar reload_interval: seconds between two looks at the files
+    """
+
+    plain_text: bool = False
+    certificate_file: str = ""
+    key_file: str = ""
+    peer_ca_file: str = ""
+    operator_ca_file: str = ""
+    endpoint_ca_file: str = ""
+    platform_ca_file: str = ""
+    reload_interval: units.Duration = 10.0
+
+    @pydantic.model_validator(mode="after")
+    def check_files(self) -> "TlsOptions":
+        """Check that all files are named, or none for plain text."""
+        missing = [key for key in TLS_FILE_KEYS if not getattr(self, key)]
+        if self.plain_text and len(missing) < len(TLS_FILE_KEYS):
+            raise ValueError("plain_text = yes excludes the files")
+        if not self.plain_text and missing:
+            raise ValueError(
+                f"expected plain_text = yes, or also {', '.join(missing)}"
+            )
+        if not self.plain_text and self.peer_ca_file == self.operator_ca_file:
+            raise ValueError("peers and operators need two authorities")
+        return self
+
+
 class TimingOptions(Options):
     """``[timing]``: pace of the control work, in seconds.
 
@@ -146,6 +193,7 @@
 
     daemon: DaemonOptions
     platform: PlatformOptions
+    tls: TlsOptions
     peers: PeersOptions = PeersOptions()
     limits: LimitsOptions = LimitsOptions()
     logging: LoggingOptions = LoggingOptions()
@@ -157,6 +205,7 @@
     "daemon": DaemonOptions,
     "platform": PlatformOptions,
     "peers": PeersOptions,
+    "tls": TlsOptions,
     "limits": LimitsOptions,
     "logging": LoggingOptions,
     "statsd": StatsdOptions,
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint.py
@@ -10,6 +10,7 @@
 
 from fescuestile import errors
 from fescuestile_standins import endpoint_server
+from fescuestile_standins import tls
 
 MILLISECONDS = 1000
 STEP = "read options"
@@ -49,6 +50,12 @@
         cleo.helpers.option("service-ms", flag=False, default="2"),
         cleo.helpers.option("connect-ms", flag=False, default="10"),
         cleo.helpers.option("replication-ms", flag=False, default="0"),
+        cleo.helpers.option(
+            "tls",
+            description="certificate,key,authority: files for TLS",
+            flag=False,
+            default="",
+        ),
     ]
 
     def handle(self) -> int:
@@ -82,6 +89,7 @@
             service_seconds=self._read_milliseconds("service-ms"),
             connect_seconds=self._read_milliseconds("connect-ms"),
             replication_seconds=self._read_milliseconds("replication-ms"),
+            tls_files=tls.parse_files(self.option("tls")),
         )
 
     def _need(self, field: str) -> str:
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
@@ -20,6 +20,7 @@
 from fescuestile import positions
 from fescuestile_standins import endpoint_log
 from fescuestile_standins import endpoint_state
+from fescuestile_standins import tls
 
 log = structlog.get_logger(__name__)
 BATCH_ENTRIES = 500
@@ -57,22 +58,38 @@
 CODEC = codec.Codec((Pull, Batch))
 
 
+@dataclasses.dataclass(frozen=True)
+class Reach:
+    """How an endpoint connects to others.
+
+    :ivar ip: local IP that connections are bound to
+    :ivar files: files for TLS, None for plain text
+    """
+
+    ip: str
+    files: tls.TlsFiles | None = None
+
+
 async def inspect_peers(
-    addresses: collections.abc.Iterable[str], ip: str
+    addresses: collections.abc.Iterable[str],
+    ip: str,
+    files: tls.TlsFiles | None = None,
 ) -> list[endpoint_messages.Report]:
     """Return the reports of the endpoints that answer.
 
     :param addresses: ``IP:port`` of each
     :param ip: local IP that connections are bound to
+    :param files: files for TLS, None for plain text
     """
-    asked = (_inspect(address, ip) for address in addresses)
+    reach = Reach(ip, files)
+    asked = (_inspect(address, reach) for address in addresses)
     reports = await asyncio.gather(*asked, return_exceptions=True)
     return [r for r in reports if isinstance(r, endpoint_messages.Report)]
 
 
-async def _inspect(address: str, ip: str) -> endpoint_messages.Report:
+async def _inspect(address: str, reach: Reach) -> endpoint_messages.Report:
     encode = endpoint_messages.CODEC.encode
-    async with asyncio.timeout(OPEN_SECONDS), _open(address, ip) as peer:
+    async with asyncio.timeout(OPEN_SECONDS), _open(address, reach) as peer:
         await peer.send(encode(endpoint_messages.Hello("endpoint", True)))
         await peer.send(encode(endpoint_messages.Inspect(1)))
         frame = await peer.recv(decode=False)
@@ -82,16 +99,17 @@
         return report
 
 
-def _open(address: str, ip: str) -> client.connect:
+def _open(address: str, reach: Reach) -> client.connect:
     return client.connect(
-        f"ws://{address}",
+        tls.make_uri(address, reach.files),
+        ssl=tls.create_client_context(reach.files),
         proxy=None,
         compression=None,
         max_size=None,
         ping_interval=None,
         close_timeout=OPEN_SECONDS,
         open_timeout=OPEN_SECONDS,
-        local_addr=(ip, 0),
+        local_addr=(reach.ip, 0),
     )
 
 
@@ -151,17 +169,17 @@
         self,
         state: endpoint_state.EndpointState,
         changed: Notifier,
-        ip: str,
+        reach: Reach,
         delay: float,
     ) -> None:
         """Take the replica's state and how to reach out.
 
-        :param ip: local IP that connections are bound to
+        :param reach: how to connect
         :param delay: seconds between an entry's arrival and its use
         """
         self._state = state
         self._changed = changed
-        self._ip = ip
+        self._reach = reach
         self.delay = delay
         self._task: asyncio.Task[None] | None = None
         self._heard = time.monotonic()
@@ -202,7 +220,7 @@
 
     async def _pull_once(self, address: str) -> None:
         state = self._state
-        async with _open(address, self._ip) as connection:
+        async with _open(address, self._reach) as connection:
             history = state.log.history
             pull = Pull(state.name, state.term, history.starts, history.last)
             await connection.send(CODEC.encode(pull))
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
@@ -16,6 +16,7 @@
 from fescuestile_standins import endpoint_state
 from fescuestile_standins import endpoint_store
 from fescuestile_standins import rejoining
+from fescuestile_standins import tls
 
 log = structlog.get_logger(__name__)
 Runner = endpoint_commands.CommandRunner
@@ -43,6 +44,7 @@
     :ivar service_seconds: time that a statement takes
     :ivar connect_seconds: time that opening a connection takes
     :ivar replication_seconds: delay of what it replicates
+    :ivar tls_files: files for TLS, None for plain text
     :ivar quarantine_seconds: least time from a start without state until
         it counts again
     """
@@ -58,6 +60,7 @@
     service_seconds: float = 0.002
     connect_seconds: float = 0.01
     replication_seconds: float = 0.0
+    tls_files: tls.TlsFiles | None = None
     quarantine_seconds: float = rejoining.QUARANTINE_SECONDS
 
 
@@ -75,7 +78,10 @@
         ip, _, self._port = options.address.rpartition(":")
         self._ip = ip
         self.puller = endpoint_replication.Puller(
-            self.state, self.changed, ip, options.replication_seconds
+            self.state,
+            self.changed,
+            endpoint_replication.Reach(ip, options.tls_files),
+            options.replication_seconds,
         )
         self._server: server.Server | None = None
         self._rejoining: asyncio.Task[None] | None = None
@@ -93,6 +99,7 @@
             self._handle,
             self._ip,
             int(self._port),
+            ssl=tls.create_server_context(self.options.tls_files),
             compression=None,
             ping_interval=None,
             max_size=FRAME_BYTES,
@@ -147,7 +154,7 @@
         size = len(self.options.peers) + 1
         while self.state.role is endpoint_messages.Role.REJOINING:
             others = await endpoint_replication.inspect_peers(
-                self.options.peers.values(), self._ip
+                self.options.peers.values(), self._ip, self.options.tls_files
             )
             if rejoining.may_rejoin(self.report(0), others, size):
                 self.state.rejoin()
--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -196,6 +196,7 @@
                 "operator_address": operator,
             },
             "platform": {"addresses": self._find_platform()},
+            "tls": {"plain_text": "yes"},
             "peers": {"seeds": ", ".join(seeds)},
         }
         for section, keys in (changes or {}).items():
--- a/packages/fescuestile-standins/src/fescuestile_standins/platform.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/platform.py
@@ -22,6 +22,7 @@
 from fescuestile import platform_messages
 from fescuestile import ports
 from fescuestile_standins import platform_store
+from fescuestile_standins import tls
 
 
 @dataclasses.dataclass(eq=False)
@@ -64,10 +65,13 @@
             platform_messages.ReadCounters: self._read_counters,
         }
 
-    async def start(self, address: str) -> str:
+    async def start(
+        self, address: str, files: tls.TlsFiles | None = None
+    ) -> str:
         """Listen on ``IP:port``.
 
         :param address: port 0 takes one from the system
+        :param files: files for TLS, None for plain text
         :returns: the address in use
         """
         ip, _, port = address.rpartition(":")
@@ -75,6 +79,7 @@
             self._serve,
             ip,
             int(port),
+            ssl=tls.create_server_context(files),
             max_size=codec.MAX_FRAME_BYTES,
             compression=None,
         )
@@ -286,14 +291,18 @@
         return platform_messages.CODEC.decode(reply).ok
 
 
-async def run(address: str, hosts: tuple[ports.HostEntry, ...]) -> None:
+async def run(
+    address: str,
+    hosts: tuple[ports.HostEntry, ...],
+    files: tls.TlsFiles | None = None,
+) -> None:
     """Serve until SIGTERM or SIGINT."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     platform = Platform(hosts)
-    print("listening", await platform.start(address), flush=True)
+    print("listening", await platform.start(address, files), flush=True)
     await stopped.wait()
     await platform.close()
 
@@ -303,9 +312,11 @@
     parser = argparse.ArgumentParser(prog="platform")
     parser.add_argument("--address", required=True, help="IP:port")
     parser.add_argument("--hosts", help="INI file of host entries")
+    parser.add_argument("--tls", default="", help="certificate,key,authority")
     arguments = parser.parse_args()
     hosts = read_hosts(arguments.hosts) if arguments.hosts else ()
-    asyncio.run(run(arguments.address, hosts))
+    files = tls.parse_files(arguments.tls)
+    asyncio.run(run(arguments.address, hosts, files))
 
 
 if __name__ == "__main__":
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -44,6 +44,7 @@
         {
             "daemon": options | daemon_changes,
             "platform": {"addresses": [f"{host}:1"]},
+            "tls": {"plain_text": True},
             **(sections or {}),
         }
     )
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -28,12 +28,20 @@
 [platform]
 addresses = 127.0.9.1:4
 """
+PLAIN = "[tls]\nplain_text = yes\n"
 
 
 def refuse(text: str) -> errors.InvalidInput:
+    if "[tls]" not in text:
+        text = PLAIN + text
     return settings.parse_settings(text, "a.ini").error
 
 
+def test_plain_text_has_to_be_asked_for():
+    fault = settings.parse_settings(MINIMAL, "a.ini").error
+    assert (fault.field, fault.message) == ("tls", "the section is required")
+
+
 @pytest.mark.parametrize("user", ZONES)
 def test_samples_hold_four_daemons_in_the_users_zones(user):
     read = [
@@ -48,10 +56,14 @@
 
 
 def test_units_become_seconds_and_bytes():
-    text = MINIMAL + (
-        "timeout = 200ms\n[limits]\nrequest_bytes = 64KiB\n"
-        "maximum_deadline = 1.5min\n"
-        "[peers]\nseeds = 127.0.1.1:1,\n 127.0.1.2:1"
+    text = (
+        PLAIN
+        + MINIMAL
+        + (
+            "timeout = 200ms\n[limits]\nrequest_bytes = 64KiB\n"
+            "maximum_deadline = 1.5min\n"
+            "[peers]\nseeds = 127.0.1.1:1,\n 127.0.1.2:1"
+        )
     )
     read = settings.parse_settings(text).ok
     assert read.platform.timeout == pytest.approx(0.2)
@@ -82,6 +94,9 @@
         ("[platform]\n", "platform", "already exists"),
         ("timeout = 1s\ntimeout = 2s", "platform.timeout", "already exists"),
         ("nonsense", "", "not INI"),
+        ("[tls]\nplain_text = maybe", "tls.plain_text", "boolean"),
+        ("[tls]\nkey_file = k", "tls", "plain_text = yes, or also"),
+        ("[tls]\nplain_text = yes\nkey_file = k", "tls", "excludes"),
     ],
 )
 def test_a_fault_names_file_section_key_and_form(extra, field, form):
@@ -104,6 +119,6 @@
 @hypothesis_settings(derandomize=True, max_examples=300)
 @given(strategies.text(alphabet="[]=:%;#\n abc01.ms\0\x85é", max_size=60))
 def test_any_text_gives_settings_or_an_error(text):
-    for candidate in (text, MINIMAL + text):
+    for candidate in (text, PLAIN + MINIMAL + text):
         result = settings.parse_settings(candidate)
         assert result.is_ok() or result.error.step == settings.STEP
