--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -12,15 +12,13 @@
 import cryptography.x509 as x509
 import cryptography.x509.oid as oid
 
-from fescuestile_standins import fleet as fleets
+from fescuestile_standins import fleet as process_fleets
 from fescuestile_standins import launcher as launchers
+from tests import endpoint_groups
+from tests import fleets
 
 PEM = serialization.Encoding.PEM
-IPS = (
-    "127.0.0.1",
-    "127.0.0.2",
-    *(f"127.0.{zone}.1" for zone in (1, 2, 3)),
-)
+FLEET_IPS = ("127.0.0.2", *(f"127.0.{zone}.1" for zone in (1, 2, 3)))
 DAY = datetime.timedelta(days=1)
 
 
@@ -58,7 +56,7 @@
         self, name: str, key: ec.EllipticCurvePrivateKey, authority: bool
     ) -> x509.Certificate:
         now = datetime.datetime.now(datetime.UTC)
-        names = [x509.IPAddress(ipaddress.ip_address(ip)) for ip in IPS]
+        names = [x509.IPAddress(ipaddress.ip_address(ip)) for ip in list_ips()]
         builder = (
             x509.CertificateBuilder()
             .subject_name(make_name(name))
@@ -76,6 +74,11 @@
         return builder.sign(self._key, hashes.SHA256())
 
 
+def list_ips() -> tuple[str, ...]:
+    """Return the IPs that tests listen on."""
+    return (endpoint_groups.HOST, fleets.choose_host(), *FLEET_IPS)
+
+
 def make_name(name: str) -> x509.Name:
     return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, name)])
 
@@ -116,15 +119,15 @@
 @contextlib.asynccontextmanager
 async def serve_fleet(
     keys: Certificates, directory: pathlib.Path
-) -> collections.abc.AsyncIterator[fleets.DaemonProcess]:
+) -> collections.abc.AsyncIterator[process_fleets.DaemonProcess]:
     """Run a platform and a daemon as processes, over TLS."""
     async with launchers.Launcher(directory) as launcher:
-        fleet = fleets.Fleet(launcher)
+        fleet = process_fleets.Fleet(launcher)
         address = launchers.choose_address(0, 2)
         files = ",".join((*keys.endpoint, str(keys.both)))
         fleet.platform = launcher.start_module(
             "platform",
-            fleets.PLATFORM_MODULE,
+            process_fleets.PLATFORM_MODULE,
             ("--address", address, "--tls", files),
             address,
         )
