--- a/measurements/capacity_entry.py
+++ b/measurements/capacity_entry.py
@@ -8,8 +8,6 @@
 
 PUSHES_PER_SECOND = 20.0
 PLANNED_PUSHES_PER_SECOND = 2.0
-PLANNED_KEEP_ALIVE_SECONDS = 10.0
-KEEP_ALIVE_SECONDS = 0.75
 INTEREST_RENEWALS_PER_SECOND = 0.5
 REPORTS_PER_SECOND = 50.0
 HEARTBEATS_PER_SECOND = 4.0
@@ -23,10 +21,7 @@
     f"{GATHER}; push on a new term at once and lag each 500 ms, from the "
     "primary's owner only"
 )
-IDLE_LINKS = (
-    "open links on demand and close idle ones; no keep-alive where gossip "
-    "probes the peer already, 10 s else"
-)
+IDLE_LINKS = "close links that carried nothing for a while"
 FEWER_REPORTS = (
     "subscribe each 250 ms, as heartbeats too; confirmations ask the "
     "replicas themselves"
@@ -178,23 +173,6 @@
             capacity_lines.CPU_BUDGET,
             remedy=f"{IDLE_LINKS}; {GATHER}",
         ),
-        Line(
-            role,
-            when,
-            "processor for idle links, gathered, keep-alive each 10 s",
-            capacity_costs.to_percent(
-                costs.link_ms
-                * (SIZE.zone_daemons + SIZE.watched)
-                * KEEP_ALIVE_SECONDS
-                / PLANNED_KEEP_ALIVE_SECONDS
-            ),
-            "% of a core",
-            "links to the zone and to the owners of the databases served x "
-            "`slope_links_memory`",
-            "links",
-            capacity_lines.CPU_BUDGET,
-            capacity_lines.PLANNED,
-        ),
         Line(
             role,
             when,
