--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -28,6 +28,7 @@
             options.platform.addresses,
             options.daemon.ip,
             options.platform.timeout,
+            context=self.daemon.security.platform_client,
         )
         self.control = control.Control(
             control.ControlParts(
@@ -42,6 +43,7 @@
                 marks=self.daemon.marks,
                 time_source=self.daemon.time_source,
                 on_drain=self.begin_drain,
+                protection=self.daemon.security,
                 switchover=self.daemon.switchovers.carry_out,
             )
         )
