Let the fleet's daemons listen on IPs that they do not dial from

The same cause as in the tests' in-process fleets: an outgoing connection can take a port that a daemon has yet to listen on. Certificates of the tests name the new IPs.

--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -20,6 +20,9 @@
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
 FIRST_ENDPOINT_HOST = 11
+# Daemons listen on other IPs than they dial from, so that no outgoing
+# connection takes a port that a daemon is about to listen on.
+LISTENING_HOSTS = 100
 PLATFORM_MODULE = "fescuestile_standins.platform"
 ENDPOINT_MODULE = "fescuestile_standins.endpoint"
 WIRE_MODULE = "fescuestile_standins.wire"
@@ -178,8 +181,9 @@
         """
         zone_number = self.zones.index(zone) + 1
         host = 1 + len(self.daemons)
+        listening = host + LISTENING_HOSTS
         caller, link, operator = (
-            launchers.choose_address(zone_number, host) for _ in range(3)
+            launchers.choose_address(zone_number, listening) for _ in range(3)
         )
         seeds = seeds or tuple(
             daemon.link_address
@@ -190,7 +194,7 @@
             "daemon": {
                 "name": name,
                 "zone": zone,
-                "ip": caller.rpartition(":")[0],
+                "ip": f"127.0.{zone_number}.{host}",
                 "caller_address": caller,
                 "link_address": link,
                 "operator_address": operator,
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -18,7 +18,13 @@
 from tests import fleets
 
 PEM = serialization.Encoding.PEM
-FLEET_IPS = ("127.0.0.2", *(f"127.0.{zone}.1" for zone in (1, 2, 3)))
+FLEET_IPS = (
+    "127.0.0.2",
+    *(
+        f"127.0.{zone}.{1 + process_fleets.LISTENING_HOSTS}"
+        for zone in (1, 2, 3)
+    ),
+)
 DAY = datetime.timedelta(days=1)
 
 
@@ -76,7 +82,7 @@
 
 def list_ips() -> tuple[str, ...]:
     """Return the IPs that tests listen on."""
-    return (endpoint_groups.HOST, fleets.choose_host(), *FLEET_IPS)
+    return (endpoint_groups.HOST, *fleets.list_listening_hosts(), *FLEET_IPS)
 
 
 def make_name(name: str) -> x509.Name:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -17,6 +17,7 @@
 
 DATABASE = "werkstatt-db"
 LISTENING_HOSTS = 100
+MOST_DAEMONS = 9
 KEYS = sessions.KeyRing(sessions.SigningKey("k1", b"0123456789abcdef"))
 
 
@@ -26,6 +27,14 @@
     return f"127.{high + 100}.{low + 1}.{number}"
 
 
+def list_listening_hosts() -> tuple[str, ...]:
+    """Return the IPs that the first few daemons listen on."""
+    return tuple(
+        choose_host(number + LISTENING_HOSTS)
+        for number in range(1, MOST_DAEMONS + 1)
+    )
+
+
 def choose_address(number: int) -> str:
     """Return ``IP:port`` on an IP that no outgoing connection binds to."""
     host = choose_host(number)
