Credit each rank its floor also while nothing of it waits, up to a limit

Cause: a rank whose queue runs empty now and then lost its credit and was refused by a wait that did not count it.

--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -1,7 +1,7 @@
 """Admission of work to one endpoint, at the endpoint's owner.
 
-More urgent ranks go first; a rank that waits is owed its floor of the
-service time before that. Within a rank, kinds and callers share fairly.
+More urgent ranks go first, but each rank is owed its floor of the service
+time before that. Within a rank, kinds and callers share fairly.
 Work that cannot make its deadline is refused at once, and only as much
 runs at a time as the endpoint has slots for.
 """
@@ -36,8 +36,8 @@
     """Limits of one endpoint's queue.
 
     :ivar slots: statements that the endpoint runs at a time
-    :ivar floors: share of the service time owed to each rank while it
-        waits, most urgent rank first
+    :ivar floors: share of the service time owed to each rank, most urgent
+        rank first
     :ivar rank_length: pieces of work that wait in one rank at most
     :ivar initial_service: seconds that a kind not yet measured takes
     :ivar floor_margin: factor by which floors are exceeded, since a slot is
@@ -243,16 +243,18 @@
             if kind
             else rank.queue.list_waiting()
         )
+        slots = self._concurrency.limit
         # What runs is on average half done.
-        ahead += self._running_cost / 2
+        until_free = self._running_cost / 2 / slots
         more_urgent, free_share = self._measure_others(level, now)
-        slots = self._concurrency.limit
         wait = math.inf
         if rank.floor > 0:
-            wait = ahead / (slots * rank.floor)
+            missing = max(0.0, ahead + self._get_service(kind) - rank.credit)
+            owed_share = rank.floor * self._options.floor_margin
+            wait = missing / (slots * owed_share)
         if free_share > 0:
             wait = min(wait, (ahead + more_urgent) / (slots * free_share))
-        return wait
+        return until_free + wait
 
     def next_expiry(self) -> float | None:
         """Return the next deadline in the queue, in monotonic seconds."""
@@ -350,6 +352,7 @@
             self._drop(ticket, "waited too long for its deadline")
             return None
         rank.queue.charge(ticket.work.kind, cost)
+        rank.note_cost(cost)
         ticket.owed = rank is not top
         ticket.started_at = now
         ticket.cost = cost
--- a/packages/fescuestile/src/fescuestile/rank_shares.py
+++ b/packages/fescuestile/src/fescuestile/rank_shares.py
@@ -1,8 +1,8 @@
 """Which rank's turn it is.
 
-The most urgent rank that waits goes first. Of all service given meanwhile,
-each other rank that waits is credited its floor, and has its turn once the
-credit pays for its next work.
+The most urgent rank that waits goes first. Of all service given, each rank
+is credited its floor, up to a limit; one that waits has its turn before
+more urgent ones once its credit pays for its next work.
 """
 
 import collections.abc
@@ -12,13 +12,15 @@
 from fescuestile import fair_queue
 
 # Credit with which a rank gets its turn, however long its work takes.
-LONGEST_CREDIT_SECONDS = 0.1
+TURN_CREDIT_SECONDS = 0.1
+# Pieces of its work that a rank's credit pays for at most, if they are long.
+CREDIT_PIECES = 2
 
 
 class Rank:
     """Queue of one rank, what it is owed and how loaded it is.
 
-    :ivar floor: share of the service owed to it while it waits
+    :ivar floor: share of the service that it is owed
     :ivar credit: seconds of service that it is owed
     """
 
@@ -27,9 +29,19 @@
         self.floor = floor
         self.queue = fair_queue.FairQueue()
         self.credit = 0.0
+        self._cost = 0.0
         self._load = 0.0
         self._load_at = -math.inf
 
+    def note_cost(self, seconds: float) -> None:
+        """Note what the work that starts now is expected to take."""
+        self._cost = seconds
+
+    def add_credit(self, seconds: float) -> None:
+        """Credit service time, up to the limit."""
+        limit = max(TURN_CREDIT_SECONDS, CREDIT_PIECES * self._cost)
+        self.credit = min(self.credit + seconds, limit)
+
     def note_load(self, share: float, now: float, window: float) -> None:
         """Note admitted work.
 
@@ -70,8 +82,8 @@
         if rank is top or not rank.queue or rank.credit <= 0:
             continue
         cost = get_service(rank.queue.next_kind)
-        left = rank.credit - min(cost, LONGEST_CREDIT_SECONDS)
-        if left > most:
+        left = rank.credit - min(cost, TURN_CREDIT_SECONDS)
+        if left >= most:
             chosen = rank
             most = left
     return chosen
@@ -80,7 +92,7 @@
 def share_out(
     ranks: Ranks, served: Rank, seconds: float, owed: bool, margin: float
 ) -> None:
-    """Credit the ranks that wait with their part of service given.
+    """Credit all ranks with their part of service given.
 
     :param ranks: all ranks, most urgent first
     :param served: rank that got the service
@@ -88,12 +100,8 @@
     :param owed: it was served before more urgent work
     :param margin: factor by which floors are exceeded
     """
-    top = find_top(ranks)
     for rank in ranks:
-        if not rank.queue:
-            rank.credit = min(rank.credit, 0.0)
-        elif rank is not top:
-            rank.credit += rank.floor * seconds * margin
+        rank.add_credit(rank.floor * seconds * margin)
     if owed:
         served.credit -= seconds
     elif served.credit > 0:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -73,6 +73,22 @@
     assert count_share(done, level=0) >= 1 - 2 * FLOOR - 0.02
 
 
+def test_a_rank_of_few_short_visits_keeps_its_floor_too():
+    queue = admission.AdmissionQueue(OPTIONS)
+    urgent = flood((0, "a", "x", 4))
+    source = random.Random(1)
+
+    def offer(now):
+        works = urgent(now)
+        if source.random() < 4 * FLOOR:
+            patience = SERVICE_SECONDS * source.uniform(3, 6)
+            works.append(make_work(1, "b", "y", now + patience))
+        return works
+
+    done = run_full(queue, 20.0, offer)
+    assert count_share(done, level=1) >= FLOOR
+
+
 def test_a_flooding_kind_and_a_flooding_caller_pay_alone():
     queue = admission.AdmissionQueue(OPTIONS)
     source = flood(
