--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -1,13 +1,16 @@
 """A whole daemon: the statement path and the control part together."""
 
 import asyncio
+import random
 
 import structlog
 
 from fescuestile import members
 from fescuestile_daemon import control
 from fescuestile_daemon import daemon
+from fescuestile_daemon import leaving_primaries
 from fescuestile_daemon import platform_adapter
+from fescuestile_daemon import primary_record
 from fescuestile_daemon import settings
 
 log = structlog.get_logger(__name__)
@@ -21,15 +24,17 @@
         self.options = options
         self.daemon = daemon.Daemon(options, members.MemberState.JOINING)
         self._draining: asyncio.Task[bool] | None = None
+        platform = platform_adapter.PlatformAdapter(
+            options.platform.addresses,
+            options.daemon.ip,
+            options.platform.timeout,
+            context=self.daemon.security.platform_client,
+        )
         self.control = control.Control(
             control.ControlParts(
                 own=self.daemon.own,
                 options=options,
-                platform=platform_adapter.PlatformAdapter(
-                    options.platform.addresses,
-                    options.daemon.ip,
-                    options.platform.timeout,
-                ),
+                platform=platform,
                 link_pool=self.daemon.links,
                 board=self.daemon.board,
                 membership=self.daemon.membership,
@@ -38,15 +43,29 @@
                 marks=self.daemon.marks,
                 time_source=self.daemon.time_source,
                 on_drain=self.begin_drain,
+                protection=self.daemon.security,
                 switchover=self.daemon.switchovers.carry_out,
             )
         )
+        self.record = primary_record.PrimaryRecord(
+            self.daemon.own.id, platform, self.control.trail, random.Random()
+        )
+        self.leaving_primaries = leaving_primaries.LeavingPrimaries(
+            self.daemon.own.id,
+            self.daemon.marks,
+            self.daemon.board,
+            self.daemon.switchovers,
+            self.daemon.time_source,
+        )
+        self.daemon.failovers.on_published.append(self.record.take)
         self.daemon.membership.subscribe(self._greet_as)
 
     async def start(self) -> None:
         """Join the fleet, take the configuration, then take callers."""
         await self.daemon.start_links()
         await self.control.start()
+        self.record.start()
+        self.leaving_primaries.start()
         self.control.become_ready()
         await self.daemon.start_callers()
 
@@ -74,6 +93,8 @@
             self._draining.cancel()
             await asyncio.gather(self._draining, return_exceptions=True)
         await self.daemon.callers.close()
+        await self.leaving_primaries.close()
+        await self.record.close()
         await self.control.close()
         await self.daemon.close()
 
--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -18,86 +18,26 @@
 from fescuestile import endpoint_messages
 from fescuestile import failover
 from fescuestile import failover_steps
-from fescuestile import plans
 from fescuestile import positions
 from fescuestile_standins import endpoint_log
 from fescuestile_standins import endpoint_state
-from fescuestile_standins import rejoining
-from tests import builders
+from tests.model_check import failover_parts
 
 Role = endpoint_messages.Role
-NAMES = ("a", "b", "c")
 _ACTIVE = (failover_steps.Step.FENCING, failover_steps.Step.PROMOTING)
-_SENDS = (
+SENDS = (
     failover_steps.SendFence,
     failover_steps.SendPromote,
     failover_steps.SendFollow,
 )
 
 
-RejoinRule = typing.Callable[
-    [endpoint_messages.Report, list[endpoint_messages.Report], int], bool
-]
-
-
-@dataclasses.dataclass(frozen=True)
-class Build:
-    """The code under check; planted bugs replace parts of it."""
-
-    endpoint: type[endpoint_state.EndpointState] = endpoint_state.EndpointState
-    tracker: type[confirmation.ConfirmationTracker] = (
-        confirmation.ConfirmationTracker
-    )
-    rules: type[failover.FailoverRules] = failover.FailoverRules
-    may_rejoin: RejoinRule = rejoining.may_rejoin
-    confirm_majority: int = 2
-    driver_majority: int = 2
-
-
-@dataclasses.dataclass(frozen=True)
-class Scope:
-    """How many of each step there may be.
-
-    :ivar crashing: endpoints that may come back empty
-    :ivar batch: entries copied at a time, None for all
-    """
-
-    writes: int = 2
-    attempts: int = 2
-    crashes: int = 0
-    losses: int = 0
-    crashing: tuple[str, ...] = NAMES
-    batch: int | None = None
-
-
-class MajorityPlan(plans.Plan):
-    """A plan whose majority a planted bug sets."""
-
-    size = 2
-
-    @property
-    def majority(self) -> int:
-        return self.size
-
-
-def make_plan(majority: int) -> plans.Plan:
-    endpoints = tuple(
-        builders.build_endpoint(number, name=name)
-        for number, name in enumerate(NAMES, start=1)
-    )
-    plan = builders.build_plan(endpoints=endpoints)
-    fields = {f.name: getattr(plan, f.name) for f in dataclasses.fields(plan)}
-    changed = MajorityPlan(**fields)
-    object.__setattr__(changed, "size", majority)
-    return changed
-
-
 @dataclasses.dataclass
 class World:
     """One state; steps work on copies."""
 
-    build: Build
-    left: Scope
+    build: failover_parts.Build
+    left: failover_parts.Scope
     rules: failover.FailoverRules
     endpoints: dict[str, endpoint_state.EndpointState]
     drivers: dict[str, failover_steps.Driver]
@@ -109,26 +49,21 @@
     violation: str | None = None
     keys: dict[str, typing.Hashable] = dataclasses.field(default_factory=dict)
 
-    def copy(self, *changed: str, **spent: int) -> "World":
+    def copy(self, *changed: str, **spent: int) -> typing.Self:
         """Return a copy with its own endpoints of the names given."""
         left = self.left
         for name, number in spent.items():
             left = dataclasses.replace(
                 left, **{name: getattr(left, name) - number}
             )
-        world = World(
-            self.build,
-            left,
-            self.rules,
-            self.endpoints.copy(),
-            self.drivers.copy(),
-            self.sends.copy(),
-            self.trackers.copy(),
-            self.written,
-            self.acknowledged,
-            self.elected,
-            keys=self.keys.copy(),
-        )
+        world = object.__new__(type(self))
+        world.__dict__.update(self.__dict__)
+        world.left = left
+        world.endpoints = self.endpoints.copy()
+        world.drivers = self.drivers.copy()
+        world.sends = self.sends.copy()
+        world.trackers = self.trackers.copy()
+        world.keys = self.keys.copy()
         for name in changed:
             world.endpoints[name] = self.endpoints[name].copy()
             world.keys.pop(name, None)
@@ -139,11 +74,11 @@
             if name not in self.keys:
                 self.keys[name] = _make_endpoint_key(endpoint)
         drivers = tuple(
-            (d.step, d.term, d.highest, d.chosen, _list_grants(d))
+            (d.step, d.term, d.highest, d.chosen, d.avoid, _list_grants(d))
             for d in self.drivers.values()
         )
         return (
-            tuple(self.keys[name] for name in NAMES),
+            tuple(self.keys[name] for name in failover_parts.NAMES),
             drivers,
             tuple(self.sends.values()),
             self._list_evidence(),
@@ -227,7 +162,7 @@
         report = self.endpoints[name].report()
         tracker = self.trackers.get(report.term)
         if tracker is None:
-            plan = make_plan(self.build.confirm_majority)
+            plan = failover_parts.make_plan(self.build.confirm_majority)
             tracker = self.build.tracker(plan)
         tracker = copy.copy(tracker)
         tracker._reports = dict(tracker._reports)
@@ -261,7 +196,10 @@
                 continue
             for highest in {driver.highest, newest}:
                 world = self.copy(attempts=1)
-                known = dataclasses.replace(driver, highest=highest)
+                avoid = self.find_primary().name if self.left.avoids else ""
+                known = dataclasses.replace(
+                    driver, highest=highest, avoid=avoid
+                )
                 started, actions = self.rules.start_fencing(known, 0.0)
                 world.drivers[id_] = started
                 world.sends[id_] = frozenset(actions)
@@ -271,6 +209,7 @@
 
     def _list_deliveries(self) -> typing.Iterator[tuple[str, "World"]]:
         for id_, sends in self.sends.items():
+            yield from self._list_timeouts(id_)
             for action in sends:
                 if isinstance(action, failover_steps.SendFollow):
                     yield self._deliver(id_, action, action.endpoint, True)
@@ -284,6 +223,19 @@
                             id_, action, action.endpoint, False
                         )
 
+    def _list_timeouts(self, id_: str) -> typing.Iterator[tuple[str, "World"]]:
+        """A driver waits no longer for the grant that it would rather have."""
+        driver, actions = self.rules.advance(
+            self.drivers[id_],
+            failover_steps.Ticked(),
+            failover.GRANT_WAIT_SECONDS,
+        )
+        if driver.step is not self.drivers[id_].step:
+            world = self.copy()
+            world.drivers[id_] = driver
+            world.sends[id_] = frozenset(actions)
+            yield f"{id_} waits no longer", world
+
     def _deliver(
         self,
         id_: str,
@@ -292,7 +244,7 @@
         answered: bool,
     ) -> tuple[str, "World"]:
         world = self.copy(name, losses=0 if answered else 1)
-        event = _perform(world.endpoints[name], action, id_)
+        event = failover_parts.perform(world.endpoints[name], action, id_)
         world.elected = max(world.elected, world.find_primary().term)
         world.sample(name)
         label = f"{name} gets {type(action).__name__} of {id_}"
@@ -302,7 +254,7 @@
         world.drivers[id_] = driver
         sends = world.sends[id_] - {action}
         if driver.step is not self.drivers[id_].step:
-            sends = frozenset(a for a in actions if isinstance(a, _SENDS))
+            sends = frozenset(a for a in actions if isinstance(a, SENDS))
         world.sends[id_] = sends
         if not world.left.crashes:
             world._drop_refused()
@@ -341,7 +293,9 @@
                     world.endpoints[name].follow(send.term, send.primary)
                     yield f"{name} follows {send.primary}", world
             others = [r for n, r in reports.items() if n != name]
-            if self.build.may_rejoin(reports[name], others, len(NAMES)):
+            if self.build.may_rejoin(
+                reports[name], others, len(failover_parts.NAMES)
+            ):
                 world = self.copy(name)
                 world.endpoints[name].rejoin()
                 world._expire_grants(name)
@@ -380,42 +334,25 @@
     return frozenset((n, r.last) for n, r in driver.grants.items())
 
 
-def _perform(
-    endpoint: endpoint_state.EndpointState,
-    action: failover_steps.Action,
-    driver: str,
-) -> failover_steps.Event:
-    match action:
-        case failover_steps.SendFence():
-            verdict = endpoint.fence(action.term, driver)
-            report = endpoint.report(0, verdict)
-            return failover_steps.FenceReplied(action.term, report)
-        case failover_steps.SendPromote():
-            verdict = endpoint.promote(action.term, driver)
-            report = endpoint.report(0, verdict)
-            return failover_steps.PromoteReplied(action.term, report)
-        case failover_steps.SendFollow():
-            verdict = endpoint.follow(action.term, action.primary)
-            report = endpoint.report(0, verdict)
-            return failover_steps.FollowReplied(action.term, report)
-    raise TypeError(f"{action} is not delivered")
-
-
 def make_world(
-    build: Build, scope: Scope, drivers: tuple[str, ...] = ("d1", "d2")
+    build: failover_parts.Build,
+    scope: failover_parts.Scope,
+    drivers: tuple[str, ...] = ("d1", "d2"),
 ) -> World:
     """Return a new group whose first primary is ``a``.
 
     All hold the first entry.
     """
-    endpoints = {name: build.endpoint(name) for name in NAMES}
+    endpoints = {name: build.endpoint(name) for name in failover_parts.NAMES}
     for endpoint in endpoints.values():
         endpoint.bootstrap("a")
         endpoint.accept(1, 0, endpoints["a"].log.list_after(0))
     return World(
         build=build,
         left=scope,
-        rules=build.rules(make_plan(build.driver_majority), random.Random(1)),
+        rules=build.rules(
+            failover_parts.make_plan(build.driver_majority), random.Random(1)
+        ),
         endpoints=endpoints,
         drivers={
             id_: failover_steps.Driver(id_, highest=1) for id_ in drivers
