--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -15,6 +15,7 @@
 
 TICK_SECONDS = 0.1
 LATENCY_SECONDS = 0.0015
+SETTLE_LOOK_SECONDS = 0.1
 CODEC = codec.Codec(gossip_messages.CLASSES)
 
 
@@ -100,19 +101,25 @@
         self,
         condition: collections.abc.Callable[[], bool],
         limit: float,
+        every: float = 0.0,
     ) -> bool:
         """Step until a condition holds.
 
         :param limit: virtual seconds from now
+        :param every: least virtual seconds between two looks at it
         :returns: whether it held in time
         """
         end = self.now + limit
-        while not condition():
+        look_at = self.now
+        while True:
+            if self.now >= look_at:
+                if condition():
+                    return True
+                look_at = self.now + every
             if not self._events or self._events[0][0] > end:
                 self.now = end
-                return False
+                return condition()
             self._step()
-        return True
 
     def run(self, seconds: float) -> None:
         """Step for a while."""
@@ -206,6 +213,7 @@
             for name in everyone
         ),
         60.0,
+        SETTLE_LOOK_SECONDS,
     )
     if not settled:
         raise RuntimeError("the fleet did not settle")
--- /dev/null
+++ b/measurements/platform_calls.py
@@ -0,0 +1,98 @@
+"""What the platform is called for while nothing changes."""
+
+import asyncio
+import dataclasses
+
+from fescuestile import configuration
+from fescuestile import platform_messages
+from measurements import builders
+from measurements import control_bench
+from measurements import frame
+
+ZONES = ("muenchen", "ingolstadt", "landshut")
+SIZES = ((3, 1), (6, 1), (12, 1), (6, 300))
+WATCHES_PER_ZONE = 4
+READS_PER_ZONE_SECOND = 2.5
+SETTLE_SECONDS = 3.0
+OBSERVED_SECONDS = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallsRow:
+    """Calls of a whole fleet; ``waiting`` are watches that wait."""
+
+    daemons: int
+    zones: int
+    databases: int
+    waiting: int
+    reads_per_second: float
+    writes_per_second: float
+
+
+class PlatformCalls(frame.Measurement):
+    """Calls at the platform by daemons and databases."""
+
+    name = "platform_calls"
+    description = "Calls and watches at the platform of a quiet fleet."
+
+    def run(self, seed: int) -> frame.Report:
+        """Count the calls of real fleets."""
+        rows = tuple(
+            asyncio.run(_count(daemons, databases))
+            for daemons, databases in SIZES
+        )
+        watches = max(row.waiting / row.zones for row in rows)
+        reads = max(row.reads_per_second / row.zones for row in rows)
+        return frame.Report(
+            self.name,
+            seed,
+            rows,
+            (
+                frame.require_at_most(
+                    "waiting watches per zone", watches, WATCHES_PER_ZONE
+                ),
+                frame.require_at_most(
+                    "reads/s per zone", reads, READS_PER_ZONE_SECOND
+                ),
+            ),
+        )
+
+
+def create_measurements() -> tuple[frame.Measurement, ...]:
+    """Return the measurements of this module."""
+    return (PlatformCalls(),)
+
+
+async def _count(daemons: int, databases: int) -> CallsRow:
+    zones = [ZONES[number % len(ZONES)] for number in range(daemons)]
+    async with control_bench.open_bench(zones) as bench:
+        await bench.start(zones)
+        await _declare_more(bench, databases - 1)
+        await asyncio.sleep(SETTLE_SECONDS)
+        before = await bench.send_hook(platform_messages.ReadCounters(id=0))
+        await asyncio.sleep(OBSERVED_SECONDS)
+        after = await bench.send_hook(platform_messages.ReadCounters(id=0))
+    return CallsRow(
+        daemons,
+        len(ZONES),
+        databases,
+        after.waiting,
+        (after.reads - before.reads) / OBSERVED_SECONDS,
+        (after.writes - before.writes) / OBSERVED_SECONDS,
+    )
+
+
+async def _declare_more(bench: control_bench.Bench, count: int) -> None:
+    """Write further plans at the platform itself."""
+    for revision in builders.build_revisions(count).values():
+        outcome = configuration.ChangeOutcome(revision.change_id, 1)
+        content = configuration.PlanObject(revision, (outcome,))
+        await bench.send_hook(
+            platform_messages.WriteObject(
+                id=0,
+                path=configuration.find_plan_path(revision.plan.database),
+                value=configuration.encode_object(content),
+                expected_version=0,
+                change_id=revision.change_id,
+            )
+        )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/membership_actor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/membership_actor.py
@@ -5,6 +5,7 @@
 import random
 
 import pykka
+import structlog
 
 from fescuestile import clock
 from fescuestile import gossip_messages
@@ -14,6 +15,8 @@
 from fescuestile import probes
 from fescuestile_daemon import published
 
+log = structlog.get_logger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
@@ -173,8 +176,10 @@
 
     def _publish(self) -> None:
         marked = leaving.mark_members(self._seen, self._addresses)
-        if marked != self._parts.snapshots.get():
+        before = self._parts.snapshots.get()
+        if marked != before:
             self._parts.snapshots.publish(marked)
+            _log_changes(before, marked)
 
     def _publish_status(self) -> None:
         status = GossipStatus(
@@ -185,3 +190,21 @@
         )
         if status != self._parts.status.get():
             self._parts.status.publish(status)
+
+
+def _log_changes(
+    before: members.MembershipSnapshot, after: members.MembershipSnapshot
+) -> None:
+    """Log which daemons began or ceased to take new work."""
+    served = {member.id: member for member in before.list_serving()}
+    serving = {member.id: member for member in after.list_serving()}
+    for member_id in sorted(served.keys() - serving.keys()):
+        log.info(
+            "daemon no longer serves",
+            member=member_id,
+            zone=served[member_id].zone,
+        )
+    for member_id in sorted(serving.keys() - served.keys()):
+        log.info(
+            "daemon serves", member=member_id, zone=serving[member_id].zone
+        )
