--- a/tests/scenarios/test_sessions.py
+++ b/tests/scenarios/test_sessions.py
@@ -11,8 +11,10 @@
 from fescuestile import errors
 from fescuestile_api import fescuestile_pb2 as pb
 from fescuestile_client import options as client_options
+from fescuestile_client import session as client_session
 from fescuestile_standins import fleet as fleets
 from tests.scenarios import ledgers
+from tests.scenarios import odd_daemons
 from tests.scenarios import worlds
 
 scenarios("sessions.feature")
@@ -21,10 +23,11 @@
 
 
 @pytest.fixture
-def ledger(world):
-    running = ledgers.Ledger(world)
-    yield running
-    running.stop()
+def ledgers_kept(world):
+    kept: list[ledgers.Ledger] = []
+    yield kept
+    for running in kept:
+        running.stop()
 
 
 def execute(session, text, kind="fault-report", **options):
@@ -294,9 +297,47 @@
         assert all(session)
 
 
-@given("callers write without repeats")
-def start_ledger(world, ledger):
+@given(parsers.parse("a daemon whose answers come {how}"))
+def start_odd_daemon(world, how):
+    world.notes["how"] = how
+
+
+@when("a session asks 20 requests at once, three times")
+def ask_odd_daemon(world):
+    texts = [f"GET key-{number}" for number in range(20)]
+
+    async def work():
+        matched = []
+        async with (
+            odd_daemons.create_daemon(world.notes["how"]) as daemon,
+            client_session.Session([daemon.address], "office") as session,
+        ):
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(execute(session, text, read_only=True) for text in texts)
+                )
+                matched.append(
+                    [
+                        answer.payload == odd_daemons.make_answer(text)
+                        for answer, text in zip(answers, texts, strict=True)
+                    ]
+                )
+        return matched
+
+    world.notes["whole"] = world.run(work())
+
+
+@given(
+    parsers.parse(
+        "callers write without repeats, each within {limit:d} milliseconds"
+    ),
+    target_fixture="ledger",
+)
+def start_ledger(world, ledgers_kept, limit):
+    ledger = ledgers.Ledger(world, limit / 1000)
+    ledgers_kept.append(ledger)
     world.run(ledger.wait_acknowledged(30))
+    return ledger
 
 
 @when("the open connections to the primary go silent")
@@ -307,9 +348,16 @@
     assert met > 0
 
 
-@when(parsers.parse('daemon "{name}" is killed'))
-def kill_daemon(world, name):
-    world.fleet.daemons[name].process.kill()
+@when("the owner of the primary is killed")
+def kill_owner(world):
+    process = find_owner(world).process
+    process.kill()
+    world.run(process.wait_exit())
+
+
+@when("another daemon is killed")
+def kill_daemon(world):
+    world.daemons[-1].process.kill()
 
 
 @then(parsers.parse("writes are acknowledged again within {limit:d} seconds"))
