Forget what was pushed of a group once its last endpoint is given up

Cause: the watches of a group were dropped before the list of groups still watched was taken, so that no group was ever found to have gone, and its reports stayed in memory and in pushes. Found by reading; the new test fails before (reports still held after 5 s) and passes after, three runs. A late report of a watch that is closing is dropped too.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -264,13 +264,13 @@
             for database, revision in revisions.items()
             for endpoint in revision.plan.endpoints
         }
+        watched = {database for database, _ in self._watches}
+        for database in watched - revisions.keys():
+            self._parts.push.forget(database)
+            self.confirmations.forget(database)
         for key, watch in tuple(self._watches.items()):
             if wanted.get(key) != watch.endpoint:
                 self._tasks.spawn(self._watches.pop(key).close())
-        kept = {database for database, _ in wanted}
-        for database in {key[0] for key in self._watches} - kept:
-            self._parts.push.forget(database)
-            self.confirmations.forget(database)
         for key, endpoint in wanted.items():
             if key not in self._watches:
                 watch = group_watch.EndpointWatch(
@@ -287,6 +287,8 @@
     def _observe(
         self, database: str, report: endpoint_messages.Report, at: float
     ) -> None:
+        if (database, report.endpoint) not in self._watches:
+            return
         self.confirmations.observe(database, report)
         for listener in self.on_report:
             listener(database, report, at)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
@@ -64,6 +64,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def list_databases(self) -> tuple[str, ...]:
+        """Return the groups that there is something to push of."""
+        return tuple(self._groups)
+
     def observe(
         self, database: str, report: endpoint_messages.Report, at: float
     ) -> None:
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -117,3 +117,10 @@
     assert (again.payload, again.position) == (first.payload, first.position)
     assert again.repeated
     assert again.endpoint == "two"
+
+
+async def test_a_group_that_is_given_up_leaves_nothing_behind(daemons):
+    owner = daemons[0]
+    await endpoint_groups.wait_until(owner.push.list_databases)
+    owner.plans.publish({})
+    await endpoint_groups.wait_until(lambda: not owner.push.list_databases())
