--- a/measurements/failover_gap.py
+++ b/measurements/failover_gap.py
@@ -193,6 +193,26 @@
         return frame.Report(self.name, seed, rows, find_targets(rows))
 
 
+async def measure_switchovers(seed: int) -> tuple[GapRow, ...]:
+    """Move the primaries by operators' calls."""
+    source = random.Random(seed)
+    async with failover_bench.serve(GROUPS, OPTIONS) as bench:
+        kind = failover_kinds.Switchover(source)
+        return (await run_kind(bench, kind, "up", source),)
+
+
+class SwitchoverGap(frame.Measurement):
+    """Gap in writes during planned switchovers."""
+
+    name = "switchover_gap"
+    description = "gap in writes during 30 planned switchovers"
+
+    def run(self, seed: int) -> frame.Report:
+        """Run it."""
+        rows = asyncio.run(measure_switchovers(seed))
+        return frame.Report(self.name, seed, rows, find_targets(rows))
+
+
 def find_targets(rows: tuple[GapRow, ...]) -> tuple[frame.Target, ...]:
     """Return the targets that the rows met or missed."""
     targets = []
@@ -216,4 +236,4 @@
 
 def create_measurements() -> tuple[frame.Measurement, ...]:
     """Return this module's measurements."""
-    return (FailoverGap(),)
+    return (FailoverGap(), SwitchoverGap())
--- a/measurements/failover_kinds.py
+++ b/measurements/failover_kinds.py
@@ -3,11 +3,18 @@
 import abc
 import asyncio
 import dataclasses
+import itertools
 import random
 
+import grpc
+
+from fescuestile_api import fescuestile_pb2 as pb
+from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
 from fescuestile_standins import relayed_group
 from measurements import failover_bench
 
+SWITCHOVER_SECONDS = 10.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Victim:
@@ -121,3 +128,33 @@
 
     async def end(self, victim: Victim) -> None:
         """Do nothing; it runs."""
+
+
+class Switchover(Failure):
+    """An operator moves the primary; nothing fails."""
+
+    name = "switchover"
+
+    def __init__(self, source: random.Random) -> None:
+        """Draw targets and daemons from a source."""
+        self._random = source
+        self._numbers = itertools.count(1)
+
+    async def cause(self, victim: Victim) -> None:
+        """Ask a daemon for it."""
+        others = [n for n in victim.group.addresses if n != victim.primary]
+        daemons = list(victim.bench.fleet.daemons.values())
+        address = self._random.choice(daemons).operator_address
+        async with grpc.aio.insecure_channel(address) as channel:
+            await pb_grpc.OperatorServiceStub(channel).Switchover(
+                pb.SwitchoverRequest(
+                    database=victim.group.plan.database,
+                    target=self._random.choice(others),
+                    change_id=f"switchover-{next(self._numbers)}",
+                    operator="measurement",
+                ),
+                timeout=SWITCHOVER_SECONDS,
+            )
+
+    async def end(self, victim: Victim) -> None:
+        """Do nothing; all run."""
--- a/tests/scenarios/failover.feature
+++ b/tests/scenarios/failover.feature
@@ -61,3 +61,12 @@
     Given four daemons before a group under writes
     When both replicas are killed
     Then no further write is acknowledged
+
+  @invariant_2
+  Scenario: A planned switchover under writes
+    Given four daemons before a group under writes
+    When an operator moves the primary
+    Then writes under a new term are acknowledged within 3 seconds
+    And all endpoints follow one primary
+    And every acknowledged write is in its log
+    And no write ended as unknown
--- a/tests/scenarios/test_failover.py
+++ b/tests/scenarios/test_failover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import threading
 import time
 
@@ -133,6 +134,18 @@
     world.run(world.failure.cause(world.victim))
 
 
+@when("an operator moves the primary")
+def move_primary(world):
+    world.began = time.monotonic()
+    switchover = failover_kinds.Switchover(random.Random(1))
+    world.run(switchover.cause(world.victim))
+
+
+@then("no write ended as unknown")
+def check_none_unknown(world):
+    assert world.writer.unknown == 0
+
+
 @when("the failure ends")
 def end_failure(world):
     world.run(world.failure.end(world.victim))
