--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -239,6 +239,15 @@
             metric_names.ENDPOINTS_OWNED: lambda: sum(
                 len(group.owned) for group in self.owner.groups.values()
             ),
+            metric_names.SLOTS_RUNNING: lambda: sum(
+                pool.running for pool in self.owner.list_pools()
+            ),
+            metric_names.SLOTS_WAITING: lambda: sum(
+                pool.waiting for pool in self.owner.list_pools()
+            ),
+            metric_names.ENDPOINT_CONNECTIONS: lambda: sum(
+                pool.connections for pool in self.owner.list_pools()
+            ),
         }
 
     def _assign_later(self, assignment: groups_actor.Assignment) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/metric_names.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/metric_names.py
@@ -12,6 +12,9 @@
 DATABASES = "databases"
 DATABASES_WATCHED = "databases.watched"
 ENDPOINTS_OWNED = "endpoints.owned"
+SLOTS_RUNNING = "slots.running"
+SLOTS_WAITING = "slots.waiting"
+ENDPOINT_CONNECTIONS = "endpoints.connections"
 
 TIMINGS = (REQUEST_TIME,)
 COUNTERS = (ANSWERED_BY_PRIMARY, ANSWERED_BY_REPLICA, *FAILED.values())
@@ -22,4 +25,7 @@
     DATABASES,
     DATABASES_WATCHED,
     ENDPOINTS_OWNED,
+    SLOTS_RUNNING,
+    SLOTS_WAITING,
+    ENDPOINT_CONNECTIONS,
 )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -143,6 +143,10 @@
         """Groups with an owned endpoint, by database."""
         return self._groups
 
+    def list_pools(self) -> tuple[endpoint_pool.EndpointPool, ...]:
+        """Return the pools of the owned endpoints."""
+        return tuple(self._pools.values())
+
     def find_watch(
         self, database: str, endpoint: str
     ) -> group_watch.EndpointWatch | None:
