--- a/packages/fescuestile-standins/src/fescuestile_standins/relayed_group.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/relayed_group.py
@@ -13,7 +13,7 @@
 
 WIRE_MODULE = "fescuestile_standins.wire"
 WIRE_HOST = 3
-RELAY_HOST = 15
+RELAY_HOST = 200
 
 
 async def start_wire(launcher: launchers.Launcher) -> wire.WireClient:
