Keep the fleet's hosts within their zone's addresses

Cause: the launcher's offset by process (up to 220) and the daemons' own offset for listening (100) add up to more than 255, so that start_daemon ended with gaierror for 6 of 12 process ids. Host numbers now wrap within the zone; the two IPs of a daemon stay apart.

--- a/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
@@ -27,6 +27,7 @@
 # the port of a process that is down is not taken before it starts again.
 HOSTS_PER_LAUNCHER = 20
 LAUNCHERS = 12
+HOSTS_PER_ZONE = 254
 FIRST_HOST = HOSTS_PER_LAUNCHER * (os.getpid() % LAUNCHERS)
 STEP = "launch"
 
@@ -35,9 +36,10 @@
     """Return ``IP:port`` of a host with a free port.
 
     :param zone_number: number of the zone, from 0
-    :param host_number: number of the host in its zone, 1 to 20
+    :param host_number: number of the host in its zone, from 1
     """
-    ip = f"127.0.{zone_number}.{FIRST_HOST + host_number}"
+    host = (FIRST_HOST + host_number - 1) % HOSTS_PER_ZONE + 1
+    ip = f"127.0.{zone_number}.{host}"
     with socket.socket() as probe:
         probe.bind((ip, 0))
         return f"{ip}:{probe.getsockname()[1]}"
