--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -70,3 +70,20 @@
     Then it says that it waits for the configuration and takes no callers
     When the platform is back
     Then a caller of daemon "d0" can write
+
+  @invariant_9
+  Scenario: An operator scripts changes with the command line
+    Given the plan is written to "plan.ini"
+    Then these commands exit with these codes:
+      | command                            | code |
+      | apply plan.ini -e 1 --change-id c2 | 0    |
+      | apply plan.ini -e 1 --change-id c2 | 0    |
+      | apply plan.ini -e 1                | 1    |
+      | apply missing.ini -e 2             | 2    |
+      | revert werkstatt-db 1 -e 2         | 0    |
+      | revert werkstatt-db 77 -e 3        | 2    |
+      | history werkstatt-db -o json       | 0    |
+      | status                             | 0    |
+      | audit -o json                      | 0    |
+      | switchover werkstatt-db nowhere    | 3    |
+    And revision 3 is in force on all daemons within 2 seconds
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -1,5 +1,9 @@
 import asyncio
+import json
+import pathlib
 import re
+import subprocess
+import sys
 
 import grpc
 import pytest
@@ -174,3 +178,44 @@
     if "start" in world.notes:
         world.notes["start"].result(worlds.STEP_TIMEOUT_SECONDS)
     world.run(world.write(world.fleet.daemons[name], "PUT pump broken"))
+
+
+@given('the plan is written to "plan.ini"')
+def write_plan(world):
+    parts = [f"[database]\nname = {worlds.DATABASE}\n"]
+    for rank in world.plan.ranks:
+        parts.append(f"[rank {rank.name}]\nfloor = {rank.floor}\n")
+    for kind in world.plan.kinds:
+        milliseconds = round(kind.staleness * 1000)
+        parts.append(
+            f"[kind {kind.name}]\nrank = {kind.rank}\n"
+            f"staleness = {milliseconds}ms\n"
+        )
+    for endpoint in world.plan.endpoints:
+        parts.append(
+            f"[endpoint {endpoint.name}]\nzone = {endpoint.zone}\n"
+            f"address = {endpoint.address}\nslots = {endpoint.slots}\n"
+            f"connections = {endpoint.connections}\n"
+        )
+    path = world.launcher.directory / "plan.ini"
+    path.write_text("\n".join(parts))
+
+
+@then("these commands exit with these codes:")
+def check_commands(world, datatable):
+    binary = pathlib.Path(sys.executable).parent / "fescuestile"
+    address = world.daemons[1].operator_address
+    for command, code in datatable[1:]:
+        ended = subprocess.run(
+            [binary, *command.split(), "--address", address],
+            cwd=world.launcher.directory,
+            capture_output=True,
+            text=True,
+            timeout=worlds.STEP_TIMEOUT_SECONDS,
+            check=False,
+        )
+        told = ended.stdout + ended.stderr
+        assert ended.returncode == int(code), (command, told)
+        assert "Traceback" not in told
+        if "-o json" in command:
+            assert json.loads(ended.stdout)
