Cut daemons by the IP that they dial from

Cause: since daemons listen on other IPs than they dial from, the bench cut the IPs that they listen on, and a primary 'cut from daemons' was cut from nobody.

--- a/measurements/failover_bench.py
+++ b/measurements/failover_bench.py
@@ -135,10 +135,7 @@
 
     def list_daemon_sides(self) -> list[str]:
         """Return the sides of all daemons in the rules of ``wire``."""
-        return [
-            daemon.link_address.rpartition(":")[0] + "/32"
-            for daemon in self.fleet.daemons.values()
-        ]
+        return [f"{daemon.ip}/32" for daemon in self.fleet.daemons.values()]
 
 
 async def inspect(
--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -74,10 +74,14 @@
 
 @dataclasses.dataclass
 class DaemonProcess:
-    """One ``fescuestiled`` and where it listens."""
+    """One ``fescuestiled`` and where it listens.
+
+    :ivar ip: IP that it dials from
+    """
 
     name: str
     zone: str
+    ip: str
     caller_address: str
     link_address: str
     operator_address: str
@@ -181,6 +185,7 @@
         """
         zone_number = self.zones.index(zone) + 1
         host = 1 + len(self.daemons)
+        ip = f"127.0.{zone_number}.{host}"
         listening = host + LISTENING_HOSTS
         caller, link, operator = (
             launchers.choose_address(zone_number, listening) for _ in range(3)
@@ -194,7 +199,7 @@
             "daemon": {
                 "name": name,
                 "zone": zone,
-                "ip": f"127.0.{zone_number}.{host}",
+                "ip": ip,
                 "caller_address": caller,
                 "link_address": link,
                 "operator_address": operator,
@@ -213,7 +218,7 @@
         process = self.launcher.start_binary(
             name, DAEMON_BINARY, ("--config", str(path)), caller
         )
-        daemon = DaemonProcess(name, zone, caller, link, operator, process)
+        daemon = DaemonProcess(name, zone, ip, caller, link, operator, process)
         self.daemons[name] = daemon
         await process.wait_ready()
         return daemon
