--- a/measurements/failover_bench.py
+++ b/measurements/failover_bench.py
@@ -201,7 +201,7 @@
     async with launchers.Launcher() as launcher:
         fleet = fleets.Fleet(launcher)
         await fleet.start_platform()
-        control = await relayed_group.start_wire(launcher)
+        control = await fleet.start_wire()
         groups = [
             await relayed_group.start_group(
                 launcher,
--- a/packages/fescuestile-standins/src/fescuestile_standins/relayed_group.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/relayed_group.py
@@ -1,5 +1,6 @@
 """Database groups whose endpoints are reached through ``wire``.
 
+Unlike those of a fleet, they reach each other through it, too.
 Each endpoint has an IP of its own, so that it can be cut from daemons and
 from other endpoints apart.
 """
@@ -11,21 +12,9 @@
 from fescuestile_standins import launcher as launchers
 from fescuestile_standins import wire
 
-WIRE_MODULE = "fescuestile_standins.wire"
-WIRE_HOST = 3
 RELAY_HOST = 15
 
 
-async def start_wire(launcher: launchers.Launcher) -> wire.WireClient:
-    """Start ``wire`` and connect to it."""
-    address = launchers.choose_address(0, WIRE_HOST)
-    process = launcher.start_module(
-        "wire", WIRE_MODULE, ("--address", address), address
-    )
-    await process.wait_ready()
-    return await wire.connect(address)
-
-
 @dataclasses.dataclass
 class RelayedGroup:
     """One group; its plan names the relays.
@@ -82,7 +71,7 @@
 ) -> RelayedGroup:
     """Start a group, one endpoint in each zone.
 
-    :param number: number of the group among all, from 0
+    :param number: number of the group among all, 0 to 4
     """
     endpoints = []
     addresses = {}
