Route a current read again when its primary was replaced

A read of a replaced primary does no harm when it runs again, so the entry daemon does it, within the deadline.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
@@ -16,6 +16,7 @@
 from fescuestile import retries
 from fescuestile import routing
 from fescuestile import sessions
+from fescuestile_daemon import current_reads
 from fescuestile_daemon import dispatch
 from fescuestile_daemon import execution
 from fescuestile_daemon import filters
@@ -79,7 +80,8 @@
 
     A request that did not run is routed again, by the group's newest
     snapshot, within its deadline and the retry budget. A replica's answer
-    that turns out too old is dropped and the read routed again.
+    that turns out too old is dropped and the read routed again, as is a
+    current read whose primary was replaced.
     """
 
     def __init__(
@@ -220,12 +222,13 @@
             return None
         reached = error.step == execution.STEP
         refused = isinstance(error, errors.TermRefused)
+        unconfirmed = request.read_only and error.step == current_reads.STEP
         return self._policy.plan(
             error,
             retries.Attempt(
                 number=progress.number,
                 rank=request.level,
-                repeatable=progress.stale,
+                repeatable=progress.stale or unconfirmed,
                 deadline=request.deadline,
                 charged=progress.stale or (reached and not refused),
             ),
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -15,6 +15,7 @@
 from fescuestile import requests
 from fescuestile import sessions
 from fescuestile import snapshots
+from fescuestile_daemon import current_reads
 from fescuestile_daemon import entry
 from fescuestile_daemon import group_board
 from fescuestile_daemon import published
@@ -137,6 +138,16 @@
     assert ids == {"request-1"}
 
 
+@pytest.mark.invariant_2
+async def test_a_read_of_a_replaced_primary_is_routed_again(served):
+    replaced = errors.UnknownOutcome("replaced", step=current_reads.STEP)
+    served.dispatcher.outcomes = [replaced] * 3
+    assert (await served.run(read_only=True)).is_ok()
+    assert len(served.dispatcher.asked) == 4
+    served.dispatcher.outcomes = [replaced]
+    assert (await served.run()).is_error()
+
+
 async def test_a_replica_that_refused_is_avoided(served):
     served.dispatcher.outcomes = [REFUSED, REFUSED]
     await served.run(**READ)
