--- a/packages/fescuestile/src/fescuestile/confirmation.py
+++ b/packages/fescuestile/src/fescuestile/confirmation.py
@@ -7,7 +7,6 @@
 """
 
 import enum
-import typing
 
 from fescuestile import endpoint_messages
 from fescuestile import plans
@@ -128,14 +127,3 @@
         if self._history.find_term(position.index) == position.term:
             return Standing.CONFIRMED
         return Standing.LOST
-
-
-def find_confirmed(
-    plan: plans.Plan,
-    reports: typing.Iterable[endpoint_messages.Report],
-) -> positions.Position:
-    """Return the highest position that reports show as confirmed."""
-    tracker = ConfirmationTracker(plan)
-    for report in reports:
-        tracker.observe(report)
-    return tracker.confirmed
