--- a/measurements/flood.py
+++ b/measurements/flood.py
@@ -7,6 +7,8 @@
 from measurements import admission_queues
 from measurements import baselines
 from measurements import flood_model
+from measurements import flood_plot
+from measurements import flood_rows
 from measurements import flood_work
 from measurements import frame
 from measurements import placements
@@ -33,43 +35,6 @@
 RANK_NAMES = ("urgent", "usual", "late")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FloodRow:
-    """One run. Shares leave the flooding kind itself out.
-
-    :ivar flood: rank that floods
-    :ivar fault: what happened, or empty
-    :ivar load: offered work over what the slots serve
-    :ivar urgent: share of the rank's work served within its deadline,
-        over the same without a flood; so for the other ranks
-    :ivar urgent_slots: share of the slots' time the rank's work got; so
-        for the other ranks
-    :ivar urgent_p99: milliseconds to an answer at the urgent rank's 99th
-        percentile
-    :ivar flooding: share of the flooding kind served in time
-    :ivar goodput: share of the slots' time spent on work served in time
-    :ivar score: service of the ranks by their worth
-    :ivar in_flight: most statements, so connections, in use at an endpoint
-    """
-
-    site: str
-    way: str
-    flood: str
-    fault: str
-    load: float
-    urgent: float
-    usual: float
-    late: float
-    urgent_slots: float
-    usual_slots: float
-    late_slots: float
-    urgent_p99: float
-    flooding: float
-    goodput: float
-    score: float
-    in_flight: int
-
-
 @dataclasses.dataclass(frozen=True)
 class Way:
     """A placement with a queue."""
@@ -210,7 +175,7 @@
     flood: int,
     load: float,
     event: Event = NO_EVENT,
-) -> FloodRow:
+) -> flood_rows.FloodRow:
     """Run one case of a way."""
     arrivals = flood_work.create_arrivals(
         site, seed, SECONDS, load, flood, event.skew
@@ -226,7 +191,7 @@
     total = sum(tally.seconds for tally in placement.tallies.values())
     weighted = sum(w * k for w, k in zip(WEIGHTS, kept, strict=True))
     urgent = _list_tallies(placement, 0)[0].durations
-    return FloodRow(
+    return flood_rows.FloodRow(
         site=site.name,
         way=way.name,
         flood=RANK_NAMES[flood],
@@ -267,9 +232,16 @@
             targets += list_targets(site, site_rows)
         return frame.Report(self.name, seed, tuple(rows), tuple(targets))
 
+    def plot(self, report: frame.Report, path: str) -> None:
+        """Draw what the ranks keep at the highest load."""
+        rows = [
+            row for row in report.rows if isinstance(row, flood_rows.FloodRow)
+        ]
+        flood_plot.draw(rows, WORST_LOAD, path)
+
 
 def list_targets(
-    site: flood_work.Site, rows: list[FloodRow]
+    site: flood_work.Site, rows: list[flood_rows.FloodRow]
 ) -> list[frame.Target]:
     """Return the targets that our rows of a site are held against."""
     ours = {(r.flood, r.load): r for r in rows if r.way == OURS.name}
