--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -164,7 +164,7 @@
                 message = f"expected wait of {wait:.3f} s passes the deadline"
                 return expression.Error(self._refuse(message, late))
         if len(rank.queue) >= self._options.rank_length:
-            refused = self._make_room(rank, work)
+            refused = self._make_room(rank, work, now)
             if refused is not None:
                 return expression.Error(refused)
         ticket = Ticket(work=work, offered_at=now)
@@ -327,15 +327,21 @@
                 self._drop(ticket, "the deadline passed in the queue")
 
     def _make_room(
-        self, rank: rank_shares.Rank, work: Work
+        self, rank: rank_shares.Rank, work: Work, now: float
     ) -> errors.NotRun | None:
         """Drop the newest of the longest line, or refuse the new work."""
         newest = rank.queue.find_newest_of_longest()
         line = (newest.work.kind, newest.work.caller)
-        if line == (work.kind, work.caller) and not work.continues:
-            return self._refuse("the rank's queue is full", 0.0)
+        refuses = line == (work.kind, work.caller) and not work.continues
+        refused = work if refuses else newest.work
+        wait = self.expected_wait(
+            refused.level, now, refused.kind, refused.caller
+        )
+        error = self._refuse("the rank's queue is full", wait)
+        if refuses:
+            return error
         self.withdraw(newest)
-        self._drop(newest, "the rank's queue is full")
+        self._dropped.append(Drop(newest, error))
         return None
 
     def _start_next(self, now: float) -> Ticket | None:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -134,10 +134,14 @@
         queue.offer(make_work(kind="storm", caller="x"), 0.0).ok
         for _ in range(8)
     ]
-    assert queue.offer(make_work(kind="storm", caller="x"), 0.0).is_error()
+    wait = queue.expected_wait(0, 0.0, "storm", "x")
+    refused = queue.offer(make_work(kind="storm", caller="x"), 0.0).error
+    assert wait >= 3 * SERVICE_SECONDS
+    assert refused.retry_after == wait
     assert queue.offer(make_work(kind="order"), 0.0).is_ok()
     dropped = queue.take(0.0).dropped
     assert [drop.ticket for drop in dropped] == [tickets[-1]]
+    assert dropped[0].error.retry_after == wait
 
 
 @pytest.mark.parametrize("contended", [True, False])
