Date pushed group state by the receiver's own clock

Cause: a push was dated at its arrival, and a link may stall for 1.75 s before its pings end it, more than the 0.8 s that staleness estimates keep for reports under way: a replica's age could be underestimated. A push now repeats the receiver's clock from its last interest and how long ago that arrived, so it is never dated later than it was sent, whatever the link did and whatever the two clocks say. A larger margin was ruled out: bounds of 2 s would all have meant the primary.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -273,11 +273,11 @@
     async def _take_state(
         self, peer: str, message: link_messages.GroupState
     ) -> None:
-        now = self.time_source.now()
+        sent_at = message.date(self.time_source.now())
         for item in message.reports:
             self.buffer.add_report(
                 groups_actor.Observation(
-                    message.database, item.report, now - item.age
+                    message.database, item.report, sent_at - item.age
                 )
             )
         for owned in message.owned:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
@@ -18,6 +18,18 @@
 PUSH_IDLE_SECONDS = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Interested:
+    """A daemon that asked for pushes.
+
+    :ivar echo: its own clock when it asked
+    :ivar asked_at: monotonic seconds here at which that arrived
+    """
+
+    echo: float
+    asked_at: float
+
+
 @dataclasses.dataclass
 class _Pushed:
     """What an owner pushes of one group, and to whom until when."""
@@ -25,7 +37,9 @@
     reports: dict[str, groups_actor.Observation] = dataclasses.field(
         default_factory=dict
     )
-    interested: dict[str, float] = dataclasses.field(default_factory=dict)
+    interested: dict[str, _Interested] = dataclasses.field(
+        default_factory=dict
+    )
     dirty: bool = False
     pushed_at: float = float("-inf")
 
@@ -87,7 +101,9 @@
     ) -> None:
         group = self._groups.get(message.database)
         if group is not None:
-            group.interested[peer] = self._clock.now() + INTEREST_SECONDS
+            group.interested[peer] = _Interested(
+                message.sent_at, self._clock.now()
+            )
             group.dirty = True
 
     async def _run(self) -> None:
@@ -106,12 +122,16 @@
         known = {
             member.id: member for member in self._membership.get().members
         }
-        for peer, until in tuple(group.interested.items()):
+        for peer, interested in tuple(group.interested.items()):
             member = known.get(peer)
-            if until < now or member is None:
+            held = now - interested.asked_at
+            if held > INTEREST_SECONDS or member is None:
                 del group.interested[peer]
             elif self._links.is_connected(peer):
-                await self._links.send(member, message)
+                dated = dataclasses.replace(
+                    message, echo=interested.echo, held=held
+                )
+                await self._links.send(member, dated)
 
     def _describe(
         self, database: str, group: _Pushed, now: float
@@ -182,7 +202,7 @@
         if snapshot is None:
             return
         owners = {view.owner for view in snapshot.endpoints.values()}
-        message = link_messages.Interest(database)
+        message = link_messages.Interest(database, self._clock.now())
         await asyncio.gather(
             *(
                 self._links.send(member, message)
--- a/packages/fescuestile/src/fescuestile/lag.py
+++ b/packages/fescuestile/src/fescuestile/lag.py
@@ -1,8 +1,9 @@
 """How old the data of a replica may be, between its reports.
 
-A report is dated when it arrives, so what it says may be older than its
-date by the time it was under way. That time is bounded, since a connection
-that answers no heartbeat is closed; the bound is added to every estimate.
+A report is dated when the daemon that watches the endpoint receives it, so
+what it says may be older than its date by the time it was under way. That
+time is bounded, since a control connection that answers no heartbeat is
+closed; the bound is added to every estimate.
 """
 
 from fescuestile import positions
--- a/packages/fescuestile/src/fescuestile/link_messages.py
+++ b/packages/fescuestile/src/fescuestile/link_messages.py
@@ -46,9 +46,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Interest:
-    """Ask an owner to push the state of a group for a while."""
+    """Ask an owner to push the state of a group for a while.
+
+    :ivar sent_at: monotonic seconds of the sender, which pushes repeat
+    """
 
     database: str
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,12 +76,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupState:
-    """State of a group as one owner sees it."""
+    """State of a group as one owner sees it.
+
+    :ivar echo: ``sent_at`` of the receiver's last interest
+    :ivar held: seconds between that interest's arrival and this push
+    """
 
     database: str
     owner: str
     reports: tuple[AgedReport, ...]
     owned: tuple[OwnedEndpoint, ...]
+    echo: float = 0.0
+    held: float = 0.0
+
+    def date(self, now: float) -> float:
+        """Return a time no later than the push was sent.
+
+        By the receiver's clock, however long a link held the push back.
+
+        :param now: monotonic seconds of the receiver
+        """
+        return min(now, self.echo + self.held)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
