--- a/packages/fescuestile-client/src/fescuestile_client/options.py
+++ b/packages/fescuestile-client/src/fescuestile_client/options.py
@@ -17,7 +17,8 @@
         stream
     :ivar settle_unknown: settle a non-repeatable request of unknown
         outcome at the endpoint before giving up on it
-    :ivar retries_floor: retries in ten seconds without any success
+    :ivar retries_window: time over which successes pay for retries
+    :ivar retries_floor: retries in that time without any success
     :ivar max_answer_bytes: largest answer that is assembled
     :ivar credentials: TLS credentials, None for plain text
     """
@@ -27,6 +28,7 @@
     answer_grace: float = 0.25
     reconnect_limit: float = 0.5
     settle_unknown: bool = True
+    retries_window: float = 10.0
     retries_floor: int = 1
     max_answer_bytes: int = 64 * 1024 * 1024
     credentials: grpc.ChannelCredentials | None = None
--- a/packages/fescuestile-client/src/fescuestile_client/session.py
+++ b/packages/fescuestile-client/src/fescuestile_client/session.py
@@ -57,7 +57,9 @@
             source,
             budget
             or retries.RetryBudget(
-                self._clock, floor=self._options.retries_floor
+                self._clock,
+                window=self._options.retries_window,
+                floor=self._options.retries_floor,
             ),
         )
         self._name = uuid.uuid4().hex
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
@@ -24,7 +24,7 @@
 from fescuestile_daemon import state_push
 from fescuestile_daemon import transactions
 
-RETRIES_FLOOR = 10
+RETRIES_FLOOR = 3
 # Refusals that the caller has to heed; another route would not help.
 FINAL_STEPS = (admission.STEP, diversion.STEP)
 
--- a/packages/fescuestile/src/fescuestile/retries.py
+++ b/packages/fescuestile/src/fescuestile/retries.py
@@ -10,7 +10,7 @@
 from fescuestile import errors
 
 BUDGET_SHARE = 0.1
-BUDGET_WINDOW_SECONDS = 10.0
+BUDGET_WINDOW_SECONDS = 1.0
 BACKOFF_BASE_SECONDS = 0.02
 BACKOFF_LIMIT_SECONDS = 1.0
 _BUCKETS_PER_WINDOW = 10
