Prove a silent connection inside a transaction and a cut-off zone

A statement of unclear outcome inside a transaction now raises NotRun: the commit was never sent, so the transaction has no effect. Before, the caller was told that the outcome is unknown.

--- a/packages/fescuestile-client/src/fescuestile_client/transactions.py
+++ b/packages/fescuestile-client/src/fescuestile_client/transactions.py
@@ -122,9 +122,10 @@
             requests.Action.STATEMENT, text=text, read_only=read_only
         )
         result = await self._stream.ask(call)
-        if self._stream.lost and result.is_error():
-            raise self._build_lost()
         if result.is_error():
+            unclear = isinstance(result.error, errors.UnknownOutcome)
+            if unclear or self._stream.lost:
+                raise self._build_lost() from result.error
             raise result.error
         return result.ok
 
--- a/tests/scenarios/sessions.feature
+++ b/tests/scenarios/sessions.feature
@@ -6,6 +6,13 @@
     When a session writes on "d0" and roams to "d3" 5 times
     Then each read through "d3" returned the session's last write
 
+  @invariant_1
+  Scenario: A session roams into a zone that is cut off from the primary
+    Given a fleet behind relays whose last replica lags 1500 milliseconds
+    And the zones of "d3" and of the primary are cut off from each other
+    When a session writes on "d0" and roams to "d3" 3 times
+    Then each read through "d3" returned the session's last write
+
   @invariant_1
   Scenario: A replica far behind serves only what may be as old
     Given a fleet whose replicas lag 1500 milliseconds
@@ -33,6 +40,14 @@
       | d3    | entry  |
       | d3    | owner  |
 
+  @invariant_3
+  Scenario: The connection of a transaction goes silent for good
+    Given a fleet behind relays
+    And a session has an open transaction that wrote through "d3"
+    When the open connections to the primary go silent
+    Then the transaction ends as not run
+    And nothing of the transaction is seen, and the key can be written
+
   @invariant_3
   Scenario: Transactions of many sessions do not mix
     Given today's fleet with a declared database
--- a/tests/scenarios/test_sessions.py
+++ b/tests/scenarios/test_sessions.py
@@ -13,6 +13,7 @@
 from fescuestile_client import options as client_options
 from fescuestile_client import session as client_session
 from fescuestile_standins import fleet as fleets
+from fescuestile_standins import wire_messages
 from tests.scenarios import ledgers
 from tests.scenarios import odd_daemons
 from tests.scenarios import worlds
@@ -81,6 +82,26 @@
     world.start_today(relayed=True)
 
 
+@given(
+    parsers.parse(
+        "a fleet behind relays whose last replica lags {lag:d} milliseconds"
+    )
+)
+def start_relayed_with_slow_replica(world, lag):
+    world.start_today(fleets.GroupOptions(slowest_ms=lag), relayed=True)
+
+
+@given('the zones of "d3" and of the primary are cut off from each other')
+def cut_zones(world):
+    plan = world.fleet.groups[worlds.DATABASE].plan
+    first, *_, last = plan.endpoints
+    sides = [
+        wire_messages.make_zone_side(int(endpoint.address.split(".")[2]))
+        for endpoint in (first, last)
+    ]
+    world.run(world.fleet.wire.cut(*sides))
+
+
 @when(
     parsers.parse(
         'a session writes on "{first}" and roams to "{second}" {times:d} times'
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -284,6 +284,24 @@
             await lose_daemon()
 
 
+async def test_an_unclear_statement_ends_its_transaction_without_effect():
+    async def answer_unclear(daemon, request, send):
+        if request.HasField("statement"):
+            failure = fake_daemon.build_failure(request, pb.UNKNOWN_OUTCOME)
+            await send(failure)
+            return
+        await fake_daemon.run_write(daemon, request, send)
+
+    async with (
+        fake_daemon.FakeDaemon(handler=answer_unclear) as daemon,
+        build_session(daemon) as caller,
+    ):
+        with pytest.raises(errors.NotRun, match="no effect"):
+            async with caller.transaction("db", "dispatch") as open_one:
+                await open_one.execute("PUT a 1")
+    assert daemon.requests[-1].HasField("rollback")
+
+
 @pytest.mark.parametrize("ran", [True, False])
 async def test_a_commit_without_an_answer_is_settled(ran):
     log = fake_daemon.Log()
