--- a/tests/scenarios/sessions.feature
+++ b/tests/scenarios/sessions.feature
@@ -48,6 +48,14 @@
     Then the transaction ends as not run
     And nothing of the transaction is seen, and the key can be written
 
+  @invariant_3
+  Scenario: The primary dies inside a transaction
+    Given today's fleet with a declared database
+    And a session has an open transaction that wrote through "d3"
+    When the primary is killed
+    Then the transaction ends as not run
+    And nothing of the transaction is seen, and the key can be written
+
   @invariant_3
   Scenario: Transactions of many sessions do not mix
     Given today's fleet with a declared database
