--- a/measurements/session_consistency.py
+++ b/measurements/session_consistency.py
@@ -7,6 +7,7 @@
 
 from measurements import frame
 from measurements import session_model
+from measurements import session_parts
 
 STEPS = 100_000
 EPISODE_STEPS = 250
@@ -110,7 +111,7 @@
         count = self._random.randint(self.model.majority, len(reached))
         self.model.fail_over(self._random.sample(reached, count))
 
-    def _choose_caller(self) -> session_model.Caller:
+    def _choose_caller(self) -> session_parts.Caller:
         return self._random.choice(self.model.callers)
 
     def _read(self) -> None:
--- a/measurements/session_model.py
+++ b/measurements/session_model.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import dataclasses
 import random
 
 from fescuestile import endpoint_messages
@@ -17,6 +16,7 @@
 from fescuestile import routing
 from fescuestile import sessions
 from fescuestile import snapshots
+from measurements import session_parts
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
 DAEMON_COUNT = 3
@@ -30,88 +30,6 @@
     """A promise to a session was broken."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """An entry of a log; equal entries are the same entry."""
-
-    position: positions.Position
-
-
-@dataclasses.dataclass
-class Endpoint:
-    """An endpoint with its log.
-
-    :ivar follows: name of the primary it copies from
-    """
-
-    plan: plans.Endpoint
-    role: Role
-    term: int = 1
-    log: list[Entry] = dataclasses.field(default_factory=list)
-    follows: str = ""
-
-    @property
-    def last(self) -> positions.Position:
-        """Last position of the log."""
-        return self.log[-1].position if self.log else positions.START
-
-    def report(self) -> endpoint_messages.Report:
-        """Return its report."""
-        starts: dict[int, positions.TermStart] = {}
-        for entry in self.log:
-            place = entry.position
-            start = positions.TermStart(place.term, place.index)
-            starts.setdefault(place.term, start)
-        return endpoint_messages.Report(
-            id=0,
-            endpoint=self.plan.name,
-            verdict=endpoint_messages.Verdict.DONE,
-            role=self.role,
-            term=self.term,
-            driver="",
-            primary=self.follows,
-            last=self.last,
-            starts=tuple(starts.values()),
-        )
-
-
-@dataclasses.dataclass
-class Daemon:
-    """An entry daemon: what it knows and what is under way to it."""
-
-    tracker: groups.GroupTracker
-    zone: str
-    inbox: list[tuple[float, endpoint_messages.Report]] = dataclasses.field(
-        default_factory=list
-    )
-
-
-@dataclasses.dataclass
-class Caller:
-    """A session, and what it may rely on.
-
-    :ivar seen: last entry of each read or acknowledged write
-    """
-
-    name: str
-    daemon: int
-    tracker: sessions.SessionTracker
-    token: bytes = b""
-    seen: list[Entry] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingWrite:
-    """A write that waits for its majority.
-
-    :ivar daemon: daemon that the caller was at when it wrote
-    """
-
-    caller: Caller
-    daemon: int
-    entry: Entry
-
-
 class SessionModel:
     """The model; each step is a method."""
 
@@ -123,7 +41,7 @@
         self.ring = sessions.KeyRing(sessions.SigningKey("1", b"1" * 16))
         names = [f"endpoint-{number}" for number in range(size)]
         self.endpoints = {
-            name: Endpoint(
+            name: session_parts.Endpoint(
                 plans.Endpoint(name, ZONES[number % 3], "127.0.0.1:1", 2, 16),
                 Role.REPLICA if number else Role.PRIMARY,
                 follows=names[0],
@@ -134,12 +52,12 @@
         self.majority = size // 2 + 1
         # Endpoints and daemons on the small side of a network partition.
         self.isolated: frozenset[str | int] = frozenset()
-        self.confirmed_at: dict[Entry, float] = {}
-        self.pending: list[PendingWrite] = []
+        self.confirmed_at: dict[session_parts.Entry, float] = {}
+        self.pending: list[session_parts.PendingWrite] = []
         self.daemons = [self._build_daemon(n) for n in range(DAEMON_COUNT)]
         self.callers = [self._build_caller(n) for n in range(SESSION_COUNT)]
 
-    def _build_daemon(self, number: int) -> Daemon:
+    def _build_daemon(self, number: int) -> session_parts.Daemon:
         plan = plans.Plan(
             DATABASE,
             tuple(endpoint.plan for endpoint in self.endpoints.values()),
@@ -149,12 +67,12 @@
         revision = plans.PlanRevision(1, plan, "c", "o", "")
         tracker = groups.GroupTracker(revision)
         tracker.set_owners(dict.fromkeys(self.endpoints, "owner"))
-        return Daemon(tracker, ZONES[number])
+        return session_parts.Daemon(tracker, ZONES[number])
 
-    def _build_caller(self, number: int) -> Caller:
+    def _build_caller(self, number: int) -> session_parts.Caller:
         name = f"caller-{number}"
         tracker = sessions.SessionTracker(sessions.Session(name))
-        return Caller(name, number % DAEMON_COUNT, tracker)
+        return session_parts.Caller(name, number % DAEMON_COUNT, tracker)
 
     # Steps of the outside world.
 
@@ -230,7 +148,7 @@
 
     # Steps of sessions.
 
-    def roam(self, caller: Caller, daemon: int) -> None:
+    def roam(self, caller: session_parts.Caller, daemon: int) -> None:
         """Move a session to another daemon, with nothing but its token."""
         caller.daemon = daemon
         session = sessions.Session(caller.name)
@@ -239,7 +157,7 @@
         caller.tracker = sessions.SessionTracker(session)
         self.counts["roams"] += 1
 
-    def write(self, caller: Caller) -> None:
+    def write(self, caller: session_parts.Caller) -> None:
         """Write where the caller's daemon believes the primary to be."""
         request = self.make_request(caller, 0.0)
         routed = self._route(caller, request, False)
@@ -249,11 +167,13 @@
         if endpoint.term != routed.term or endpoint.role is not Role.PRIMARY:
             return
         entry = self._append(endpoint)
-        self.pending.append(PendingWrite(caller, caller.daemon, entry))
+        self.pending.append(
+            session_parts.PendingWrite(caller, caller.daemon, entry)
+        )
         self._confirm()
 
     def read(
-        self, caller: Caller, staleness: float, queued: float
+        self, caller: session_parts.Caller, staleness: float, queued: float
     ) -> snapshots.EndpointView | None:
         """Read, and hold the answer against the truth.
 
@@ -276,7 +196,10 @@
         return None
 
     def _route(
-        self, caller: Caller, request: requests.Request, waited: bool
+        self,
+        caller: session_parts.Caller,
+        request: requests.Request,
+        waited: bool,
     ) -> routing.Route | None:
         daemon = self.daemons[caller.daemon]
         routed = routing.route(
@@ -293,7 +216,7 @@
         return routed.ok if self.together(caller.daemon, reached) else None
 
     def make_request(
-        self, caller: Caller, staleness: float
+        self, caller: session_parts.Caller, staleness: float
     ) -> requests.Request:
         """Return a request as the session filter makes it."""
         return requests.Request(
@@ -312,7 +235,7 @@
 
     def _execute(
         self,
-        caller: Caller,
+        caller: session_parts.Caller,
         request: requests.Request,
         routed: routing.Route,
         staleness: float,
@@ -352,8 +275,8 @@
 
     def _judge(
         self,
-        caller: Caller,
-        log: list[Entry],
+        caller: session_parts.Caller,
+        log: list[session_parts.Entry],
         newest: float,
     ) -> None:
         held = set(log)
@@ -368,9 +291,9 @@
 
     # The truth.
 
-    def _append(self, endpoint: Endpoint) -> Entry:
+    def _append(self, endpoint: session_parts.Endpoint) -> session_parts.Entry:
         place = positions.Position(endpoint.term, len(endpoint.log) + 1)
-        entry = Entry(place)
+        entry = session_parts.Entry(place)
         endpoint.log.append(entry)
         return entry
 
@@ -397,7 +320,7 @@
                 self.pending.remove(write)
                 self._acknowledge(write)
 
-    def _acknowledge(self, write: PendingWrite) -> None:
+    def _acknowledge(self, write: session_parts.PendingWrite) -> None:
         caller = write.caller
         if caller.daemon != write.daemon:
             return
@@ -407,7 +330,9 @@
         self.counts["acknowledged"] += 1
 
 
-def _count_common(one: list[Entry], other: list[Entry]) -> int:
+def _count_common(
+    one: list[session_parts.Entry], other: list[session_parts.Entry]
+) -> int:
     """Return how many entries two logs share from their start."""
     low, high = 0, min(len(one), len(other))
     while low < high:
