--- a/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/entry.py
@@ -25,7 +25,7 @@
 from fescuestile_daemon import state_push
 from fescuestile_daemon import transactions
 
-RETRIES_FLOOR = 10
+RETRIES_FLOOR = 3
 # Refusals that the caller has to heed; another route would not help.
 FINAL_STEPS = (admission.STEP, diversion.STEP)
 
@@ -187,6 +187,9 @@
         if outcome.is_ok() and chosen.replica:
             outcome = self._check(request, outcome.ok, chosen)
             progress.stale = outcome.is_error()
+        if outcome.is_error() and outcome.error.step == current_reads.STEP:
+            # The answer of a primary that was replaced: dropped, too.
+            progress.stale = request.read_only
         if outcome.is_error() and chosen.replica:
             progress.avoided.add(name)
         return outcome
@@ -222,15 +225,16 @@
             return None
         reached = error.step == execution.STEP
         refused = isinstance(error, errors.TermRefused)
-        unconfirmed = request.read_only and error.step == current_reads.STEP
+        replaced = error.step == current_reads.STEP
         return self._policy.plan(
             error,
             retries.Attempt(
                 number=progress.number,
                 rank=request.level,
-                repeatable=progress.stale or unconfirmed,
+                repeatable=progress.stale,
                 deadline=request.deadline,
-                charged=progress.stale or (reached and not refused),
+                charged=(progress.stale and not replaced)
+                or (reached and not refused),
             ),
         )
 
