--- /dev/null
+++ b/tests/unit/test_control_parts.py
@@ -0,0 +1,144 @@
+import asyncio
+import random
+
+import pytest
+
+from fescuestile import clock
+from fescuestile import configuration
+from fescuestile import errors
+from fescuestile import gossip_messages
+from fescuestile import platform_messages
+from fescuestile import session_keys
+from fescuestile_daemon import audit
+from fescuestile_daemon import key_keeper
+from fescuestile_daemon import membership_actor
+from fescuestile_daemon import plan_changes
+from fescuestile_daemon import platform_adapter
+from fescuestile_daemon import published
+from fescuestile_standins import platform
+from tests import builders
+
+PLAN = builders.build_plan()
+DATABASE = PLAN.database
+
+
+@pytest.fixture
+async def address():
+    server = platform.Platform()
+    yield await server.start("127.0.0.1:0")
+    await server.close()
+
+
+@pytest.fixture
+async def adapter(address):
+    made = platform_adapter.PlatformAdapter((address,), timeout=0.1)
+    yield made
+    await made.close()
+
+
+@pytest.fixture
+def hooks(address):
+    return platform.HookClient(address)
+
+
+@pytest.fixture
+def changes(adapter, monkeypatch):
+    monkeypatch.setattr(plan_changes, "DEADLINE_SECONDS", 0.6)
+    return plan_changes.PlanChanges(
+        adapter, clock.SystemClock(), random.Random(1)
+    )
+
+
+def change(name):
+    return configuration.Change(name, "maria", "2026-01-01T00:00:00Z")
+
+
+async def test_a_change_is_settled_by_reading_it_back(changes, hooks):
+    await hooks.send(platform_messages.SetFaults(id=0, lose_replies=1000))
+    done = (await changes.declare(PLAN, change("c1"))).ok
+    assert (done.revision, done.repeated) == (1, False)
+    again = (await changes.declare(PLAN, change("c1"))).ok
+    assert (again.revision, again.repeated) == (1, True)
+
+
+async def test_an_outage_after_the_write_leaves_the_outcome_unknown(
+    changes, hooks, adapter, monkeypatch
+):
+    write = adapter.write
+
+    async def write_and_go_down(*arguments):
+        await hooks.send(platform_messages.SetFaults(id=0, lose_replies=1))
+        answer = await write(*arguments)
+        await hooks.send(platform_messages.SetFaults(id=0, down=True))
+        return answer
+
+    monkeypatch.setattr(adapter, "write", write_and_go_down)
+    unknown = (await changes.declare(PLAN, change("c1"))).error
+    assert isinstance(unknown, errors.UnknownOutcome)
+    assert (unknown.step, unknown.field) == ("declare", "change_id")
+    down = (await changes.apply(PLAN, 1, change("c2"))).error
+    assert isinstance(down, errors.NotRun)
+
+
+async def test_history_keeps_what_was_accepted(changes):
+    await changes.declare(PLAN, change("c1"))
+    for number in range(1, 5):
+        await changes.apply(PLAN, number, change(f"a{number}"))
+        await changes.apply(PLAN, number, change(f"late{number}"))
+    kept = (await changes.list_history(DATABASE)).ok
+    assert [revision.revision for revision in kept] == [1, 2, 3, 4, 5]
+    assert [revision.change_id for revision in kept][1:] == [
+        f"a{number}" for number in range(1, 5)
+    ]
+
+
+def build_entry(number, database=DATABASE):
+    at = f"2026-01-01T00:{number // 60:02}:{number % 60:02}Z"
+    return audit.AuditEntry(
+        f"c{number}", "maria", at, "apply", database, "done"
+    )
+
+
+async def test_the_trail_is_bounded_and_survives_an_outage(
+    adapter, hooks, monkeypatch
+):
+    monkeypatch.setattr(audit, "KEPT_ENTRIES", 5)
+    monkeypatch.setattr(audit, "RETRY_SECONDS", 0.05)
+    trail = audit.AuditTrail(adapter, random.Random(1))
+    for number in range(8):
+        await trail.record(build_entry(number))
+    await hooks.send(platform_messages.SetFaults(id=0, down=True))
+    await trail.record(build_entry(8))
+    assert trail.waiting == 1
+    await hooks.send(platform_messages.SetFaults(id=0))
+    writing = asyncio.create_task(trail.run())
+    async with asyncio.timeout(10):
+        while trail.waiting:
+            await asyncio.sleep(0.02)
+    writing.cancel()
+    await trail.record(build_entry(9, "other"))
+    found = (await trail.list_entries(DATABASE, 0)).ok
+    assert [entry.change_id for entry in found] == [
+        f"c{number}" for number in (8, 7, 6, 5, 4)
+    ]
+    assert len((await trail.list_entries("", 3)).ok) == 3
+
+
+async def test_keepers_that_race_make_one_key(adapter):
+    status = published.Published(membership_actor.GossipStatus())
+    announced: list[tuple[gossip_messages.Entry, ...]] = []
+    keepers = [
+        key_keeper.KeyKeeper(
+            adapter, status, announced.append, random.Random(number)
+        )
+        for number in range(3)
+    ]
+    await asyncio.gather(*(keeper.step(0.0) for keeper in keepers))
+    for keeper in keepers:
+        await keeper.step(1.0)
+    rings = {
+        session_keys.decode(entry.value).ok.current.id
+        for entries in announced
+        for entry in entries
+    }
+    assert len(rings) == 1
