Let an admission queue at rest sleep

Cause: work that started at once kept its entry among the deadlines; with nothing waiting, take() returned before it dropped entries, so the next expiry lay in the past and the timer fired without end: a whole core of an idle daemon from the first deadline (10 s) after the last statement until the next one. Seen as 143 ms/s of processor time in slope_idle, and by a profile: 581,779 timers of slot_queue in 22 s. Ruled out: gRPC's threads (0.5 s of 14) and reports (11 us each).

--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -255,8 +255,12 @@
         return wait
 
     def next_expiry(self) -> float | None:
-        """Return the next deadline in the queue, in monotonic seconds."""
-        return self._expiries[0][0] if self._expiries else None
+        """Return the next deadline in the queue, in monotonic seconds.
+
+        Work that started keeps its entry for a while, so the deadline may
+        be that of work that waits no more; None while nothing waits.
+        """
+        return self._expiries[0][0] if self._waiting else None
 
     def set_slots(self, slots: int) -> None:
         """Change how much may run at a time.
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -208,3 +208,15 @@
         assert len(running) == queue.running <= options.slots
         assert len(waiting) == queue.waiting
         assert all(ticket.work.deadline > now for ticket in waiting)
+
+
+def test_nothing_expires_while_nothing_waits():
+    options = admission.AdmissionOptions(slots=1, floors=(0.1,))
+    queue = admission.AdmissionQueue(options)
+    queue.offer(make_work(deadline=1.0), 0.0)
+    (first,) = queue.take(0.0).started
+    assert queue.next_expiry() is None
+    queue.offer(make_work(deadline=2.0), 0.0)
+    queue.take(1.0)
+    assert queue.next_expiry() == 2.0
+    queue.release(first, 1.0)
