--- a/measurements/real_fleet.py
+++ b/measurements/real_fleet.py
@@ -8,6 +8,7 @@
 import grpc
 import psutil
 
+from fescuestile import plans
 from fescuestile_api import fescuestile_pb2 as pb
 from fescuestile_api import fescuestile_pb2_grpc as pb_grpc
 from fescuestile_api import models
@@ -40,32 +41,36 @@
 
 @contextlib.asynccontextmanager
 async def serve(
-    options: fleets.GroupOptions,
+    *groups: fleets.GroupOptions,
 ) -> collections.abc.AsyncIterator[Served]:
-    """Run one daemon before one group, ready for statements."""
+    """Run one daemon before some groups, ready for statements."""
     async with launchers.Launcher() as launcher:
         fleet = fleets.Fleet(launcher)
         await fleet.start_platform()
-        group = await fleet.start_group(options)
         daemon = await fleet.start_daemon("host-1", fleet.zones[0])
-        async with grpc.aio.insecure_channel(
-            daemon.operator_address
-        ) as channel:
-            await pb_grpc.OperatorServiceStub(channel).Declare(
-                pb.DeclareRequest(
-                    plan=models.write_plan(group.plan),
-                    change_id="declare-1",
-                    operator="measurement",
-                ),
-                wait_for_ready=True,
-                timeout=READY_SECONDS,
-            )
-        served = Served(fleet, daemon, options.database)
-        await wait_served(served)
+        served = Served(fleet, daemon, groups[0].database)
+        for options in groups:
+            group = await fleet.start_group(options)
+            await declare(daemon, group.plan)
+            await wait_served(served, options.database)
         yield served
 
 
-async def wait_served(served: Served) -> None:
+async def declare(daemon: fleets.DaemonProcess, plan: plans.Plan) -> None:
+    """Declare a plan at a daemon."""
+    async with grpc.aio.insecure_channel(daemon.operator_address) as channel:
+        await pb_grpc.OperatorServiceStub(channel).Declare(
+            pb.DeclareRequest(
+                plan=models.write_plan(plan),
+                change_id=f"declare-{plan.database}",
+                operator="measurement",
+            ),
+            wait_for_ready=True,
+            timeout=READY_SECONDS,
+        )
+
+
+async def wait_served(served: Served, database: str) -> None:
     """Wait until the daemon answers a write."""
     async with asyncio.timeout(READY_SECONDS):
         while True:
@@ -74,7 +79,7 @@
                     [served.daemon.caller_address], "measurement"
                 ) as session:
                     await session.execute(
-                        served.database, "fault-report", "PUT pump ok"
+                        database, "fault-report", "PUT pump ok"
                     )
                 return
             except Exception:
--- /dev/null
+++ b/measurements/slope_idle.py
@@ -0,0 +1,48 @@
+"""Slope of a real daemon's control work while no statement runs."""
+
+import asyncio
+import dataclasses
+
+from fescuestile_standins import fleet as fleets
+from measurements import frame
+from measurements import real_fleet
+from measurements import slopes
+
+ENDPOINTS_PER_GROUP = 3
+SETTLE_SECONDS = 3.0
+SAMPLE_SECONDS = 8.0
+GROUP = fleets.GroupOptions(connect_ms=0)
+
+
+class IdleDaemon(slopes.SlopeMeasurement):
+    """Processor time and traffic of an idle daemon, by endpoints owned."""
+
+    name = "slope_idle"
+    description = "Control work of a real daemon alone, by endpoints owned."
+    size_name = "endpoints owned"
+    sizes = (3, 6, 9, 12)
+
+    def measure(self, size: int, seed: int) -> slopes.Values:
+        """Run a daemon before idle groups."""
+        return asyncio.run(self._measure(size // ENDPOINTS_PER_GROUP))
+
+    async def _measure(self, groups: int) -> slopes.Values:
+        options = (
+            dataclasses.replace(GROUP, database=f"werkstatt-db-{number}")
+            for number in range(groups)
+        )
+        async with real_fleet.serve(*options) as served:
+            await asyncio.sleep(SETTLE_SECONDS)
+            process = served.process
+            before = process.cpu_times()
+            await asyncio.sleep(SAMPLE_SECONDS)
+            after = process.cpu_times()
+        spent = after.user + after.system - before.user - before.system
+        return {
+            "CPU ms/s": spent / SAMPLE_SECONDS * slopes.MILLISECONDS,
+        }
+
+
+def create_measurements() -> tuple[frame.Measurement, ...]:
+    """Return the measurements of this module."""
+    return (IdleDaemon(),)
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -18,6 +18,7 @@
 from tests import fleets
 
 PEM = serialization.Encoding.PEM
+DAEMONS = (1, 2, 3)
 FLEET_IPS = ("127.0.0.2", *(f"127.0.{zone}.1" for zone in (1, 2, 3)))
 DAY = datetime.timedelta(days=1)
 
@@ -76,7 +77,9 @@
 
 def list_ips() -> tuple[str, ...]:
     """Return the IPs that tests listen on."""
-    return (endpoint_groups.HOST, fleets.choose_host(), *FLEET_IPS)
+    numbers = (number + fleets.LISTENING_HOSTS for number in DAEMONS)
+    hosts = (fleets.choose_host(number) for number in numbers)
+    return (endpoint_groups.HOST, *hosts, *FLEET_IPS)
 
 
 def make_name(name: str) -> x509.Name:
