--- a/measurements/capacity_page.py
+++ b/measurements/capacity_page.py
@@ -4,6 +4,7 @@
 import itertools
 
 from measurements import capacity_bad_hours
+from measurements import capacity_costs
 from measurements import capacity_lines
 from measurements import capacity_roles
 from measurements import capacity_totals
@@ -121,7 +122,8 @@
         *capacity_roles.list_lines(recorded),
         *capacity_bad_hours.list_lines(recorded),
     ]
-    lines += capacity_totals.list_lines(lines)
+    costs = capacity_costs.Costs(recorded)
+    lines += capacity_totals.list_lines(costs, lines)
     return sorted(
         lines, key=lambda line: capacity_lines.ROLES.index(line.role)
     )
--- a/measurements/capacity_totals.py
+++ b/measurements/capacity_totals.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from measurements import capacity_costs
 from measurements import capacity_lines
 
 Line = capacity_lines.Line
@@ -15,7 +16,9 @@
 }
 
 
-def list_lines(lines: collections.abc.Sequence[Line]) -> list[Line]:
+def list_lines(
+    costs: capacity_costs.Costs, lines: collections.abc.Sequence[Line]
+) -> list[Line]:
     """Return the totals of a quiet hour with an ordinary day's changes."""
     control = [
         line
@@ -24,7 +27,7 @@
     ]
     built = [line for line in control if line.state == capacity_lines.BUILT]
     planned = [line for line in control if line.verdict == "within"]
-    return [
+    totals = [
         total
         for unit in BUDGETS
         for total in (
@@ -32,6 +35,25 @@
             _add_up(planned, unit, capacity_lines.PLANNED),
         )
     ]
+    return [_describe_idle(costs), *totals]
+
+
+def _describe_idle(costs: capacity_costs.Costs) -> Line:
+    owned = capacity_lines.SIZE.owned
+    return Line(
+        capacity_lines.TOTAL,
+        capacity_lines.QUIET,
+        "processor of a real daemon alone, without statements",
+        capacity_costs.to_percent(
+            costs.recorded.predict("slope_idle", "CPU ms/s", owned)
+        ),
+        CPU,
+        f"`slope_idle` at {owned:.1f} endpoints owned",
+        "all",
+        capacity_lines.CPU_BUDGET,
+        remedy="fewer timers: one look a second at endpoints and pools that "
+        "are at rest, waits told when they change",
+    )
 
 
 def _add_up(
