--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -20,6 +20,9 @@
 
 ZONES = ("muenchen", "ingolstadt", "landshut")
 FIRST_ENDPOINT_HOST = 11
+# Daemons listen on other IPs than they dial from, so that no outgoing
+# connection takes a port that a daemon is about to listen on.
+LISTENING_HOSTS = 100
 PLATFORM_MODULE = "fescuestile_standins.platform"
 ENDPOINT_MODULE = "fescuestile_standins.endpoint"
 WIRE_MODULE = "fescuestile_standins.wire"
@@ -71,10 +74,14 @@
 
 @dataclasses.dataclass
 class DaemonProcess:
-    """One ``fescuestiled`` and where it listens."""
+    """One ``fescuestiled`` and where it listens.
+
+    :ivar ip: IP that it dials from
+    """
 
     name: str
     zone: str
+    ip: str
     caller_address: str
     link_address: str
     operator_address: str
@@ -178,8 +185,10 @@
         """
         zone_number = self.zones.index(zone) + 1
         host = 1 + len(self.daemons)
+        ip = f"127.0.{zone_number}.{host}"
+        listening = host + LISTENING_HOSTS
         caller, link, operator = (
-            launchers.choose_address(zone_number, host) for _ in range(3)
+            launchers.choose_address(zone_number, listening) for _ in range(3)
         )
         seeds = seeds or tuple(
             daemon.link_address
@@ -190,7 +199,7 @@
             "daemon": {
                 "name": name,
                 "zone": zone,
-                "ip": caller.rpartition(":")[0],
+                "ip": ip,
                 "caller_address": caller,
                 "link_address": link,
                 "operator_address": operator,
@@ -209,7 +218,7 @@
         process = self.launcher.start_binary(
             name, DAEMON_BINARY, ("--config", str(path)), caller
         )
-        daemon = DaemonProcess(name, zone, caller, link, operator, process)
+        daemon = DaemonProcess(name, zone, ip, caller, link, operator, process)
         self.daemons[name] = daemon
         await process.wait_ready()
         return daemon
