Refuse a change that moves more than one endpoint of a group

Cause: confirmation and fencing count by the plan in force. With two of three endpoints exchanged at once, a majority of the old plan and one of the new need not share an endpoint, and a failover could then promote a log without an acknowledged write. Ruled out for now: joint majorities of both plans, a larger change. A change now adds or removes one endpoint; the refusal names them. The unit tests' other plan differs by one endpoint instead of two; what they check is unchanged. The new test fails without the check (the change was prepared).

--- a/packages/fescuestile/src/fescuestile/configuration.py
+++ b/packages/fescuestile/src/fescuestile/configuration.py
@@ -20,6 +20,7 @@
 HISTORY_PREFIX = "history/"
 HISTORY_REVISIONS = 64
 RECENT_CHANGES = 16
+MOST_MOVED_ENDPOINTS = 1
 MAX_PLAN_BYTES = 128 * 1024
 STEP = "change plan"
 
@@ -261,6 +262,12 @@
     return None if revision is None else Prepared(revision, None)
 
 
+def _find_moved(before: plans.Plan, after: plans.Plan) -> list[str]:
+    """Return the endpoints that only one of two plans names."""
+    moved = before.endpoint_by_name.keys() ^ after.endpoint_by_name.keys()
+    return sorted(moved)
+
+
 def _prepare_next(
     held: PlanObject | None,
     plan: plans.Plan,
@@ -279,6 +286,16 @@
         )
     if held.current.revision != expected:
         return _conflict(action, plan.database, held)
+    moved = _find_moved(held.current.plan, plan)
+    if len(moved) > MOST_MOVED_ENDPOINTS:
+        return expression.Error(
+            errors.InvalidInput(
+                f"{', '.join(moved)} come or go; a change adds or removes "
+                "one endpoint, so that majorities before and after it meet",
+                action,
+                field="endpoints",
+            )
+        )
     return _prepare(held, plan, change, action)
 
 
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from fescuestile import configuration
 from fescuestile import errors
@@ -11,7 +12,7 @@
 from tests import builders
 
 PLAN = builders.build_plan()
-OTHER = builders.build_plan(endpoints=(builders.build_endpoint(1),))
+OTHER = builders.build_plan(endpoints=PLAN.endpoints[:2])
 
 
 def change(name):
@@ -36,6 +37,20 @@
     assert third.current.action == "revert"
 
 
+@pytest.mark.parametrize(
+    "endpoints",
+    [
+        PLAN.endpoints[:1],
+        (*PLAN.endpoints[:2], builders.build_endpoint(4)),
+    ],
+)
+def test_a_change_moves_one_endpoint_so_that_majorities_meet(endpoints):
+    plan = builders.build_plan(endpoints=endpoints)
+    refused = configuration.prepare_apply(declare(), plan, 1, change("c2"))
+    assert isinstance(refused.error, errors.InvalidInput)
+    assert (refused.error.step, refused.error.field) == ("apply", "endpoints")
+
+
 def test_of_two_changes_from_one_revision_the_later_is_refused():
     first = declare()
     second = configuration.prepare_apply(first, OTHER, 1, change("c2")).ok
