Find members by id, and offer a session eight other daemons at most

Cause: two costs that grow with the fleet stood on callers' paths. A forwarded statement looked its owner up in a list of all daemons, and each session was sent the addresses of all of them, some 2,500 at the design size. Found by reading; ruled out that the client needs them all, it tries alternatives in turn and asks the balancer's address too. Members are found by id; alternatives are drawn, those of the own zone first. Behaviour with the four daemons of today is unchanged but for the order.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 import grpc
 import structlog
@@ -27,6 +28,7 @@
 
 STEP = "session"
 STREAM_SEQUENCE = 0
+MOST_ALTERNATIVES = 8
 OPEN_RETRY_SECONDS = 0.2
 
 
@@ -50,6 +52,7 @@
         """Prepare to serve."""
         self.parts = parts
         self.draining = False
+        self.random = random.Random()
         self._server: grpc.aio.Server | None = None
         self._streams: set[CallerStream] = set()
 
@@ -237,8 +240,9 @@
         membership = self._parts.membership.get()
         others = [
             member.caller_address
-            for member in membership.list_serving()
-            if member.id != membership.own.id
+            for member in membership.draw_alternatives(
+                MOST_ALTERNATIVES, self._server.random
+            )
         ]
         return pb.DaemonFrame(
             opened=pb.Opened(daemon=membership.own.id, alternatives=others)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/dispatch.py
@@ -53,7 +53,7 @@
         """
         if owner_id == self._own_id:
             return await self._local.run(endpoint, term, request, self._own_id)
-        member = self._find_member(owner_id)
+        member = self._membership.get().by_id.get(owner_id)
         if member is None:
             return expression.Error(
                 errors.NotRun(
@@ -74,12 +74,6 @@
             return expression.Error(_read_loss(reply.error, owner_id))
         return read_reply(reply.ok, owner_id)
 
-    def _find_member(self, member_id: str) -> members.Member | None:
-        for member in self._membership.get().members:
-            if member.id == member_id:
-                return member
-        return None
-
     async def _receive(
         self, peer: str, message: link_messages.ForwardReply
     ) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/state_push.py
@@ -119,9 +119,7 @@
         group.dirty = False
         group.pushed_at = now
         message = self._describe(database, group, now)
-        known = {
-            member.id: member for member in self._membership.get().members
-        }
+        known = self._membership.get().by_id
         for peer, interested in tuple(group.interested.items()):
             member = known.get(peer)
             held = now - interested.asked_at
@@ -203,10 +201,11 @@
             return
         owners = {view.owner for view in snapshot.endpoints.values()}
         message = link_messages.Interest(database, self._clock.now())
+        known = self._membership.get().by_id
         await asyncio.gather(
             *(
-                self._links.send(member, message)
-                for member in self._membership.get().members
-                if member.id in owners and member.id != self._own_id
+                self._links.send(known[owner], message)
+                for owner in owners
+                if owner in known and owner != self._own_id
             )
         )
--- a/packages/fescuestile/src/fescuestile/members.py
+++ b/packages/fescuestile/src/fescuestile/members.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import functools
+import random
 
 
 class MemberState(enum.StrEnum):
@@ -48,6 +50,33 @@
     own: Member
     members: tuple[Member, ...]
 
+    @functools.cached_property
+    def by_id(self) -> dict[str, Member]:
+        """Daemons by id."""
+        return {member.id: member for member in self.members}
+
+    def draw_alternatives(
+        self, count: int, source: random.Random
+    ) -> tuple[Member, ...]:
+        """Return some daemons that a session can move to.
+
+        Those of the own zone come first; which of them is drawn, so that
+        the sessions of a daemon that ends spread.
+
+        :param count: how many at most
+        :param source: source of the draw
+        """
+        others = [
+            member
+            for member in self.list_serving()
+            if member.id != self.own.id
+        ]
+        near = [member for member in others if member.zone == self.own.zone]
+        far = [member for member in others if member.zone != self.own.zone]
+        drawn = source.sample(near, min(count, len(near)))
+        drawn += source.sample(far, min(count - len(drawn), len(far)))
+        return tuple(drawn)
+
     def list_serving(self) -> tuple[Member, ...]:
         """Return the daemons that take new work."""
         return tuple(
