--- a/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/execution.py
@@ -1,4 +1,4 @@
-"""Filters at an endpoint's owner: confirm, lease, execute."""
+"""Filters at an endpoint's owner that run a request: lease, execute."""
 
 import dataclasses
 
@@ -6,16 +6,12 @@
 
 from fescuestile import admission
 from fescuestile import clock
-from fescuestile import diversion
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import plans
 from fescuestile import ports
-from fescuestile import positions
 from fescuestile import requests
 from fescuestile import results
-from fescuestile_daemon import confirmations
-from fescuestile_daemon import current_reads
 from fescuestile_daemon import endpoint_pool
 from fescuestile_daemon import filters
 
@@ -45,147 +41,6 @@
     lease: endpoint_pool.Lease | None = None
 
 
-def is_write(request: requests.Request) -> bool:
-    """Tell whether a request leaves an entry in the group's log."""
-    if request.action is requests.Action.STATEMENT:
-        return not request.read_only and not request.transaction
-    return request.action in (
-        requests.Action.COMMIT,
-        requests.Action.RESOLVE,
-    )
-
-
-def is_current_read(exchange: WorkExchange) -> bool:
-    """Tell whether the answer must not come from a replaced primary."""
-    return (
-        exchange.request.action is requests.Action.STATEMENT
-        and exchange.request.read_only
-        and exchange.request.staleness == 0
-        and not exchange.replica
-    )
-
-
-class DivertFilter(filters.Filter[WorkExchange]):
-    """Bounds the reads that a primary takes over from its replicas."""
-
-    def __init__(self, diverted: diversion.DivertedReads) -> None:
-        """Count on a board of all owned endpoints."""
-        self._diverted = diverted
-
-    async def handle(
-        self,
-        exchange: WorkExchange,
-        proceed: filters.Proceed[WorkExchange],
-    ) -> filters.Outcome:
-        """Let a diverted read in, or refuse it."""
-        request = exchange.request
-        if not request.diverted:
-            return await proceed(exchange)
-        name = f"{request.database}/{exchange.endpoint}"
-        slots = exchange.plan.endpoint_by_name[exchange.endpoint].slots
-        entered = self._diverted.enter(name, slots, request.level)
-        if entered.is_error():
-            return expression.Error(entered.error)
-        try:
-            return await proceed(exchange)
-        finally:
-            self._diverted.leave(name)
-
-
-class ConfirmFilter(filters.Filter[WorkExchange]):
-    """Holds a write's answer until a majority of the group has it."""
-
-    def __init__(
-        self,
-        waits: confirmations.Confirmations,
-        time_source: clock.Clock,
-        longest_wait: float,
-    ) -> None:
-        """Wait on a board of reports.
-
-        :param longest_wait: seconds
-        """
-        self._waits = waits
-        self._clock = time_source
-        self._longest_wait = longest_wait
-
-    async def handle(
-        self,
-        exchange: WorkExchange,
-        proceed: filters.Proceed[WorkExchange],
-    ) -> filters.Outcome:
-        """Run the rest, then wait for the majority."""
-        outcome = await proceed(exchange)
-        if outcome.is_error() or not is_write(exchange.request):
-            return outcome
-        remaining = exchange.request.deadline - self._clock.now()
-        confirmed = await self._waits.wait(
-            exchange.plan,
-            exchange.endpoint,
-            find_target(outcome.ok.position, exchange.term),
-            max(0.0, min(remaining, self._longest_wait)),
-        )
-        if confirmed.is_error():
-            return expression.Error(confirmed.error)
-        return outcome
-
-
-class CurrentReadFilter(filters.Filter[WorkExchange]):
-    """Holds a current read's answer until the primary is confirmed."""
-
-    def __init__(
-        self,
-        reads: current_reads.CurrentReads,
-        time_source: clock.Clock,
-        longest_wait: float,
-    ) -> None:
-        """Confirm by rounds of questions.
-
-        :param longest_wait: seconds
-        """
-        self._reads = reads
-        self._clock = time_source
-        self._longest_wait = longest_wait
-
-    async def handle(
-        self,
-        exchange: WorkExchange,
-        proceed: filters.Proceed[WorkExchange],
-    ) -> filters.Outcome:
-        """Ask for words while the rest runs, then wait for a majority."""
-        if not is_current_read(exchange):
-            return await proceed(exchange)
-        ticket = self._reads.begin(exchange.plan)
-        outcome = await proceed(exchange)
-        if outcome.is_error():
-            return outcome
-        remaining = exchange.request.deadline - self._clock.now()
-        confirmed = await self._reads.confirm(
-            exchange.plan,
-            ticket,
-            exchange.term,
-            exchange.endpoint,
-            max(0.0, min(remaining, self._longest_wait)),
-        )
-        if confirmed.is_error():
-            return expression.Error(confirmed.error)
-        return outcome
-
-
-def find_target(position: positions.Position, term: int) -> positions.Position:
-    """Return the position whose confirmation confirms a write.
-
-    An entry of an earlier term, as a repeated request's, is confirmed
-    only through an entry of the current term, which follows it.
-
-    :param position: position of the write
-    :param term: term that the primary works under
-    """
-    if position.term == term:
-        return position
-    return positions.Position(term, position.index + 1)
-
-
 class LeaseFilter(filters.Filter[WorkExchange]):
     """Waits for a slot and a connection, and gives both back.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -27,6 +27,7 @@
 from fescuestile_daemon import group_board
 from fescuestile_daemon import group_watch
 from fescuestile_daemon import groups_actor
+from fescuestile_daemon import holding
 from fescuestile_daemon import links
 from fescuestile_daemon import published
 from fescuestile_daemon import report_buffer
@@ -88,13 +89,13 @@
         self.on_report: list[group_watch.Observer] = []
         self._chain = filters.create_chain(
             (
-                execution.DivertFilter(diversion.DivertedReads()),
-                execution.ConfirmFilter(
+                holding.DivertFilter(diversion.DivertedReads()),
+                holding.ConfirmFilter(
                     self.confirmations,
                     parts.time_source,
                     parts.timing.confirm_timeout,
                 ),
-                execution.CurrentReadFilter(
+                holding.CurrentReadFilter(
                     self.current_reads,
                     parts.time_source,
                     parts.timing.confirm_timeout,
