--- a/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/links.py
@@ -89,9 +89,7 @@
         :param handler: coroutine function of (sender id, message)
         """
         self._handlers[cls] = handler
-        if cls not in self._classes:
-            self._classes.append(cls)
-            self._codec = codec.Codec(self._classes)
+        self.add_classes((cls,))
 
     def add_classes(self, classes: typing.Iterable[type]) -> None:
         """Make further message classes known to the codec."""
--- a/packages/fescuestile/src/fescuestile/ownership.py
+++ b/packages/fescuestile/src/fescuestile/ownership.py
@@ -71,7 +71,6 @@
 
         :param membership: members as this daemon sees them
         """
-        self._own_id = membership.own.id
         self._zones: dict[str, _Pool] = {}
         self._everywhere = _Pool()
         self.change(membership)
@@ -104,11 +103,6 @@
         """Return the endpoint's owner, None when no daemon serves."""
         return self._get_pool(endpoint.zone).find_owner(endpoint.name)
 
-    def is_own(self, endpoint: plans.Endpoint) -> bool:
-        """Tell whether this daemon owns the endpoint."""
-        owner = self.find_owner(endpoint)
-        return owner is not None and owner.id == self._own_id
-
     def list_candidates(
         self, endpoint: plans.Endpoint
     ) -> tuple[members.Member, ...]:
