Serve callers on the platform: relay of statements and its adapter

The thin path: callers' lines go through sessions, routing by proof of freshness, admission by rank and connections to the endpoints; platform/ holds the wire, the store's client and the settings.

--- a/Makefile
+++ b/Makefile
@@ -3,17 +3,18 @@
 BIN := $(VENV)/bin
 PACKAGES := fescuestile fescuestile-api fescuestile-client \
 	fescuestile-daemon fescuestile-cli fescuestile-standins
+PROJECTS := $(addprefix packages/,$(PACKAGES)) platform
 STAMP := $(VENV)/.installed
 
 .PHONY: setup demo test lint schema
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt deploy/requirements.txt $(PROJECTS:=/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q -r requirements.txt -r deploy/requirements.txt
 	$(BIN)/pip install -q --no-build-isolation --no-deps \
-		$(foreach p,$(PACKAGES),-e packages/$(p))
+		$(addprefix -e ,$(PROJECTS))
 	touch $(STAMP)
 
 demo: setup
@@ -25,8 +26,8 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages tests measurements
-	$(BIN)/mypy packages/*/src tests measurements
+	$(BIN)/flake8 packages platform tests measurements
+	$(BIN)/mypy packages/*/src platform/src tests measurements
 
 schema: setup
 	$(BIN)/python -m grpc_tools.protoc \
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay of callers' statements to endpoints by connections of its own."""
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -0,0 +1,126 @@
+"""One endpoint of a group, as this daemon knows it."""
+
+import time
+
+from fescuestile import admission
+from fescuestile import endpoint_choice
+from fescuestile import positions
+from fescuestile_daemon.relay import gate
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import pool
+from fescuestile_daemon.relay import ports
+
+# Work is classed by three ranks; each is owed this share of the slots.
+FLOORS = (0.1, 0.1, 0.1)
+# Weight of a new sample in the mean service time.
+SERVICE_WEIGHT = 0.1
+# Service time assumed of an endpoint before the first answer, in seconds.
+INITIAL_SERVICE_SECONDS = 0.01
+# Seconds in which the count of recent failures halves.
+FAILURE_HALF_LIFE_SECONDS = 1.0
+# An endpoint that lacked a position is asked for it again after this time,
+# in seconds; replicas lag by some ten milliseconds.
+BEHIND_SECONDS = 0.05
+
+
+class Member:
+    """An endpoint's connections, queue and record.
+
+    :ivar entry: registry entry
+    :ivar gate: admission to its slots
+    :ivar pool: connections
+    :ivar report: latest report, None before the first
+    :ivar reported_at: steady seconds at which the report was asked for
+    :ivar answered_at: steady seconds of the latest answer of any kind
+    :ivar has_answered: it answered at least once
+    :ivar dropped_at: steady seconds at which the registry dropped it
+    """
+
+    def __init__(
+        self,
+        entry: messages.EndpointEntry,
+        dialer: ports.Dialer,
+        relay_options: options.RelayOptions,
+        cap: int,
+    ) -> None:
+        """Start without connections."""
+        self.entry = entry
+        self.pool = pool.ChannelPool(entry, dialer, relay_options, cap)
+        queue = admission.AdmissionQueue(
+            admission.AdmissionOptions(
+                slots=max(1, entry.slots),
+                floors=FLOORS,
+                initial_service=INITIAL_SERVICE_SECONDS,
+            ),
+            entry.id,
+        )
+        self.gate = gate.Gate(queue)
+        self.report: messages.Report | None = None
+        self.reported_at = 0.0
+        self.answered_at = time.monotonic()
+        self.has_answered = False
+        self.dropped_at: float | None = None
+        self._service = INITIAL_SERVICE_SECONDS
+        self._failures = 0.0
+        self._failed_at = 0.0
+        self._behind_until = 0.0
+        self._behind = positions.START
+
+    @property
+    def name(self) -> str:
+        """The endpoint's id."""
+        return self.entry.id
+
+    def note_answer(self, seconds: float | None = None) -> None:
+        """Note that it answered, after so many seconds of service."""
+        self.answered_at = time.monotonic()
+        self.has_answered = True
+        if seconds is not None:
+            self._service += SERVICE_WEIGHT * (seconds - self._service)
+
+    def note_failure(self) -> None:
+        """Note a failed or unanswered statement or connection."""
+        now = time.monotonic()
+        self._failures = self._decay(now) + 1.0
+        self._failed_at = now
+
+    def note_behind(self, wanted: positions.Position) -> None:
+        """Note that its log lacked a position."""
+        self._behind = wanted
+        self._behind_until = time.monotonic() + BEHIND_SECONDS
+
+    def lacks(self, wanted: positions.Position | None) -> bool:
+        """Tell whether its log is known to lack a position."""
+        if wanted is None or time.monotonic() >= self._behind_until:
+            return False
+        return wanted >= self._behind
+
+    def describe(
+        self,
+        level: int,
+        kind: str,
+        wanted: positions.Position | None,
+        zone: str,
+        is_primary: bool,
+    ) -> endpoint_choice.Candidate:
+        """Return what the choice of an endpoint needs."""
+        now = time.monotonic()
+        return endpoint_choice.Candidate(
+            name=self.name,
+            service=self._service,
+            wait=self.gate.queue.expected_wait(level, now, kind),
+            failures=self._decay(now) + (now < self.pool.failed_until),
+            is_primary=is_primary,
+            is_near=self.entry.zone == zone,
+            lags=self.lacks(wanted),
+        )
+
+    def close(self) -> None:
+        """Give up its connections."""
+        self.pool.close()
+        self.gate.close()
+
+    def _decay(self, now: float) -> float:
+        age = now - self._failed_at
+        return float(self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
@@ -0,0 +1,224 @@
+"""Statements of callers, commands to endpoints and how they end."""
+
+import dataclasses
+import enum
+
+from fescuestile import endpoint_messages
+from fescuestile import positions
+
+
+class Verb(enum.Enum):
+    """What a statement asks for."""
+
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    READ = "read"
+    WRITE = "write"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    DEALLOCATE = "deallocate"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """One statement of a caller.
+
+    :ivar id: the caller's id, forwarded unchanged
+    :ivar text: the statement as the caller wrote it, forwarded unchanged
+    :ivar name: name of a session value or prepared statement
+    :ivar argument: value of a SET, shape of a PREPARE, or what follows the
+        name in an EXECUTE
+    :ivar writes: a WRITE, or a PREPARE of one
+    :ivar read_only: a BEGIN that promises only reads
+    """
+
+    id: str
+    verb: Verb
+    text: str
+    name: str = ""
+    argument: str = ""
+    writes: bool = False
+    read_only: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """What a prepared statement runs."""
+
+    text: str
+    writes: bool
+
+
+class Kind(enum.Enum):
+    """How a command ended."""
+
+    DONE = "done"
+    # Nothing ran.
+    BUSY = "busy"
+    BEHIND = "behind"
+    NOT_PRIMARY = "not primary"
+    WRONG_ENDPOINT = "wrong endpoint"
+    TOO_MANY_CONNECTIONS = "too many connections"
+    UNPREPARED = "unprepared"
+    MALFORMED = "malformed"
+    UNKNOWN_DATABASE = "unknown database"
+    # Nothing is kept: the transaction was rolled back.
+    ABORTED = "aborted"
+    # It ran.
+    FAILED = "failed"
+    TIMED_OUT = "timed out"
+    # It may have run.
+    LOST = "lost"
+    IN_DOUBT = "in doubt"
+
+
+NOT_RUN = frozenset(
+    {
+        Kind.BUSY,
+        Kind.BEHIND,
+        Kind.NOT_PRIMARY,
+        Kind.WRONG_ENDPOINT,
+        Kind.TOO_MANY_CONNECTIONS,
+        Kind.UNPREPARED,
+    }
+)
+
+
+class State(enum.Enum):
+    """Where a session stands after a statement."""
+
+    IDLE = "idle"
+    IN_TRANSACTION = "in transaction"
+    FAILED_TRANSACTION = "failed transaction"
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """How a statement ended.
+
+    :ivar rows: rows as the endpoint sent them
+    :ivar proof: the endpoint's receipt for the statement, empty when the
+        relay answered by itself
+    :ivar position: end of the endpoint's log, None when the relay answered
+    :ivar detail: for an error, its text
+    """
+
+    kind: Kind
+    rows: list[str] = dataclasses.field(default_factory=list)
+    proof: str = ""
+    position: positions.Position | None = None
+    state: State = State.IDLE
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Run a caller's statement.
+
+    :ivar prepared_as: for an EXECUTE, the name under which the connection
+        knows what it runs
+    :ivar minimum: position that the endpoint's log must hold
+    """
+
+    id: str
+    statement: Statement
+    prepared_as: str = ""
+    minimum: positions.Position | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begin:
+    """Open a transaction."""
+
+    read_only: bool
+    minimum: positions.Position | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollback:
+    """Roll the transaction back."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clear:
+    """Drop all session values and prepared names."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetValue:
+    """Set a session value."""
+
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prepare:
+    """Prepare a statement under a name."""
+
+    name: str
+    shape: Shape
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inspect:
+    """Ask for a report."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fence:
+    """Take the endpoint out of the terms below this one.
+
+    :ivar as_primary: it leads its term now
+    """
+
+    term: int
+    as_primary: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unfence:
+    """Let a fenced replica receive again."""
+
+
+Command = (
+    Run
+    | Begin
+    | Rollback
+    | Clear
+    | SetValue
+    | Prepare
+    | Inspect
+    | Fence
+    | Unfence
+)
+
+Report = endpoint_messages.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointEntry:
+    """An endpoint as the registry describes it.
+
+    :ivar id: unique id
+    :ivar group: database group
+    :ivar address: ``IP:port``
+    :ivar zone: availability zone
+    :ivar slots: statements it runs at a time
+    :ivar leaving: it takes no new work
+    :ivar claims_primary: it says that it is the primary
+    :ivar started_at: Unix milliseconds of its start; another one under the
+        same id holds nothing of before
+    """
+
+    id: str
+    group: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    claims_primary: bool
+    started_at: int
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -0,0 +1,141 @@
+"""One daemon's relay: sessions, readiness and a graceful stop."""
+
+import asyncio
+import random
+import time
+
+import structlog
+
+from fescuestile import clock
+from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import events
+from fescuestile_daemon.relay import execution
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import monitor
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import sessions
+
+log = structlog.get_logger()
+
+# After this part of the grace period no caller is accepted any more; the
+# balancer needs two misses of its probe, one a second, to stop sending them.
+ACCEPT_SHARE = 0.45
+# Open transactions may go on for this part of the grace period.
+TRANSACTION_SHARE = 0.5
+# By this part of the grace period the process has ended.
+EXIT_SHARE = 0.8
+# Idle sessions are closed over this time, in seconds, so that their callers
+# don't all come back at once.
+SPREAD_SECONDS = 1.0
+POLL_SECONDS = 0.05
+
+
+class Node:
+    """Accepts callers and serves their sessions."""
+
+    def __init__(
+        self,
+        dialer: ports.Dialer,
+        promoter: ports.Promoter,
+        relay_options: options.RelayOptions,
+        zone: str,
+    ) -> None:
+        """Build the parts; ``start`` makes them work."""
+        boot_clock = clock.BootClock()
+        self.recorder = events.Recorder()
+        self.directory = directory.Directory(dialer, relay_options, boot_clock)
+        self.sessions: set[sessions.Session] = set()
+        self._options = relay_options
+        self._clock = boot_clock
+        self._execution = execution.Execution(
+            self.directory, relay_options, boot_clock, self.recorder, zone
+        )
+        self._monitor = monitor.Monitor(
+            self.directory,
+            promoter,
+            relay_options,
+            boot_clock,
+            random.Random(),
+        )
+        self._stopping = False
+        self._accepts = True
+
+    async def start(self) -> None:
+        """Start to watch the endpoints."""
+        await self._monitor.start()
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        if self._stopping or not self.directory.is_complete:
+            return False
+        return not self.is_isolated()
+
+    def is_isolated(self) -> bool:
+        """Tell whether most groups' primaries are out of reach."""
+        now = time.monotonic()
+        groups = [g for g in self.directory.groups.values() if g.members]
+        lost = 0
+        for group in groups:
+            answering = sum(
+                now - member.answered_at < self._options.isolated_after
+                for member in group.members.values()
+            )
+            lost += answering < group.make_plan().majority
+        return bool(groups) and lost * 2 > len(groups)
+
+    def open_session(
+        self, database: str, caller: ports.Caller
+    ) -> sessions.Session | messages.Outcome:
+        """Accept a caller, or return why not."""
+        if not self._accepts:
+            return messages.Outcome(messages.Kind.BUSY, detail="stopping")
+        if not self.directory.is_complete:
+            return messages.Outcome(messages.Kind.BUSY, detail="starting")
+        if self.directory.find_route(database) is None:
+            return messages.Outcome(
+                messages.Kind.UNKNOWN_DATABASE, detail=database
+            )
+        session = sessions.Session(
+            database, caller, self._execution, self._clock
+        )
+        self.sessions.add(session)
+        return session
+
+    def forget_session(self, session: sessions.Session) -> None:
+        """Forget a session whose caller has gone."""
+        self.sessions.discard(session)
+        session.disconnect()
+
+    async def stop(self, grace: float) -> None:
+        """Stop gracefully.
+
+        :param grace: seconds until the process is killed
+        """
+        started = time.monotonic()
+        self._stopping = True
+        log.info("stopping", sessions=len(self.sessions), grace=grace)
+        loop = asyncio.get_running_loop()
+        while time.monotonic() - started < grace * EXIT_SHARE:
+            elapsed = time.monotonic() - started
+            if elapsed > grace * ACCEPT_SHARE:
+                self._accepts = False
+                if not self.sessions:
+                    break
+            share = min(1.0, elapsed / SPREAD_SECONDS) * POLL_SECONDS
+            for session in list(self.sessions):
+                if session.busy:
+                    continue
+                if session.in_transaction and (
+                    elapsed < grace * TRANSACTION_SHARE
+                ):
+                    continue
+                if not self._accepts or random.random() < share * 2:
+                    session.close()
+                    self.sessions.discard(session)
+            await asyncio.sleep(POLL_SECONDS)
+        for session in list(self.sessions):
+            session.close()
+        await self._monitor.close()
+        self.directory.close()
+        log.info("stopped", seconds=round(loop.time() - started, 3))
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -0,0 +1,56 @@
+"""Settings of the relay and their defaults."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Times in seconds.
+
+    :ivar connection_share: share of an endpoint's connections that one
+        daemon opens; a deployment has four daemons
+    :ivar min_connections: connections to an endpoint opened at least
+    :ivar idle_connection: a spare connection is closed after this time
+    :ivar trusted_idle: a connection that answered within this time is used
+        for a write without asking for a sign of life first
+    :ivar dial_timeout: longest wait for a new connection; handshakes take
+        some 20 ms, a slow endpoint some times that
+    :ivar redial_delay: pause after a connection could not be opened
+    :ivar inspect_timeout: longest wait for a report, well above the time
+        that reports queue behind statements
+    :ivar read_silence: a read without an answer for this time is tried at
+        another connection; several times a statement's usual work
+    :ivar read_attempts: endpoints tried for one read at most
+    :ivar busy_delay: pause before an endpoint that refused is tried again
+    :ivar sample_interval: a group that serves reads is asked for a fresh
+        position this often, a small part of the staleness bounds in use
+    :ivar monitor_interval: pause between two looks at the primaries
+    :ivar idle_inspect: an endpoint without traffic is asked this often
+    :ivar primary_silence: a primary that answered nothing for this time is
+        replaced; above the freezes and slow spells that pass by themselves
+    :ivar commit_silence: likewise for one that answers but commits nothing
+    :ivar isolated_after: a daemon that reaches no primary for this time
+        takes no new callers
+    :ivar lingering: an entry that the registry dropped counts this long
+    :ivar refuse_after: current reads are refused at once when no majority
+        was reached for this time
+    """
+
+    connection_share: float = 0.25
+    min_connections: int = 2
+    idle_connection: float = 5.0
+    trusted_idle: float = 0.5
+    dial_timeout: float = 0.5
+    redial_delay: float = 0.2
+    inspect_timeout: float = 0.4
+    read_silence: float = 0.25
+    read_attempts: int = 5
+    busy_delay: float = 0.02
+    sample_interval: float = 0.35
+    monitor_interval: float = 0.25
+    idle_inspect: float = 0.5
+    primary_silence: float = 1.2
+    commit_silence: float = 1.0
+    isolated_after: float = 1.2
+    lingering: float = 3.0
+    refuse_after: float = 0.8
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -0,0 +1,150 @@
+"""Connections to one endpoint, lent to one piece of work at a time."""
+
+import asyncio
+import collections
+import time
+import typing
+
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+
+
+class ChannelPool:
+    """Lends connections, opens them when needed, up to a cap."""
+
+    def __init__(
+        self,
+        entry: messages.EndpointEntry,
+        dialer: ports.Dialer,
+        relay_options: options.RelayOptions,
+        cap: int,
+    ) -> None:
+        """Start without a connection."""
+        self._entry = entry
+        self._dialer = dialer
+        self._options = relay_options
+        self._idle: list[ports.Channel] = []
+        self._waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+        self._open = 0
+        self._closed = False
+        self.cap = cap
+        self.failed_until = 0.0
+
+    @property
+    def open(self) -> int:
+        """Connections that are open or being opened."""
+        return self._open
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection can be lent without waiting for another."""
+        return bool(self._idle) or self._open < self.cap
+
+    async def lease(
+        self, values: typing.Mapping[str, str] | None = None
+    ) -> ports.Channel | messages.Outcome:
+        """Lend a connection, one with the wanted session values if any.
+
+        :param values: session values that the work needs
+        :returns: the connection, or why none could be opened
+        """
+        while not self._closed:
+            channel = self._take_idle(values)
+            if channel is not None:
+                return channel
+            if self._open < self.cap:
+                return await self._dial()
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake()
+                raise
+        return messages.Outcome(messages.Kind.BUSY, detail="endpoint left")
+
+    def give_back(self, channel: ports.Channel) -> None:
+        """Take back a connection that is between transactions."""
+        if channel.closed or self._closed:
+            self.discard(channel)
+            return
+        self._idle.append(channel)
+        self._wake()
+
+    def discard(self, channel: ports.Channel) -> None:
+        """Close a lent connection whose state is in doubt."""
+        channel.close()
+        self._open -= 1
+        self._wake()
+
+    def trim(self) -> None:
+        """Close connections that were not needed lately."""
+        oldest = time.monotonic() - self._options.idle_connection
+        for channel in list(self._idle):
+            if channel.closed or channel.used_at < oldest:
+                self._idle.remove(channel)
+                self.discard(channel)
+
+    def drop_idle(self) -> None:
+        """Close all connections that are not lent."""
+        while self._idle:
+            self.discard(self._idle.pop())
+
+    def close(self) -> None:
+        """Close what is idle now and what is lent when it comes back."""
+        self._closed = True
+        self.drop_idle()
+        while self._waiters:
+            self._wake()
+
+    def _take_idle(
+        self, values: typing.Mapping[str, str] | None
+    ) -> ports.Channel | None:
+        while self._idle:
+            place = len(self._idle) - 1
+            if values is not None:
+                for index in range(place, -1, -1):
+                    if self._idle[index].values == values:
+                        place = index
+                        break
+            channel = self._idle.pop(place)
+            if not channel.closed:
+                return channel
+            self._open -= 1
+        return None
+
+    async def _dial(self) -> ports.Channel | messages.Outcome:
+        self._open += 1
+        opened = False
+        try:
+            async with asyncio.timeout(self._options.dial_timeout):
+                channel = await self._dialer.dial(self._entry)
+            if isinstance(channel, messages.Outcome):
+                return channel
+            if self._closed:
+                channel.close()
+                return messages.Outcome(messages.Kind.BUSY, detail="left")
+            opened = True
+            return channel
+        except TimeoutError:
+            return messages.Outcome(
+                messages.Kind.LOST, detail="connection not opened in time"
+            )
+        finally:
+            if not opened:
+                self._open -= 1
+                self.failed_until = (
+                    time.monotonic() + self._options.redial_delay
+                )
+                self._wake()
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
--- a/packages/fescuestile/src/fescuestile/clock.py
+++ b/packages/fescuestile/src/fescuestile/clock.py
@@ -20,6 +20,17 @@
         return time.monotonic()
 
 
+class BootClock(Clock):
+    """Monotonic clock that also counts the time of a suspension.
+
+    Leases and whatever else must not outlive a suspension use this one.
+    """
+
+    def now(self) -> float:
+        """Return the time since boot in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """Clock that moves only when told to."""
 
--- a/packages/fescuestile/src/fescuestile/read_confirmation.py
+++ b/packages/fescuestile/src/fescuestile/read_confirmation.py
@@ -68,12 +68,21 @@
             return
         self._words[report.endpoint] = _Word(round_, report.term)
 
-    def is_confirmed(self, ticket: Ticket, term: int, primary: str) -> bool:
+    def is_confirmed(
+        self,
+        ticket: Ticket,
+        term: int,
+        primary: str,
+        answers_by_term: bool = True,
+    ) -> bool:
         """Tell whether a read may be answered.
 
         :param ticket: ticket taken before the read was sent
         :param term: term that the read was served under
-        :param primary: endpoint that served it; its answer is its word
+        :param primary: endpoint that served it
+        :param answers_by_term: endpoints refuse reads of an ended term, so
+            that the answer is the primary's word; else the primary must
+            have spoken in a round too
         """
         names = {
             name
@@ -81,7 +90,11 @@
             if word.round >= ticket.round and word.term == term
         }
         known = self._plan.endpoint_by_name
-        return len((names | {primary}) & known.keys()) >= self._plan.majority
+        if answers_by_term:
+            names.add(primary)
+        elif primary not in names:
+            return False
+        return len(names & known.keys()) >= self._plan.majority
 
     def is_refuted(self, ticket: Ticket, term: int) -> bool:
         """Tell whether a later term was seen: the read can't be confirmed."""
