Share few connections among many daemons; judge replication by positions

Now one is kept while an endpoint's connections are half used, none for longer than 0.3 s above 0.8, and a refused one delays the next. Cause of false failovers: one lost answer counted as a primary that commits nothing; now replicas that receive nothing of what the primary holds.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
@@ -68,8 +68,7 @@
         )
         self.table = table
         for group in self.groups.values():
-            for member in list(group.members.values()):
-                member.pool.cap = self._find_cap(group.name)
+            self._limit(group)
         return True
 
     def put_endpoints(
@@ -98,6 +97,7 @@
                     known=known is not None,
                 )
             group.put_member(entry, self._find_cap(entry.group))
+            self._limit(group)
         now = time.monotonic()
         for group in self.groups.values():
             for name, member in list(group.members.items()):
@@ -140,6 +140,13 @@
             )
         return group
 
+    def _limit(self, group: groups.Group) -> None:
+        limits = self.table.groups.get(group.name)
+        if limits is not None:
+            group.connections = limits.connections
+        for member in group.members.values():
+            member.pool.cap = self._find_cap(group.name)
+
     def _find_cap(self, name: str) -> int:
         limits = self.table.groups.get(name)
         if limits is None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -314,8 +314,13 @@
         self, piece: Piece, member: members.Member
     ) -> ports.Channel | messages.Outcome:
         """Lend a connection with the session's state on it."""
+        patience = max(piece.left, 0.0)
+        if not piece.writes and len(piece.tried) + 1 < len(
+            piece.group.members
+        ):
+            patience = min(patience, self._options.lease_patience)
         try:
-            async with asyncio.timeout(max(piece.left, 0.0)):
+            async with asyncio.timeout(patience):
                 channel = await member.pool.lease(piece.session.values)
         except TimeoutError:
             return messages.Outcome(Kind.BUSY, detail="no free connection")
@@ -368,8 +373,6 @@
         seconds = piece.left
         if not piece.writes:
             seconds = min(seconds, self._find_silence(piece))
-        else:
-            piece.group.note_commit_sent()
         started = time.monotonic()
         clean = False
         try:
@@ -401,8 +404,6 @@
         match outcome.kind:
             case Kind.DONE:
                 member.note_answer(time.monotonic() - started)
-                if piece.writes:
-                    piece.group.note_commit()
             case Kind.BEHIND:
                 member.note_answer()
                 member.note_behind(minimum or positions.START)
@@ -595,11 +596,8 @@
         except errors.NotRun as error:
             return messages.Outcome(Kind.BUSY, detail=error.message)
         started = time.monotonic()
-        commits = piece.arrival.statement.verb is Verb.COMMIT
         if piece.writes:
             work.wrote = True
-        if commits and work.wrote:
-            work.group.note_commit_sent()
         outcome = messages.Outcome(Kind.LOST, detail="no answer in time")
         try:
             if not await self._set_up(piece, channel):
@@ -613,8 +611,6 @@
         finally:
             member.gate.leave(ticket, outcome.kind is Kind.DONE)
         self._note(piece, member, outcome, None, started)
-        if commits and work.wrote and outcome.kind is Kind.DONE:
-            work.group.note_commit()
         return outcome
 
     def _release(self, work: sessions.Transaction) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -17,18 +17,26 @@
 from fescuestile_daemon.relay import ports
 
 Role = endpoint_messages.Role
+# A promotion fences the primary or all its replicas, so the word of the
+# primary and of one replica is proof that none has been ordered.
+QUORUM = 2
 # A report counts for the choice of the primary this long, in seconds.
 REPORT_SECONDS = 3.0
+# An endpoint that has gone counts for promotions this long, in seconds: it
+# may hold writes that no other replica has, until those have caught up.
+EXPECTED_SECONDS = 15.0
 
 
 class Group:
     """State of one group in this daemon.
 
     :ivar members: endpoints by id
+    :ivar connections: connections that each endpoint accepts
     :ivar changed: set and replaced at each change of primary or members
+    :ivar expected: most endpoints that it lately had
     :ivar confirmed_at: steady seconds of the last confirmed round
-    :ivar commit_waits_since: steady seconds since which a write waits at
-        the primary and none has succeeded, None for none
+    :ivar stalled_since: steady seconds since which no replica has received
+        what the primary holds, None when one has
     """
 
     def __init__(
@@ -41,9 +49,13 @@
         """Start without members."""
         self.name = name
         self.members: dict[str, members.Member] = {}
+        self.connections = 1
         self.options = relay_options
         self.confirmed_at = time.monotonic()
-        self.commit_waits_since: float | None = None
+        self.stalled_since: float | None = None
+        self.expected = 0
+        self._expected_at = 0.0
+        self._awaited = positions.START
         self.read_at = 0.0
         self.freshness = freshness.FreshnessLog()
         self._dialer = dialer
@@ -91,6 +103,9 @@
         known.entry = entry
         known.dropped_at = None
         known.pool.cap = cap
+        if len(self.members) >= self.expected:
+            self.expected = len(self.members)
+            self._expected_at = time.monotonic()
         self.notify()
         return known
 
@@ -100,8 +115,17 @@
         if member is not None:
             member.close()
             self._rounds.set_plan(self.make_plan())
+            self._expected_at = max(
+                self._expected_at, time.monotonic() - EXPECTED_SECONDS / 2
+            )
             self.notify()
 
+    def expire_expected(self) -> None:
+        """Accept that the group has become smaller, after a while."""
+        lately = time.monotonic() - EXPECTED_SECONDS
+        if len(self.members) < self.expected and self._expected_at < lately:
+            self.expected = len(self.members)
+
     def list_reports(self) -> list[messages.Report]:
         """Return the recent reports."""
         oldest = time.monotonic() - REPORT_SECONDS
@@ -200,6 +224,8 @@
             return
         member.report = report
         member.reported_at = asked_at
+        member.pool.usage = report.connections / max(1, self.connections)
+        self._note_replication(report)
         if (
             known is None
             or known.role is not report.role
@@ -207,6 +233,19 @@
         ):
             self.notify()
 
+    def _note_replication(self, report: messages.Report) -> None:
+        """Note whether some replica receives what the primary writes."""
+        if report.role is Role.PRIMARY:
+            if self.stalled_since is None:
+                self._awaited = report.last
+                self.stalled_since = time.monotonic()
+        elif report.last >= self._awaited:
+            self.stalled_since = None
+
+    def clear_stall(self) -> None:
+        """Judge replication anew."""
+        self.stalled_since = None
+
     def begin_proof(self) -> read_confirmation.Ticket:
         """Ask for a proof that begins now; see ``wait_proof``."""
         ticket = self._rounds.begin_read()
@@ -223,17 +262,40 @@
 
     async def _run_round(self, number: int) -> None:
         asked_at = self._clock.now()
-        await asyncio.gather(
-            *(
-                self._ask(number, asked_at, member)
-                for member in list(self.members.values())
-            )
-        )
-        proven = self.is_proven(read_confirmation.Ticket(number))
-        if not proven and self._failed_rounds_since is None:
+        ticket = read_confirmation.Ticket(number)
+        first, others = self._order_for_round()
+        asks = [
+            asyncio.create_task(self._ask(number, asked_at, member))
+            for member in first
+        ]
+        try:
+            await asyncio.wait(asks, timeout=self.options.second_replica)
+            if not self.is_proven(ticket):
+                asks.extend(
+                    asyncio.create_task(self._ask(number, asked_at, member))
+                    for member in others
+                )
+            await asyncio.gather(*asks)
+        finally:
+            for ask in asks:
+                ask.cancel()
+        if not self.is_proven(ticket) and self._failed_rounds_since is None:
             self._failed_rounds_since = time.monotonic()
         self.notify()
 
+    def _order_for_round(
+        self,
+    ) -> tuple[list[members.Member], list[members.Member]]:
+        """Return who is asked at once, and who only if need be."""
+        primary = self.find_primary()
+        if primary is None:
+            return list(self.members.values()), []
+        replicas = sorted(
+            (m for m in self.members.values() if m is not primary),
+            key=lambda member: member.estimate_failures(),
+        )
+        return [primary, *replicas[:1]], replicas[1:]
+
     async def _ask(
         self, number: int, asked_at: float, member: members.Member
     ) -> None:
@@ -269,6 +331,7 @@
             primary.report.term,
             primary.name,
             answers_by_term=False,
+            quorum=QUORUM,
         )
 
     def is_refuted(self, ticket: read_confirmation.Ticket, term: int) -> bool:
@@ -344,15 +407,6 @@
             if not member.entry.leaving:
                 yield member
 
-    def note_commit_sent(self) -> None:
-        """Note a write that waits for the primary."""
-        if self.commit_waits_since is None:
-            self.commit_waits_since = time.monotonic()
-
-    def note_commit(self) -> None:
-        """Note a write that succeeded."""
-        self.commit_waits_since = None
-
     def close(self) -> None:
         """Give up all endpoints."""
         for task in self._round_task:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -116,6 +116,10 @@
             lags=self.lacks(wanted),
         )
 
+    def estimate_failures(self) -> float:
+        """Return the recent failures, decaying."""
+        return self._decay(time.monotonic())
+
     def close(self) -> None:
         """Give up its connections."""
         self.pool.close()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -97,6 +97,7 @@
                 member.pool.trim()
                 self._probe(group, member, now)
             group.sample()
+            group.expire_expected()
             reason = self._find_reason(group, now, awake)
             if reason is not None and group.name not in self._drives:
                 self._drives[group.name] = asyncio.create_task(
@@ -107,10 +108,16 @@
         self, group: groups.Group, member: members.Member, now: float
     ) -> None:
         """Ask an endpoint that has not answered lately."""
-        quiet = now - max(member.answered_at, member.reported_at)
-        if quiet < self._options.idle_inspect or member.name in self._probes:
+        is_primary = group.find_primary() is member
+        pause = (
+            self._options.idle_inspect
+            if is_primary or group.stalled_since is not None
+            else self._options.idle_inspect_replica
+        )
+        quiet = now - member.reported_at
+        if quiet < pause or member.name in self._probes:
             return
-        if now - member.answered_at > self._options.idle_inspect * 2:
+        if now - member.answered_at > pause * 2:
             # Its connections may have gone silent while new ones work.
             member.pool.drop_idle()
         task = asyncio.create_task(self._inspect(group, member))
@@ -140,9 +147,9 @@
         silence = min(now - primary.answered_at, awake)
         if primary.has_answered and silence > self._options.primary_silence:
             return Reason.SILENT if self._reaches_others(group, now) else None
-        waits = group.commit_waits_since
-        if waits is not None and (
-            min(now - waits, awake) > self._options.commit_silence
+        stalled = group.stalled_since
+        if stalled is not None and (
+            min(now - stalled, awake) > self._options.commit_silence
         ):
             return Reason.NO_COMMITS
         if primary.entry.leaving and self._find_target(group, primary):
@@ -246,6 +253,7 @@
                 await drive.switch_over(primary, target)
         else:
             replaced = await drive.replace_failed(primary)
+            group.clear_stall()
             if not replaced:
                 await asyncio.sleep(self._options.monitor_interval)
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -10,7 +10,16 @@
     :ivar connection_share: share of an endpoint's connections that one
         daemon opens; a deployment has four daemons
     :ivar min_connections: connections to an endpoint opened at least
+    :ivar plenty_below: below this share of an endpoint's connections in
+        use, spare ones are kept for ``idle_connection``
+    :ivar scarce_above: above this share, none is kept for longer than
+        ``scarce_idle``; between the two shares, one is kept
     :ivar idle_connection: a spare connection is closed after this time
+    :ivar scarce_idle: the same while connections are scarce
+    :ivar lease_patience: longest wait of a read for a free connection
+        before another endpoint is tried
+    :ivar refused_delay: pause before the next connection is opened after
+        the endpoint had no room for one
     :ivar trusted_idle: a connection that answered within this time is used
         for a write without asking for a sign of life first
     :ivar dial_timeout: longest wait for a new connection; handshakes take
@@ -25,10 +34,13 @@
     :ivar sample_interval: a group that serves reads is asked for a fresh
         position this often, a small part of the staleness bounds in use
     :ivar monitor_interval: pause between two looks at the primaries
-    :ivar idle_inspect: an endpoint without traffic is asked this often
+    :ivar idle_inspect: a primary without traffic is asked this often
+    :ivar idle_inspect_replica: likewise a replica
+    :ivar second_replica: a proof asks one replica; after this time without
+        one it asks the others
     :ivar primary_silence: a primary that answered nothing for this time is
         replaced; above the freezes and slow spells that pass by themselves
-    :ivar commit_silence: likewise for one that answers but commits nothing
+    :ivar commit_silence: likewise for one whose replicas receive nothing
     :ivar isolated_after: a daemon that reaches no primary for this time
         takes no new callers
     :ivar lingering: an entry that the registry dropped counts this long
@@ -38,7 +50,12 @@
 
     connection_share: float = 0.25
     min_connections: int = 2
+    plenty_below: float = 0.5
+    scarce_above: float = 0.8
     idle_connection: float = 5.0
+    scarce_idle: float = 0.3
+    lease_patience: float = 0.05
+    refused_delay: float = 0.1
     trusted_idle: float = 0.5
     dial_timeout: float = 0.5
     redial_delay: float = 0.2
@@ -48,7 +65,9 @@
     busy_delay: float = 0.02
     sample_interval: float = 0.35
     monitor_interval: float = 0.25
-    idle_inspect: float = 0.5
+    idle_inspect: float = 0.7
+    idle_inspect_replica: float = 1.5
+    second_replica: float = 0.04
     primary_silence: float = 1.2
     commit_silence: float = 1.0
     isolated_after: float = 1.2
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -11,7 +11,13 @@
 
 
 class ChannelPool:
-    """Lends connections, opens them when needed, up to a cap."""
+    """Lends connections, opens them when needed, up to a cap.
+
+    :ivar cap: connections that this daemon opens at most
+    :ivar usage: share of the endpoint's connections that all daemons use
+    :ivar failed_until: steady seconds before which no connection is opened
+        while there is another
+    """
 
     def __init__(
         self,
@@ -31,6 +37,7 @@
         self._open = 0
         self._closed = False
         self.cap = cap
+        self.usage = 0.0
         self.failed_until = 0.0
 
     @property
@@ -41,7 +48,12 @@
     @property
     def has_room(self) -> bool:
         """Whether a connection can be lent without waiting for another."""
-        return bool(self._idle) or self._open < self.cap
+        return bool(self._idle) or self._may_dial()
+
+    def _may_dial(self) -> bool:
+        if self._open >= self.cap:
+            return False
+        return not self._open or time.monotonic() >= self.failed_until
 
     async def lease(
         self, values: typing.Mapping[str, str] | None = None
@@ -55,7 +67,7 @@
             channel = self._take_idle(values)
             if channel is not None:
                 return channel
-            if self._open < self.cap:
+            if self._may_dial():
                 return await self._dial()
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.append(waiter)
@@ -74,6 +86,9 @@
             return
         self._idle.append(channel)
         self._wake()
+        crowded = self.usage >= self._options.plenty_below
+        if crowded and len(self._idle) > 1:
+            self.discard(self._idle.pop(0))
 
     def discard(self, channel: ports.Channel) -> None:
         """Close a lent connection whose state is in doubt."""
@@ -83,7 +98,12 @@
 
     def trim(self) -> None:
         """Close connections that were not needed lately."""
-        oldest = time.monotonic() - self._options.idle_connection
+        scarce = self.usage >= self._options.scarce_above
+        oldest = time.monotonic() - (
+            self._options.scarce_idle
+            if scarce
+            else self._options.idle_connection
+        )
         for channel in list(self._idle):
             if channel.closed or channel.used_at < oldest:
                 self._idle.remove(channel)
@@ -120,10 +140,14 @@
     async def _dial(self) -> ports.Channel | messages.Outcome:
         self._open += 1
         opened = False
+        delay = self._options.redial_delay
         try:
             async with asyncio.timeout(self._options.dial_timeout):
                 channel = await self._dialer.dial(self._entry)
             if isinstance(channel, messages.Outcome):
+                if channel.kind is messages.Kind.TOO_MANY_CONNECTIONS:
+                    delay = self._options.refused_delay
+                    self.usage = 1.0
                 return channel
             if self._closed:
                 channel.close()
@@ -137,9 +161,7 @@
         finally:
             if not opened:
                 self._open -= 1
-                self.failed_until = (
-                    time.monotonic() + self._options.redial_delay
-                )
+                self.failed_until = time.monotonic() + delay
                 self._wake()
 
     def _wake(self) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -61,7 +61,9 @@
         name = failed.name if failed else ""
         for _ in range(FENCE_TRIES):
             await self._fence_all(term, name)
-            chosen = promotion.choose_promotion(plan, self._fenced, name)
+            chosen = promotion.choose_promotion(
+                plan, self._fenced, name, group.expected
+            )
             if chosen is not None or not self._holds_lease():
                 break
         log.info(
@@ -204,14 +206,19 @@
             before=replaced.name if replaced else None,
             term=group.term,
         )
-        group.note_commit()
+        group.clear_stall()
         if replaced is not None and replaced.name != chosen:
             await self._fence(replaced, group.term, as_primary=True)
         self._fenced.pop(chosen, None)
         await self._unfence()
 
     async def _unfence(self) -> None:
-        """Let what this driver fenced receive again."""
+        """Let what this driver fenced receive again.
+
+        Without the lease it is left to the next driver.
+        """
+        if not self._holds_lease():
+            return
         names = [
             member
             for name, member in self._group.members.items()
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -1,8 +1,9 @@
 """Whether a promotion is safe and which endpoint it goes to.
 
-A write is acknowledged once the primary and one more endpoint hold it. So
-any two majorities of a group share an endpoint that holds each acknowledged
-write, and a majority that takes no more part in the old term ends it.
+A write is acknowledged once the primary and one replica hold it. So no more
+are acknowledged in a term once its primary has stopped or all its replicas
+receive nothing more, and then the primary's log, or the longest of all
+replicas' logs, holds each that was.
 """
 
 import dataclasses
@@ -39,36 +40,41 @@
     plan: plans.Plan,
     fenced: typing.Mapping[str, Report],
     failed: str = "",
+    expected: int = 0,
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
 
     :param plan: names the group's endpoints
     :param fenced: replies of endpoints that take no more part in the old
         term, each with its log's end read under the fence
-    :param failed: primary that has failed, promoted again only when no
-        other endpoint may be
+    :param failed: the old term's primary, promoted again only when no
+        replica may be
+    :param expected: endpoints that the group lately had, when some of
+        them are not in the plan any more
     """
     known = {
         name: report
         for name, report in fenced.items()
         if name in plan.endpoint_by_name
     }
-    if len(known) < plan.majority:
+    replicas = {name: known[name] for name in known if name != failed}
+    size = max(expected, len(plan.endpoints))
+    has_all_replicas = len(replicas) >= size - 1 > 0
+    best = max(
+        replicas,
+        key=lambda name: (failover.rank_log(replicas[name]), name),
+        default=None,
+    )
+    ended = known.get(failed)
+    if best is not None and has_all_replicas:
+        return best
+    if ended is None:
         return None
-    best = failover.choose_endpoint(plan, known)
-    others = {name: known[name] for name in known if name != failed}
-    if best != failed or not others:
+    if best is not None and failover.rank_log(
+        replicas[best]
+    ) >= failover.rank_log(ended):
         return best
-    other = max(
-        others, key=lambda name: (failover.rank_log(others[name]), name)
-    )
-    # What only the failed primary holds was acknowledged to nobody once
-    # all other endpoints are fenced.
-    if len(others) == len(plan.endpoints) - 1:
-        return other
-    if failover.rank_log(others[other]) == failover.rank_log(known[failed]):
-        return other
-    return None
+    return failed
 
 
 def find_next_term(reports: typing.Iterable[Report]) -> int:
--- a/packages/fescuestile/src/fescuestile/read_confirmation.py
+++ b/packages/fescuestile/src/fescuestile/read_confirmation.py
@@ -74,6 +74,7 @@
         term: int,
         primary: str,
         answers_by_term: bool = True,
+        quorum: int = 0,
     ) -> bool:
         """Tell whether a read may be answered.
 
@@ -83,6 +84,7 @@
         :param answers_by_term: endpoints refuse reads of an ended term, so
             that the answer is the primary's word; else the primary must
             have spoken in a round too
+        :param quorum: endpoints whose word is needed, a majority by default
         """
         names = {
             name
@@ -94,7 +96,8 @@
             names.add(primary)
         elif primary not in names:
             return False
-        return len(names & known.keys()) >= self._plan.majority
+        needed = quorum or self._plan.majority
+        return len(names & known.keys()) >= needed
 
     def is_refuted(self, ticket: Ticket, term: int) -> bool:
         """Tell whether a later term was seen: the read can't be confirmed."""
