--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -0,0 +1,230 @@
+"""One attempt to run a statement at one endpoint."""
+
+import asyncio
+import dataclasses
+import time
+
+from fescuestile import errors
+from fescuestile import positions
+from fescuestile import routes
+from fescuestile_daemon.relay import events
+from fescuestile_daemon.relay import gate
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import members
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import replay
+from fescuestile_daemon.relay import sessions
+
+Kind = messages.Kind
+# Statements with less time left than this are not sent, in seconds: about
+# one round trip and the shortest statement.
+LEAST_SECONDS = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class Piece:
+    """One statement on its way to an endpoint.
+
+    :ivar writes: it may change data
+    :ivar deadline: steady seconds at which the route's timeout ends
+    :ivar tried: endpoints that refused it or did not answer
+    """
+
+    session: sessions.Session
+    route: routes.Route
+    group: groups.Group
+    arrival: sessions.Arrival
+    writes: bool
+    deadline: float
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def left(self) -> float:
+        """Seconds left."""
+        return self.deadline - time.monotonic()
+
+
+def make_piece(
+    session: sessions.Session,
+    route: routes.Route,
+    group: groups.Group,
+    arrival: sessions.Arrival,
+) -> Piece:
+    """Return a statement as a piece of work."""
+    statement = arrival.statement
+    writes = statement.writes
+    if statement.verb is messages.Verb.EXECUTE:
+        writes = session.prepared[statement.name].writes
+    return Piece(
+        session=session,
+        route=route,
+        group=group,
+        arrival=arrival,
+        writes=writes,
+        deadline=arrival.steady_at + route.timeout,
+    )
+
+
+class Attempts:
+    """Runs pieces at endpoints and notes what each attempt showed."""
+
+    def __init__(
+        self, relay_options: options.RelayOptions, recorder: events.Recorder
+    ) -> None:
+        """Take the limits and where lost answers are recorded."""
+        self._options = relay_options
+        self._recorder = recorder
+
+    async def run(
+        self,
+        piece: Piece,
+        member: members.Member,
+        minimum: positions.Position | None,
+    ) -> messages.Outcome:
+        """Run a statement once at an endpoint."""
+        work = gate.Work(
+            level=piece.route.level,
+            kind=piece.route.database,
+            caller=str(id(piece.session)),
+            deadline=piece.deadline,
+        )
+        try:
+            ticket = await member.gate.enter(work)
+        except errors.NotRun as error:
+            return messages.Outcome(Kind.BUSY, detail=error.message)
+        measured = False
+        try:
+            channel = await self.lease(piece, member)
+            if isinstance(channel, messages.Outcome):
+                return channel
+            outcome = await self._run_on(piece, member, channel, minimum)
+            measured = outcome.kind is Kind.DONE
+            return outcome
+        finally:
+            member.gate.leave(ticket, measured)
+
+    async def lease(
+        self, piece: Piece, member: members.Member
+    ) -> ports.Channel | messages.Outcome:
+        """Lend a connection with the session's state on it."""
+        patience = max(piece.left, 0.0)
+        if not piece.writes and len(piece.tried) + 1 < len(
+            piece.group.members
+        ):
+            patience = min(patience, self._options.lease_patience)
+        try:
+            async with asyncio.timeout(patience):
+                channel = await member.pool.lease(piece.session.values)
+        except TimeoutError:
+            return messages.Outcome(Kind.BUSY, detail="no free connection")
+        if isinstance(channel, messages.Outcome):
+            member.note_failure()
+            if channel.kind is Kind.LOST:
+                return messages.Outcome(Kind.BUSY, detail=channel.detail)
+            return channel
+        if await self.set_up(piece, channel):
+            return channel
+        member.pool.discard(channel)
+        member.note_failure()
+        return messages.Outcome(
+            Kind.BUSY, detail="the connection took no session state"
+        )
+
+    async def set_up(self, piece: Piece, channel: ports.Channel) -> bool:
+        """Bring the session's state onto a connection."""
+        commands = replay.plan_set_up(piece.session, piece.arrival, channel)
+        stale = (
+            piece.writes
+            and time.monotonic() - channel.used_at > self._options.trusted_idle
+        )
+        if stale and not commands:
+            # A silent connection shows before the write is on it.
+            commands = [
+                messages.Clear(),
+                *replay.plan_values({}, piece.session),
+            ]
+            shape = replay.find_shape(piece.session, piece.arrival.statement)
+            if shape is not None:
+                commands.append(
+                    messages.Prepare(replay.name_prepared(shape), shape)
+                )
+        if not commands:
+            return True
+        try:
+            async with asyncio.timeout(
+                min(max(piece.left, 0.0), self._options.read_silence)
+            ):
+                outcome = await channel.call(*commands)
+        except TimeoutError:
+            return False
+        return outcome.kind is Kind.DONE
+
+    async def _run_on(
+        self,
+        piece: Piece,
+        member: members.Member,
+        channel: ports.Channel,
+        minimum: positions.Position | None,
+    ) -> messages.Outcome:
+        """Run on a lent connection and give it back or close it."""
+        command = replay.make_run(
+            piece.session, piece.arrival.statement, minimum
+        )
+        seconds = piece.left
+        if not piece.writes:
+            seconds = min(seconds, self._find_silence(piece))
+        started = time.monotonic()
+        clean = False
+        try:
+            async with asyncio.timeout(max(seconds, 0.0)):
+                outcome = await channel.call(command)
+            clean = outcome.state is messages.State.IDLE
+        except TimeoutError:
+            outcome = messages.Outcome(Kind.LOST, detail="no answer in time")
+        finally:
+            if clean and not channel.closed:
+                member.pool.give_back(channel)
+            else:
+                member.pool.discard(channel)
+        self.note(piece, member, outcome, minimum, started)
+        return outcome
+
+    def _find_silence(self, piece: Piece) -> float:
+        """Return how long a read may stay without an answer."""
+        return max(self._options.read_silence, piece.route.target_latency / 2)
+
+    def note(
+        self,
+        piece: Piece,
+        member: members.Member,
+        outcome: messages.Outcome,
+        minimum: positions.Position | None,
+        started: float,
+    ) -> None:
+        """Note what an outcome shows of an endpoint.
+
+        :param minimum: position that the endpoint's log had to hold
+        :param started: steady seconds at which the statement was sent
+        """
+        match outcome.kind:
+            case Kind.DONE:
+                member.note_answer(time.monotonic() - started)
+            case Kind.BEHIND:
+                member.note_answer()
+                member.note_behind(minimum or positions.START)
+            case Kind.LOST:
+                member.note_failure()
+                self._recorder.note_lost(
+                    piece.arrival.statement.id, member.name, outcome.detail
+                )
+            case Kind.WRONG_ENDPOINT:
+                member.pool.drop_idle()
+                member.note_failure()
+            case Kind.BUSY | Kind.FAILED | Kind.TIMED_OUT:
+                member.note_answer()
+                member.note_failure()
+            case _:
+                member.note_answer()
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -0,0 +1,77 @@
+"""Where a statement goes."""
+
+import asyncio
+
+from fescuestile import endpoint_choice
+from fescuestile import positions
+from fescuestile_daemon.relay import attempts
+from fescuestile_daemon.relay import members
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+
+Kind = messages.Kind
+
+
+class Choice:
+    """Chooses among a group's endpoints."""
+
+    def __init__(self, relay_options: options.RelayOptions, zone: str) -> None:
+        """Take the limits and this daemon's availability zone."""
+        self._options = relay_options
+        self._zone = zone
+
+    def choose(
+        self, piece: attempts.Piece, minimum: positions.Position | None
+    ) -> members.Member | None:
+        """Return the endpoint for a read, None when there is none.
+
+        :param minimum: position that the endpoint's log must hold
+        """
+        group = piece.group
+        primary = group.find_primary()
+        able = [
+            member.describe(
+                piece.route.level,
+                piece.route.database,
+                minimum,
+                self._zone,
+                member is primary,
+            )
+            for member in group.list_candidates()
+        ]
+        fresh = [c for c in able if c.name not in piece.tried]
+        name = endpoint_choice.choose(fresh or able)
+        return group.members[name] if name else None
+
+    async def find_primary(
+        self, piece: attempts.Piece
+    ) -> members.Member | None:
+        """Return the primary, waiting for one while there is time."""
+        while True:
+            member = piece.group.find_primary()
+            if member is not None:
+                return member
+            left = piece.left
+            if left < attempts.LEAST_SECONDS:
+                return None
+            await piece.group.wait_change(left)
+
+    async def recover(
+        self,
+        piece: attempts.Piece,
+        member: members.Member,
+        outcome: messages.Outcome,
+    ) -> None:
+        """Find out why an endpoint refused before the next attempt."""
+        if outcome.kind is Kind.NOT_PRIMARY:
+            await piece.group.inspect(
+                member, messages.Inspect(), self._options.inspect_timeout
+            )
+            if piece.group.find_primary() is member:
+                await piece.group.wait_change(
+                    min(max(piece.left, 0.0), self._options.busy_delay)
+                )
+        else:
+            await asyncio.sleep(
+                min(max(piece.left, 0.0), self._options.busy_delay)
+            )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -96,7 +96,7 @@
             for member in group.members.values():
                 member.pool.trim()
                 self._probe(group, member, now)
-            group.sample()
+            group.proofs.sample()
             group.expire_expected()
             reason = self._find_reason(group, now, awake)
             if reason is not None and group.name not in self._drives:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -49,7 +49,7 @@
         self._options = relay_options
         self._clock = boot_clock
         self._execution = execution.Execution(
-            self.directory, relay_options, boot_clock, self.recorder, zone
+            self.directory, relay_options, self.recorder, zone
         )
         self._monitor = monitor.Monitor(
             self.directory,
