Judge silence by open questions; fresh positions without a primary

All replicas' logs together prove one too. Cause of 1.3 s before a takeover: silence counted from the last answer and the fence waited for the dead primary. Isolated daemons now leave the rotation after 0.5 s and close idle sessions.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -176,6 +176,7 @@
         seconds = piece.left
         if not piece.writes:
             seconds = min(seconds, self._find_silence(piece))
+        member.note_asked()
         started = time.monotonic()
         clean = False
         try:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -87,6 +87,7 @@
             outcome.kind,
             time.monotonic() - arrival.steady_at,
             piece.attempts,
+            outcome.detail,
         )
         return outcome
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -180,10 +180,11 @@
         asked_at = time.monotonic()
         try:
             async with asyncio.timeout(seconds):
-                channel = await member.pool.lease()
+                channel = await member.pool.lease(inspects=True)
                 if isinstance(channel, messages.Outcome):
                     return None
                 report: messages.Report | None = None
+                member.note_asked()
                 try:
                     report = await channel.inspect(command)
                     answered = True
@@ -226,7 +227,7 @@
     def _note_replication(self, report: messages.Report) -> None:
         """Note whether some replica receives what the primary writes."""
         if report.role is Role.PRIMARY:
-            if self.stalled_since is None:
+            if self.stalled_since is None and len(self.members) > 1:
                 self._awaited = report.last
                 self.stalled_since = time.monotonic()
         elif report.last >= self._awaited:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -33,6 +33,10 @@
     :ivar report: latest report, None before the first
     :ivar reported_at: steady seconds at which the report was asked for
     :ivar answered_at: steady seconds of the latest answer of any kind
+    :ivar waiting_since: steady seconds of the oldest question without an
+        answer, None when it answered after the latest
+    :ivar refused_since: steady seconds since which it refuses connections,
+        None when it does not
     :ivar has_answered: it answered at least once
     :ivar dropped_at: steady seconds at which the registry dropped it
     """
@@ -46,7 +50,13 @@
     ) -> None:
         """Start without connections."""
         self.entry = entry
-        self.pool = pool.ChannelPool(entry, dialer, relay_options, cap)
+        self.pool = pool.ChannelPool(
+            entry,
+            dialer,
+            relay_options,
+            cap,
+            pool.Observer(self.note_asked, self.note_dialled),
+        )
         queue = admission.AdmissionQueue(
             admission.AdmissionOptions(
                 slots=max(1, entry.slots),
@@ -60,6 +70,8 @@
         self.reported_at = 0.0
         self.answered_at = time.monotonic()
         self.has_answered = False
+        self.waiting_since: float | None = None
+        self.refused_since: float | None = None
         self.dropped_at: float | None = None
         self._service = INITIAL_SERVICE_SECONDS
         self._failures = 0.0
@@ -72,10 +84,35 @@
         """The endpoint's id."""
         return self.entry.id
 
+    def note_asked(self) -> None:
+        """Note that something is sent to it."""
+        if self.waiting_since is None:
+            self.waiting_since = time.monotonic()
+
+    def note_dialled(self, outcome: messages.Outcome | None) -> None:
+        """Note how opening a connection ended, None for well."""
+        if outcome is None or outcome.kind is not messages.Kind.LOST:
+            self.note_answer()
+        elif outcome.refused and self.refused_since is None:
+            self.refused_since = time.monotonic()
+
+    def measure_silence(self, now: float) -> float:
+        """Return for how many seconds it has left questions unanswered."""
+        return 0.0 if self.waiting_since is None else now - self.waiting_since
+
+    def measure_refusal(self, now: float) -> float:
+        """Return for how many seconds it has refused connections."""
+        return 0.0 if self.refused_since is None else now - self.refused_since
+
+    def restart_silence(self) -> None:
+        """Judge silence anew, after a pause of this daemon itself."""
+        self.waiting_since = self.refused_since = None
+
     def note_answer(self, seconds: float | None = None) -> None:
         """Note that it answered, after so many seconds of service."""
         self.answered_at = time.monotonic()
         self.has_answered = True
+        self.waiting_since = self.refused_since = None
         if seconds is not None:
             self._service += SERVICE_WEIGHT * (seconds - self._service)
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
@@ -104,6 +104,7 @@
         relay answered by itself
     :ivar position: end of the endpoint's log, None when the relay answered
     :ivar detail: for an error, its text
+    :ivar refused: nobody listens at the endpoint's address
     """
 
     kind: Kind
@@ -112,6 +113,7 @@
     position: positions.Position | None = None
     state: State = State.IDLE
     detail: str = ""
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -27,8 +27,11 @@
 # A group without a primary is left alone this long, in seconds: another
 # daemon's promotion may be under way.
 VACANT_SECONDS = 1.5
-# An endpoint answers when it did so within this time, in seconds.
-ANSWERS_SECONDS = 1.0
+# A report counts for a decision this long, in seconds.
+ANSWERS_SECONDS = 2.0
+# An endpoint that leaves a question open for this time is out of reach, in
+# seconds; slow statements take a part of it.
+REACH_SECONDS = 0.6
 
 
 class Reason(enum.StrEnum):
@@ -91,6 +94,8 @@
         boot_now = self._clock.now()
         self._pauses.note_running(boot_now)
         awake = self._pauses.bound(60.0, boot_now)
+        if awake < self._options.monitor_interval:
+            self._restart_silences()
         self._directory.expire()
         for group in self._directory.groups.values():
             for member in group.members.values():
@@ -104,6 +109,13 @@
                     self._drive(group, reason)
                 )
 
+    def _restart_silences(self) -> None:
+        log.info("this daemon was paused")
+        for group in self._directory.groups.values():
+            group.clear_stall()
+            for member in group.members.values():
+                member.restart_silence()
+
     def _probe(
         self, group: groups.Group, member: members.Member, now: float
     ) -> None:
@@ -117,7 +129,7 @@
         quiet = now - member.reported_at
         if quiet < pause or member.name in self._probes:
             return
-        if now - member.answered_at > pause * 2:
+        if member.measure_silence(now) > REACH_SECONDS:
             # Its connections may have gone silent while new ones work.
             member.pool.drop_idle()
         task = asyncio.create_task(self._inspect(group, member))
@@ -144,8 +156,11 @@
             seen = any(m.has_answered for m in group.members.values())
             return self._hold(group, Reason.VACANT, VACANT_SECONDS, now, seen)
         self._since.pop((group.name, Reason.VACANT), None)
-        silence = min(now - primary.answered_at, awake)
-        if primary.has_answered and silence > self._options.primary_silence:
+        silent = (
+            primary.measure_silence(now) > self._options.primary_silence
+            or primary.measure_refusal(now) > self._options.primary_refusal
+        )
+        if primary.has_answered and silent:
             return Reason.SILENT if self._reaches_others(group, now) else None
         stalled = group.stalled_since
         if stalled is not None and (
@@ -183,7 +198,7 @@
     def _reaches_others(self, group: groups.Group, now: float) -> bool:
         """Tell whether a majority answers, so that the fault isn't here."""
         answering = sum(
-            now - member.answered_at < ANSWERS_SECONDS
+            member.has_answered and member.measure_silence(now) < REACH_SECONDS
             for member in group.members.values()
         )
         return answering >= group.make_plan().majority
@@ -224,7 +239,7 @@
                 reason=reason,
                 still=reason_now,
                 primary=primary.name if primary else None,
-                silence=now - primary.answered_at if primary else None,
+                silence=primary.measure_silence(now) if primary else None,
                 token=lease.token,
             )
             if reason_now is not None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -29,6 +29,7 @@
 # don't all come back at once.
 SPREAD_SECONDS = 1.0
 POLL_SECONDS = 0.05
+ISOLATION_POLL_SECONDS = 0.2
 
 
 class Node:
@@ -58,12 +59,37 @@
             boot_clock,
             random.Random(),
         )
+        self._isolation: asyncio.Task[None] | None = None
         self._stopping = False
         self._accepts = True
 
     async def start(self) -> None:
         """Start to watch the endpoints."""
         await self._monitor.start()
+        self._isolation = asyncio.create_task(self._watch_isolation())
+
+    async def _watch_isolation(self) -> None:
+        """Close idle sessions that other daemons can serve better."""
+        since: float | None = None
+        while True:
+            await asyncio.sleep(ISOLATION_POLL_SECONDS)
+            if not self.is_isolated() or not self.directory.is_complete:
+                if since is not None:
+                    log.info("no longer isolated")
+                since = None
+                continue
+            now = time.monotonic()
+            if since is None:
+                since = now
+                log.warning("isolated", sessions=len(self.sessions))
+            elif now - since > self._options.isolated_close:
+                self._close_idle()
+
+    def _close_idle(self) -> None:
+        for session in list(self.sessions):
+            if not session.busy and not session.in_transaction:
+                session.close()
+                self.sessions.discard(session)
 
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
@@ -78,7 +104,8 @@
         lost = 0
         for group in groups:
             answering = sum(
-                now - member.answered_at < self._options.isolated_after
+                member.has_answered
+                and member.measure_silence(now) < self._options.isolated_after
                 for member in group.members.values()
             )
             lost += answering < group.make_plan().majority
@@ -136,6 +163,8 @@
             await asyncio.sleep(POLL_SECONDS)
         for session in list(self.sessions):
             session.close()
+        if self._isolation is not None:
+            self._isolation.cancel()
         await self._monitor.close()
         self.directory.close()
         log.info("stopped", seconds=round(loop.time() - started, 3))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -40,9 +40,14 @@
         one it asks the others
     :ivar primary_silence: a primary that answered nothing for this time is
         replaced; above the freezes and slow spells that pass by themselves
+    :ivar primary_refusal: likewise for one that refuses connections, as the
+        host of a process that has ended does
     :ivar commit_silence: likewise for one whose replicas receive nothing
     :ivar isolated_after: a daemon that reaches no primary for this time
         takes no new callers
+    :ivar isolated_close: an isolated daemon closes idle sessions after this
+        time; the balancer, which asks once a second and twice, sends their
+        callers elsewhere by then
     :ivar lingering: an entry that the registry dropped counts this long
     :ivar refuse_after: current reads are refused at once when no majority
         was reached for this time
@@ -63,13 +68,15 @@
     read_silence: float = 0.25
     read_attempts: int = 5
     busy_delay: float = 0.02
-    sample_interval: float = 0.35
-    monitor_interval: float = 0.25
+    sample_interval: float = 0.8
+    monitor_interval: float = 0.2
     idle_inspect: float = 0.7
     idle_inspect_replica: float = 1.5
     second_replica: float = 0.04
-    primary_silence: float = 1.2
+    primary_silence: float = 1.0
+    primary_refusal: float = 0.6
     commit_silence: float = 1.0
-    isolated_after: float = 1.2
+    isolated_after: float = 0.5
+    isolated_close: float = 2.2
     lingering: float = 3.0
     refuse_after: float = 0.8
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import collections.abc
+import dataclasses
 import time
 import typing
 
@@ -10,6 +12,18 @@
 from fescuestile_daemon.relay import ports
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observer:
+    """Who learns of connections being opened.
+
+    :ivar note_dialling: called before
+    :ivar note_dialled: called after, with why it failed or None
+    """
+
+    note_dialling: collections.abc.Callable[[], None]
+    note_dialled: collections.abc.Callable[[messages.Outcome | None], None]
+
+
 class ChannelPool:
     """Lends connections, opens them when needed, up to a cap.
 
@@ -25,8 +39,10 @@
         dialer: ports.Dialer,
         relay_options: options.RelayOptions,
         cap: int,
+        observer: Observer,
     ) -> None:
         """Start without a connection."""
+        self._observer = observer
         self._entry = entry
         self._dialer = dialer
         self._options = relay_options
@@ -56,18 +72,22 @@
         return not self._open or time.monotonic() >= self.failed_until
 
     async def lease(
-        self, values: typing.Mapping[str, str] | None = None
+        self,
+        values: typing.Mapping[str, str] | None = None,
+        inspects: bool = False,
     ) -> ports.Channel | messages.Outcome:
         """Lend a connection, one with the wanted session values if any.
 
         :param values: session values that the work needs
+        :param inspects: a question to the endpoint itself, for which one
+            connection above the cap may be opened
         :returns: the connection, or why none could be opened
         """
         while not self._closed:
             channel = self._take_idle(values)
             if channel is not None:
                 return channel
-            if self._may_dial():
+            if self._may_dial() or (inspects and self._open <= self.cap):
                 return await self._dial()
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.append(waiter)
@@ -141,10 +161,12 @@
         self._open += 1
         opened = False
         delay = self._options.redial_delay
+        self._observer.note_dialling()
         try:
             async with asyncio.timeout(self._options.dial_timeout):
                 channel = await self._dialer.dial(self._entry)
             if isinstance(channel, messages.Outcome):
+                self._observer.note_dialled(channel)
                 if channel.kind is messages.Kind.TOO_MANY_CONNECTIONS:
                     delay = self._options.refused_delay
                     self.usage = 1.0
@@ -153,6 +175,7 @@
                 channel.close()
                 return messages.Outcome(messages.Kind.BUSY, detail="left")
             opened = True
+            self._observer.note_dialled(None)
             return channel
         except TimeoutError:
             return messages.Outcome(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/proofs.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/proofs.py
@@ -1,6 +1,7 @@
 """Proofs that a group's primary is still one, and fresh positions."""
 
 import asyncio
+import dataclasses
 import time
 import typing
 
@@ -27,6 +28,21 @@
 LOOK_SECONDS = 0.1
 
 
+@dataclasses.dataclass(slots=True)
+class Round:
+    """One round of questions.
+
+    :ivar asked_at: boot-time seconds before the first question
+    :ivar lasts: ends of the logs of those that have answered
+    """
+
+    number: int
+    asked_at: float
+    lasts: dict[str, positions.Position] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 class Proofs:
     """Rounds of questions to the endpoints of one group."""
 
@@ -59,12 +75,11 @@
         task.add_done_callback(self._running.discard)
 
     async def _run_round(self, number: int) -> None:
-        asked_at = self._clock.now()
+        round_ = Round(number, self._clock.now())
         ticket = read_confirmation.Ticket(number)
         first, others = self._order_for_round()
         asks = [
-            asyncio.create_task(self._ask(number, asked_at, member))
-            for member in first
+            asyncio.create_task(self._ask(round_, member)) for member in first
         ]
         try:
             await asyncio.wait(
@@ -72,7 +87,7 @@
             )
             if not self.is_proven(ticket):
                 asks.extend(
-                    asyncio.create_task(self._ask(number, asked_at, member))
+                    asyncio.create_task(self._ask(round_, member))
                     for member in others
                 )
             await asyncio.gather(*asks)
@@ -96,20 +111,39 @@
         )
         return [primary, *replicas[:1]], replicas[1:]
 
-    async def _ask(
-        self, number: int, asked_at: float, member: members.Member
-    ) -> None:
+    def _note_replicas(self, round_: Round) -> None:
+        """Take a fresh position from all replicas, without the primary.
+
+        A write is acknowledged once one replica has it, so the longest of
+        all replicas' logs holds each that was before they were asked.
+        """
+        primary = self._group.find_primary()
+        replicas = {
+            member.name
+            for member in self._group.members.values()
+            if member is not primary
+        }
+        if len(replicas) < max(1, self._group.expected - 1):
+            return
+        if replicas <= round_.lasts.keys():
+            longest = max(round_.lasts[name] for name in replicas)
+            self._freshness.add(freshness.Sample(round_.asked_at, longest))
+            self._group.notify()
+
+    async def _ask(self, round_: Round, member: members.Member) -> None:
         report = await self._group.inspect(
             member, messages.Inspect(), self._group.options.inspect_timeout
         )
         if report is None:
             return
-        self._rounds.observe(number, report)
-        ticket = read_confirmation.Ticket(number)
+        round_.lasts[member.name] = report.last
+        self._note_replicas(round_)
+        self._rounds.observe(round_.number, report)
+        ticket = read_confirmation.Ticket(round_.number)
         if self.is_proven(ticket):
             primary = self._group.find_primary()
             if primary is not None and primary.report is not None:
-                self._note_proof(asked_at, primary.report.last)
+                self._note_proof(round_.asked_at, primary.report.last)
 
     def _note_proof(
         self, asked_at: float, position: positions.Position
@@ -145,6 +179,14 @@
             and time.monotonic() - since > self._group.options.refuse_after
         )
 
+    def _cannot_sample(self, arrived: float) -> bool:
+        """Tell whether no fresh position has been had for a while."""
+        latest = self._freshness.latest
+        if latest is None:
+            return self.cannot_prove()
+        age = arrived - latest.asked_at
+        return self.cannot_prove() and age > self._group.options.refuse_after
+
     async def wait(
         self,
         ticket: read_confirmation.Ticket,
@@ -187,7 +229,7 @@
             if minimum is not None:
                 return minimum
             now = time.monotonic()
-            if now >= deadline or self.cannot_prove():
+            if now >= deadline or self._cannot_sample(arrived):
                 return None
             if not self._running:
                 self.begin()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -124,12 +124,22 @@
             for member in self._group.members.values()
             if member.name not in self._fenced
         ]
-        await asyncio.gather(
-            *(
+        fences = [
+            asyncio.create_task(
                 self._fence(member, term, member.name == primary)
-                for member in wanted
             )
-        )
+            for member in wanted
+        ]
+        # The answer of a primary that has failed isn't waited for long.
+        waiting = set(fences)
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            others = self._group.members.keys() - {primary}
+            if others and others <= self._fenced.keys():
+                await asyncio.wait(waiting or done, timeout=POLL_SECONDS)
+                break
 
     async def _fence(
         self, member: members.Member, term: int, as_primary: bool
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -69,6 +69,7 @@
             outcome.kind,
             time.monotonic() - arrival.steady_at,
             piece.attempts,
+            outcome.detail,
         )
         return outcome
 
@@ -209,6 +210,7 @@
             ticket = await member.gate.enter(admitted)
         except errors.NotRun as error:
             return messages.Outcome(Kind.BUSY, detail=error.message)
+        member.note_asked()
         started = time.monotonic()
         if piece.writes:
             work.wrote = True
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -59,7 +59,9 @@
     }
     replicas = {name: known[name] for name in known if name != failed}
     size = max(expected, len(plan.endpoints))
-    has_all_replicas = len(replicas) >= size - 1 > 0
+    if size < 2:
+        return None
+    has_all_replicas = len(replicas) >= size - 1
     best = max(
         replicas,
         key=lambda name: (failover.rank_log(replicas[name]), name),
