--- /dev/null
+++ b/tests/platform/standins/group.py
@@ -0,0 +1,409 @@
+"""A database group that speaks the wire: log, terms, lag, fences."""
+
+import asyncio
+import dataclasses
+import secrets
+import time
+import typing
+
+from tests.platform.standins import line_server
+
+# Statements that wait for a slot before BUSY is answered.
+QUEUE = 16
+PROMOTION_SECONDS = 0.15
+
+
+@dataclasses.dataclass
+class Entry:
+    """One commit in a log."""
+
+    term: int
+    number: int
+    writes: tuple[tuple[str, str], ...]
+    ids: tuple[str, ...]
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong at an endpoint; tests set it.
+
+    :ivar dark: it takes bytes and answers nothing
+    :ivar lose_answers: it runs statements and drops the connection
+    :ivar fail_reads: share of reads that fail, by turns
+    :ivar slow: factor of the work's time
+    :ivar deaf: it receives nothing from the primary
+    """
+
+    dark: bool = False
+    lose_answers: bool = False
+    fail_reads: bool = False
+    slow: float = 1.0
+    deaf: bool = False
+
+
+class Endpoint:
+    """One endpoint of a group."""
+
+    def __init__(self, group: "Group", name: str, zone: str) -> None:
+        self.group = group
+        self.name = name
+        self.zone = zone
+        self.role = "replica"
+        self.term = 1
+        self.held = 0
+        self.received: list[Entry] = []
+        self.applied = 0
+        self.faults = Faults()
+        self.server = line_server.LineServer(self._open)
+        self.connections: set[Connection] = set()
+        self.slots = asyncio.Semaphore(group.slots)
+        self.queued = 0
+        self.born = int(time.time() * 1000)
+        self.served: list[tuple[str, str]] = []
+
+    @property
+    def address(self) -> str:
+        return self.server.address
+
+    @property
+    def position(self) -> tuple[int, int]:
+        if not self.received:
+            return (1, 0)
+        return (self.received[-1].term, self.received[-1].number)
+
+    @property
+    def applied_position(self) -> tuple[int, int]:
+        if not self.applied:
+            return (1, 0)
+        last = self.received[self.applied - 1]
+        return (last.term, last.number)
+
+    def _open(self, transport: typing.Any) -> "Connection":
+        return Connection(self, transport)
+
+    def receive(self, entry: Entry) -> bool:
+        """Take an entry from the primary; tell whether it was taken."""
+        if self.held or self.faults.deaf or not self.server.running:
+            return False
+        self.received.append(entry)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.group.lag, self.apply, len(self.received))
+        return True
+
+    def apply(self, count: int) -> None:
+        self.applied = max(self.applied, min(count, len(self.received)))
+
+    def read(self, item: str) -> str:
+        for entry in reversed(self.received[: self.applied]):
+            for name, value in entry.writes:
+                if name == item:
+                    return value
+        return "none"
+
+    def status(self) -> str:
+        term, number = self.position
+        busy = self.group.slots - self.slots._value
+        return (
+            f"{self.role} {self.term} {term}.{number} {self.held} 0"
+            f" {busy} {len(self.connections)}"
+        )
+
+
+class Group:
+    """Endpoints of one group and the replication between them."""
+
+    def __init__(
+        self,
+        name: str,
+        zones: tuple[str, ...] = ("a", "b", "c"),
+        slots: int = 2,
+        connections: int = 16,
+        lag: float = 0.01,
+        work: float = 0.002,
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.max_connections = connections
+        self.lag = lag
+        self.work = work
+        self.endpoints = {
+            f"i-{name}-{index}": Endpoint(self, f"i-{name}-{index}", zone)
+            for index, zone in enumerate(zones)
+        }
+        self.acknowledged: list[Entry] = []
+        self.promotions: list[tuple[str, str, int]] = []
+        self.lost: list[Entry] = []
+        next(iter(self.endpoints.values())).role = "primary"
+
+    @property
+    def primary(self) -> Endpoint | None:
+        leads = [e for e in self.endpoints.values() if e.role == "primary"]
+        return max(leads, key=lambda e: e.term, default=None)
+
+    async def start(self) -> None:
+        for endpoint in self.endpoints.values():
+            await endpoint.server.start()
+
+    async def close(self) -> None:
+        for endpoint in self.endpoints.values():
+            await endpoint.server.close()
+
+    def commit(self, endpoint: Endpoint, entry: Entry) -> bool:
+        """Replicate a commit; tell whether a replica has received it."""
+        endpoint.received.append(entry)
+        endpoint.applied = len(endpoint.received)
+        taken = [
+            other.receive(entry)
+            for other in self.endpoints.values()
+            if other is not endpoint and other.term == endpoint.term
+        ]
+        return any(taken)
+
+    def promote(self, name: str, holder: str, token: int) -> bool:
+        """Take an order; it has its effect a little later."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or not endpoint.server.running:
+            return False
+        self.promotions.append((name, holder, token))
+        if endpoint.role != "primary":
+            loop = asyncio.get_running_loop()
+            loop.call_later(PROMOTION_SECONDS, self._take_effect, endpoint)
+        return True
+
+    def _take_effect(self, chosen: Endpoint) -> None:
+        term = max(e.term for e in self.endpoints.values()) + 1
+        chosen.role = "primary"
+        chosen.term = term
+        chosen.held = 0
+        chosen.applied = len(chosen.received)
+        held = {(e.term, e.number) for e in chosen.received}
+        self.lost.extend(
+            entry
+            for entry in self.acknowledged
+            if (entry.term, entry.number) not in held
+        )
+        for other in self.endpoints.values():
+            if other is not chosen and other.role == "replica":
+                self.follow(other)
+
+    def follow(self, endpoint: Endpoint) -> None:
+        """Have an endpoint take the primary's log."""
+        primary = self.primary
+        endpoint.role = "replica"
+        endpoint.held = 0
+        if primary is None or primary is endpoint:
+            return
+        endpoint.term = primary.term
+        endpoint.received = list(primary.received)
+        endpoint.applied = len(endpoint.received)
+
+
+class Connection:
+    """One connection at an endpoint."""
+
+    def __init__(self, endpoint: Endpoint, transport: typing.Any) -> None:
+        self.endpoint = endpoint
+        self.transport = transport
+        self.tasks: asyncio.Queue[str] = asyncio.Queue()
+        self.worker = asyncio.create_task(self._work())
+        self.opened = False
+        self.state = "I"
+        self.read_only = False
+        self.writes: list[tuple[str, str]] = []
+        self.ids: list[str] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+
+    def receive(self, line: str) -> None:
+        if not self.endpoint.faults.dark:
+            self.tasks.put_nowait(line)
+
+    def lost(self) -> None:
+        self.worker.cancel()
+        self.endpoint.connections.discard(self)
+
+    async def _work(self) -> None:
+        while True:
+            line = await self.tasks.get()
+            if line == "TERMINATE":
+                self.transport.close()
+            elif not self.opened:
+                self._connect(line)
+            else:
+                _, id_, text = line.split(" ", 2)
+                await self._query(id_, text)
+
+    def _send(self, *lines: str) -> None:
+        if self.endpoint.faults.dark:
+            return
+        text = "".join(f"{line}\r\n" for line in lines)
+        self.transport.write(text.encode())
+
+    def _connect(self, line: str) -> None:
+        endpoint = self.endpoint
+        fields = line.split(" ")
+        wrong = fields[1] != endpoint.group.name
+        if wrong or (len(fields) > 3 and fields[3] != endpoint.name):
+            self._send("ERROR MISROUTED -")
+            self.transport.close()
+        elif len(endpoint.connections) >= endpoint.group.max_connections:
+            self._send("ERROR CONNLIMIT -")
+            self.transport.close()
+        else:
+            endpoint.connections.add(self)
+            self.opened = True
+            self._send(self._ready())
+
+    def _ready(self) -> str:
+        term, number = self.endpoint.applied_position
+        return f"READY {self.state} {term}.{number}"
+
+    def _done(self, *rows: str, proof: str = "-") -> None:
+        self._send(
+            *(f"ROW {row}" for row in rows), f"COMPLETE {proof}", self._ready()
+        )
+
+    def _fail(self, code: str) -> None:
+        if self.state == "T" and code != "BUSY":
+            self.state = "E"
+        self._send(f"ERROR {code} {self.endpoint.name}", self._ready())
+
+    async def _query(self, id_: str, text: str) -> None:
+        endpoint = self.endpoint
+        words = text.split(" ")
+        if words[0] == "AFTERLSN":
+            term, number = map(int, words[1].split("."))
+            words = words[2:]
+            if not self._covers(term, number):
+                self._fail("LAGGING")
+                return
+        match words[0]:
+            case "STATUS":
+                self._done(endpoint.status())
+            case "PAUSE":
+                if (
+                    endpoint.role == "replica"
+                    and int(words[1]) > endpoint.term
+                ):
+                    endpoint.held = int(words[1])
+                self._done(endpoint.status())
+            case "RESUME":
+                if endpoint.held:
+                    endpoint.group.follow(endpoint)
+                self._done(endpoint.status())
+            case "DEMOTE":
+                if int(words[1]) > endpoint.term or self._is_outdated():
+                    endpoint.role = "replica"
+                    if self._is_outdated():
+                        endpoint.group.follow(endpoint)
+                self._done(endpoint.status())
+            case "RESET":
+                self.values.clear()
+                self.prepared.clear()
+                self._done()
+            case "SET":
+                self.values[words[1]] = " ".join(words[2:])
+                self._done()
+            case "PREPARE":
+                self.prepared[words[1]] = (words[2], words[3])
+                self._done()
+            case "BEGIN":
+                self._begin(read_only=words[1:] == ["READ"])
+            case "ROLLBACK":
+                self._clear()
+                self._done()
+            case _:
+                await self._run(id_, words)
+
+    def _is_outdated(self) -> bool:
+        primary = self.endpoint.group.primary
+        return primary is not None and primary.term > self.endpoint.term
+
+    def _covers(self, term: int, number: int) -> bool:
+        if number == 0:
+            return True
+        log = self.endpoint.received[: self.endpoint.applied]
+        return any((e.term, e.number) == (term, number) for e in log)
+
+    def _begin(self, read_only: bool) -> None:
+        if not read_only and self.endpoint.role != "primary":
+            self._fail("READONLY")
+            return
+        self.state = "T"
+        self.read_only = read_only
+        self._done()
+
+    def _clear(self) -> None:
+        self.state = "I"
+        self.writes = []
+        self.ids = []
+
+    async def _run(self, id_: str, words: list[str]) -> None:
+        endpoint = self.endpoint
+        if endpoint.queued >= QUEUE:
+            self._fail("BUSY")
+            return
+        endpoint.queued += 1
+        try:
+            async with endpoint.slots:
+                work = endpoint.group.work * endpoint.faults.slow
+                await asyncio.sleep(work)
+                await self._take_effect(id_, words)
+        finally:
+            endpoint.queued -= 1
+
+    async def _take_effect(self, id_: str, words: list[str]) -> None:
+        endpoint = self.endpoint
+        if words[0] == "EXECUTE":
+            shape = self.prepared.get(words[1])
+            if shape is None:
+                self._fail("NOSTMT")
+                return
+            words = [shape[0], *words[2:]]
+        proof = f"{endpoint.name}.{secrets.token_hex(4)}"
+        endpoint.served.append((id_, words[0]))
+        if words[0] == "READ":
+            if endpoint.faults.fail_reads:
+                self._fail("FAILED")
+                return
+            rows = [endpoint.read(words[1])]
+            self._answer(rows, proof)
+            return
+        if endpoint.role != "primary":
+            self._fail("READONLY")
+            return
+        if words[0] == "WRITE":
+            self.writes.append((words[1], " ".join(words[2:])))
+            self.ids.append(id_)
+            if self.state == "T":
+                self._answer([], proof)
+                return
+        if not await self._commit():
+            return
+        self._answer([], proof)
+
+    async def _commit(self) -> bool:
+        """Commit what was written; False when nobody will be told."""
+        endpoint = self.endpoint
+        if not self.writes:
+            self._clear()
+            return True
+        entry = Entry(
+            endpoint.term,
+            endpoint.position[1] + 1,
+            tuple(self.writes),
+            tuple(self.ids),
+        )
+        self._clear()
+        if not endpoint.group.commit(endpoint, entry):
+            await asyncio.sleep(3600)
+            return False
+        if not endpoint.faults.lose_answers:
+            endpoint.group.acknowledged.append(entry)
+        return True
+
+    def _answer(self, rows: list[str], proof: str) -> None:
+        if self.endpoint.faults.lose_answers:
+            self.transport.abort()
+            return
+        self._done(*rows, proof=proof)
--- /dev/null
+++ b/tests/platform/standins/line_server.py
@@ -0,0 +1,115 @@
+"""Servers and clients of lines, on loopback."""
+
+import asyncio
+import typing
+
+
+class Peer(typing.Protocol):
+    """Takes the lines of one connection."""
+
+    def receive(self, line: str) -> None:
+        """Take a line."""
+
+    def lost(self) -> None:
+        """Learn that the connection has ended."""
+
+
+class _LineProtocol(asyncio.Protocol):
+    def __init__(self, server: "LineServer") -> None:
+        self._server = server
+        self._rest = b""
+        self.peer: typing.Any = None
+        self.transport: typing.Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self._server.transports.add(transport)
+        self.peer = self._server.make_peer(transport)
+
+    def data_received(self, data: bytes) -> None:
+        lines = (self._rest + data).split(b"\r\n")
+        self._rest = lines.pop()
+        for line in lines:
+            self.peer.receive(line.decode())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._server.transports.discard(self.transport)
+        self.peer.lost()
+
+
+class LineServer:
+    """Listens on a loopback port that it keeps over restarts."""
+
+    def __init__(self, make_peer: typing.Callable[[typing.Any], Peer]) -> None:
+        self.make_peer = make_peer
+        self.transports: set[typing.Any] = set()
+        self._server: asyncio.Server | None = None
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._port}"
+
+    @property
+    def running(self) -> bool:
+        return self._server is not None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _LineProtocol(self), "127.0.0.1", self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop at once: connections are reset, new ones refused."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for transport in list(self.transports):
+            transport.abort()
+
+
+class LineClient:
+    """A caller's connection."""
+
+    def __init__(self) -> None:
+        self._reader: typing.Any = None
+        self._writer: typing.Any = None
+        self._next = 0
+
+    async def connect(self, address: str, database: str) -> str:
+        host, port = address.split(":")
+        self._reader, self._writer = await asyncio.open_connection(
+            host, int(port)
+        )
+        self._writer.write(f"CONNECT {database} caller\r\n".encode())
+        return await self._read_line()
+
+    async def query(self, text: str, id_: str = "") -> list[str]:
+        """Return the lines of the answer."""
+        self._next += 1
+        id_ = id_ or f"{id(self):x}{self._next:x}"
+        self._writer.write(f"QUERY {id_} {text}\r\n".encode())
+        lines = []
+        while True:
+            lines.append(await self._read_line())
+            if lines[-1].startswith("READY") or not lines[-1]:
+                return lines
+
+    async def send(self, data: bytes) -> None:
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def read_rest(self) -> bytes:
+        async with asyncio.timeout(5):
+            return bytes(await self._reader.read())
+
+    async def _read_line(self) -> str:
+        async with asyncio.timeout(5):
+            line = await self._reader.readline()
+        return str(line.decode().rstrip("\r\n"))
+
+    def close(self) -> None:
+        if self._writer is not None:
+            self._writer.close()
--- /dev/null
+++ b/tests/platform/standins/store.py
@@ -0,0 +1,263 @@
+"""The platform's store and its promote call, with faults."""
+
+import asyncio
+import dataclasses
+import json
+import typing
+import urllib.parse
+
+import httptools
+
+from tests.platform.standins import group
+
+
+@dataclasses.dataclass
+class Faults:
+    """What goes wrong; tests set it.
+
+    :ivar status: answered to every call instead of serving it
+    :ivar silent: calls get no answer and are not executed
+    :ivar lose_writes: writes are executed and not answered
+    :ivar late_writes: seconds after which writes are executed, unanswered
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose_writes: bool = False
+    late_writes: float = 0.0
+
+
+class Store:
+    """Objects with revisions, conditions and watches."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict[str, typing.Any]] = {}
+        self.history: list[tuple[int, str, dict[str, typing.Any]]] = []
+        self.forgotten = 0
+        self.calls: list[tuple[str, str]] = []
+        self.groups: dict[str, group.Group] = {}
+        self.orders: list[tuple[str, str, str, int]] = []
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._transports: set[typing.Any] = set()
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._port}"
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Call(self), "127.0.0.1", self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for transport in list(self._transports):
+            transport.abort()
+
+    def put(self, kind: str, name: str, spec: typing.Any) -> None:
+        """Write an object as the operator or an endpoint does."""
+        self.revision += 1
+        stored = {
+            "meta": {"name": name, "revision": self.revision},
+            "spec": spec,
+            "status": None,
+        }
+        self.objects[kind, name] = stored
+        self._note(kind, {"object": stored, "deleted": False})
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self.objects.pop((kind, name))
+        self.revision += 1
+        self._note(kind, {"object": stored, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches have to list again."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    def register(self, endpoint: group.Endpoint, **fields: typing.Any) -> None:
+        """Write an endpoint's entry."""
+        self.put(
+            "servers",
+            endpoint.name,
+            {
+                "service": endpoint.group.name,
+                "address": endpoint.address,
+                "zone": endpoint.zone,
+                "version": "v1",
+                "slots": endpoint.group.slots,
+                "state": "ready",
+                "warmup_left_ms": 0,
+                "db_role": endpoint.role,
+                "seq": 1,
+                "born": endpoint.born,
+                **fields,
+            },
+        )
+
+    def _note(self, kind: str, event: dict[str, typing.Any]) -> None:
+        self.history.append((self.revision, kind, event))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def serve(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: typing.Any,
+    ) -> tuple[int, typing.Any] | None:
+        """Return status and body; None for no answer."""
+        self.calls.append((method, url))
+        parts = urllib.parse.urlsplit(url)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        if parts.path == "/promote":
+            return self._promote(headers, body)
+        faults = self.faults
+        if faults.silent:
+            return None
+        if faults.status:
+            return faults.status, {"error": "refused"}
+        path = parts.path.removeprefix("/v1/objects/").split("/")
+        if method == "GET":
+            return await self._get(path, query)
+        if faults.late_writes:
+            asyncio.get_running_loop().call_later(
+                faults.late_writes, self._write, method, path, body
+            )
+            return None
+        answer = self._write(method, path, body)
+        return None if faults.lose_writes else answer
+
+    async def _get(
+        self, path: list[str], query: dict[str, str]
+    ) -> tuple[int, typing.Any]:
+        if len(path) == 2:
+            stored = self.objects.get((path[0], path[1]))
+            return (200, stored) if stored else (404, {"error": "none"})
+        if "watch" in query:
+            wait = int(query["wait_ms"]) / 1000
+            return await self._watch(path[0], int(query["watch"]), wait)
+        items = [o for (kind, _), o in self.objects.items() if kind == path[0]]
+        items.sort(key=lambda o: o["meta"]["name"])
+        after = query.get("after", "")
+        items = [o for o in items if o["meta"]["name"] > after]
+        page = items[:2]
+        return 200, {
+            "items": page,
+            "truncated": len(items) > len(page),
+            "as_of": self.revision,
+        }
+
+    async def _watch(
+        self, kind: str, since: int, wait: float
+    ) -> tuple[int, typing.Any]:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait
+        while True:
+            if since < self.forgotten:
+                return 410, {"error": "history is gone"}
+            events = [
+                event
+                for revision, name, event in self.history
+                if revision > since and name == kind
+            ]
+            left = until - loop.time()
+            if events or left <= 0:
+                return 200, {"events": events, "as_of": self.revision}
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    def _write(
+        self, method: str, path: list[str], body: typing.Any
+    ) -> tuple[int, typing.Any]:
+        name = path[1] if len(path) > 1 else body["meta"]["name"]
+        stored = self.objects.get((path[0], name))
+        if method == "POST" and stored is not None:
+            return 409, stored
+        if method == "PUT":
+            if stored is None:
+                return 404, {"error": "none"}
+            if body["meta"]["revision"] != stored["meta"]["revision"]:
+                return 409, stored
+        self.put(path[0], name, body["spec"])
+        return 200, self.objects[path[0], name]
+
+    def _promote(
+        self, headers: dict[str, str], body: typing.Any
+    ) -> tuple[int, typing.Any]:
+        token = int(headers["x-fencing-token"])
+        holder = headers["x-lease-holder"]
+        self.orders.append((body["service"], body["id"], holder, token))
+        promoted = self.groups[body["service"]].promote(
+            body["id"], holder, token
+        )
+        return (200, {}) if promoted else (409, {"error": "not running"})
+
+
+class _Call(asyncio.Protocol):
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._transport: typing.Any = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body = b""
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._store._transports.add(transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._store._transports.discard(self._transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        task = asyncio.create_task(
+            self._serve(
+                self._parser.get_method().decode(),
+                self._url.decode(),
+                self._headers,
+                json.loads(self._body) if self._body else None,
+            )
+        )
+        self._tasks.add(task)
+        self._url, self._headers, self._body = b"", {}, b""
+
+    async def _serve(
+        self, method: str, url: str, headers: dict[str, str], body: typing.Any
+    ) -> None:
+        answer = await self._store.serve(method, url, headers, body)
+        if answer is None or self._transport.is_closing():
+            return
+        status, content = answer
+        data = json.dumps(content).encode()
+        head = (
+            f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        self._transport.write(head.encode() + data)
--- /dev/null
+++ b/tests/platform/standins/world.py
@@ -0,0 +1,118 @@
+"""A whole world on loopback: store, groups and daemons in one loop."""
+
+import asyncio
+import typing
+
+from fescuestile_platform import boot
+from fescuestile_platform import daemon
+from tests.platform.standins import group as wire_group
+from tests.platform.standins import line_server
+from tests.platform.standins import store
+
+ROUTE_TYPES = ("primary", "bounded_staleness", "read_your_writes")
+
+
+def make_configuration(
+    names: typing.Iterable[str], version: int = 1, **limits: typing.Any
+) -> dict[str, typing.Any]:
+    """Return a configuration with a route of each type for each group."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{name}-{kind}",
+                "host": f"{name}-{kind}",
+                "service": name,
+                "route_type": kind,
+                "timeout_ms": limits.pop("timeout_ms", 800),
+                "target_latency_ms": 200,
+                "priority": rank,
+                "max_staleness_ms": 0 if kind == "primary" else 1500,
+            }
+            for name in names
+            for rank, kind in enumerate(ROUTE_TYPES)
+        ],
+        "services": [
+            {"name": name, "max_conns": 16, "sync_replicas": 1}
+            for name in names
+        ],
+        "limits": {"tx_idle_ms": 3000, **limits},
+    }
+
+
+class World:
+    """Starts and stops everything."""
+
+    def __init__(self, groups: int = 1, daemons: int = 1) -> None:
+        self.groups = {
+            f"g{n}": wire_group.Group(f"g{n}") for n in range(groups)
+        }
+        self.store = store.Store()
+        self.daemons: list[daemon.Daemon] = []
+        self.fronts: list[str] = []
+        self.ready: list[str] = []
+        self.clients: list[line_server.LineClient] = []
+        self._count = daemons
+
+    async def start(self) -> None:
+        """Start all and wait until the daemons are ready."""
+        await self.store.start()
+        for each in self.groups.values():
+            await each.start()
+            self.store.groups[each.name] = each
+            for endpoint in each.endpoints.values():
+                self.store.register(endpoint)
+        self.store.put("config", "main", make_configuration(self.groups))
+        for number in range(self._count):
+            await self.start_daemon(f"daemon-{number}")
+        await self.wait_ready()
+
+    async def start_daemon(self, name: str) -> daemon.Daemon:
+        """Start one daemon on free ports."""
+        settings = boot.Settings(
+            node=name,
+            ip="127.0.0.1",
+            zone="a",
+            listen=boot.Listen(front="127.0.0.1:0", ready="127.0.0.1:0"),
+            platform=boot.Address(address=self.store.address),
+            cloud=boot.Address(address=self.store.address),
+            metrics_port=0,
+        )
+        started = daemon.Daemon(settings)
+        await started.start()
+        self.daemons.append(started)
+        front, ready = started.list_addresses()[:2]
+        self.fronts.append(front)
+        self.ready.append(ready)
+        return started
+
+    async def wait_ready(self) -> None:
+        """Wait until every daemon takes callers and knows its primaries."""
+        async with asyncio.timeout(10):
+            for each in self.daemons:
+                while not each.node.is_ready() or not all(
+                    g.find_primary()
+                    for g in each.node.directory.groups.values()
+                ):
+                    await asyncio.sleep(0.01)
+
+    async def connect(
+        self, route_type: str, name: str = "g0", number: int = 0
+    ) -> line_server.LineClient:
+        """Open a caller's session."""
+        client = line_server.LineClient()
+        self.clients.append(client)
+        opened = await client.connect(
+            self.fronts[number], f"{name}-{route_type}"
+        )
+        assert opened == "READY I -"
+        return client
+
+    async def close(self) -> None:
+        """Stop all at once."""
+        for client in self.clients:
+            client.close()
+        await asyncio.gather(*(d.abort() for d in self.daemons))
+        for each in self.groups.values():
+            await each.close()
+        await self.store.close()
--- /dev/null
+++ b/tests/platform/test_failures.py
@@ -0,0 +1,216 @@
+"""Failures of endpoints, the store and daemons, seen by callers."""
+
+import asyncio
+
+import pytest
+
+from tests.platform import test_path
+
+get_row = test_path.get_row
+get_error = test_path.get_error
+
+
+async def wait_primary(group, other_than, seconds=6.0):
+    async with asyncio.timeout(seconds):
+        while group.primary in (None, other_than):
+            await asyncio.sleep(0.02)
+    return group.primary
+
+
+async def write_until_done(world, text, seconds=6.0):
+    """Write by new sessions until one succeeds; return the answers."""
+    answers = []
+    async with asyncio.timeout(seconds):
+        while True:
+            client = await world.connect("primary")
+            answer = await client.query(text)
+            answers.append(answer)
+            if get_error(answer) is None:
+                return answers
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("how", ["dark", "ended"])
+async def test_failed_primary_is_replaced_without_loss(world, how):
+    group = world.groups["g0"]
+    old = group.primary
+    client = await world.connect("primary")
+    for number in range(10):
+        await client.query(f"WRITE item-{number} value")
+    if how == "dark":
+        old.faults.dark = True
+    else:
+        await old.server.close()
+    await wait_primary(group, old)
+    await write_until_done(world, "WRITE after value")
+    assert group.lost == []
+    reader = await world.connect("primary")
+    for number in range(10):
+        assert get_row(await reader.query(f"READ item-{number}")) == "value"
+    tokens = [order[3] for order in world.store.orders]
+    assert tokens == sorted(tokens)
+
+
+async def test_stale_reads_go_on_while_there_is_no_primary(world):
+    group = world.groups["g0"]
+    client = await world.connect("read_your_writes")
+    await client.query("WRITE item value")
+    world.store.faults.silent = True
+    group.primary.faults.dark = True
+    # Without the store nobody may order a promotion.
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 3.0
+    errors = []
+    while loop.time() < until:
+        reader = await world.connect("bounded_staleness")
+        errors.append(get_error(await reader.query("READ item")))
+        await asyncio.sleep(0.05)
+    late = errors[len(errors) // 2 :]
+    assert late.count(None) >= 0.95 * len(late)
+
+
+async def test_short_silence_is_no_failure(world):
+    old = world.groups["g0"].primary
+    old.faults.dark = True
+    await asyncio.sleep(0.5)
+    old.faults.dark = False
+    await asyncio.sleep(1.5)
+    assert world.groups["g0"].primary is old
+    assert world.store.orders == []
+
+
+async def test_primary_cut_from_its_replicas_is_replaced(world):
+    group = world.groups["g0"]
+    old = group.primary
+    for endpoint in group.endpoints.values():
+        endpoint.faults.deaf = endpoint is not old
+    client = await world.connect("primary")
+    answer = await client.query("WRITE item lost")
+    assert get_error(answer) in ("INDOUBT", "TIMEOUT")
+    await wait_primary(group, old)
+    for endpoint in group.endpoints.values():
+        endpoint.faults.deaf = False
+    answers = await write_until_done(world, "WRITE item kept")
+    assert group.lost == []
+    assert answers
+
+
+async def test_leaving_primary_is_handed_over(world):
+    group = world.groups["g0"]
+    old = group.primary
+    world.store.register(old, state="draining")
+    new = await wait_primary(group, old)
+    assert new is not old
+    assert group.lost == []
+    await write_until_done(world, "WRITE item after")
+
+
+async def test_lost_answer_of_a_write_is_in_doubt(world):
+    group = world.groups["g0"]
+    client = await world.connect("primary")
+    await client.query("READ item")
+    group.primary.faults.lose_answers = True
+    answer = await client.query("WRITE item once", id_="feed01")
+    assert get_error(answer) == "INDOUBT"
+    group.primary.faults.lose_answers = False
+    served = [s for s in group.primary.served if s[0] == "feed01"]
+    assert len(served) == 1
+
+
+async def test_failed_read_is_tried_at_another_endpoint(world):
+    group = world.groups["g0"]
+    for endpoint in group.endpoints.values():
+        endpoint.faults.fail_reads = endpoint is not group.primary
+    for _ in range(5):
+        client = await world.connect("bounded_staleness")
+        assert get_row(await client.query("READ item")) == "none"
+
+
+async def test_current_read_is_refused_by_a_replaced_primary(world):
+    """A cut-off daemon must not read at a primary that was replaced."""
+    group = world.groups["g0"]
+    old = group.primary
+    world.store.faults.silent = True
+    for endpoint in group.endpoints.values():
+        if endpoint is not old:
+            endpoint.faults.dark = True
+    others = [e for e in group.endpoints.values() if e is not old]
+    others[0].role = "primary"
+    others[0].term = 2
+    client = await world.connect("primary")
+    answer = await client.query("READ item")
+    assert get_error(answer) in ("BUSY", "TIMEOUT")
+
+
+@pytest.mark.parametrize("fault", ["silent", "refused", "lost answers"])
+async def test_lease_survives_a_store_in_trouble(world, fault):
+    group = world.groups["g0"]
+    old = group.primary
+    faults = world.store.faults
+    faults.silent = fault == "silent"
+    faults.status = 503 if fault == "refused" else 0
+    faults.lose_writes = fault == "lost answers"
+    old.faults.dark = True
+    await asyncio.sleep(2.0)
+    faults.silent = faults.lose_writes = False
+    faults.status = 0
+    await wait_primary(group, old, seconds=12.0)
+    assert group.lost == []
+    tokens = [order[3] for order in world.store.orders]
+    assert tokens == sorted(tokens)
+
+
+async def test_a_late_lease_write_gives_nobody_the_lease(world):
+    group = world.groups["g0"]
+    old = group.primary
+    world.store.faults.late_writes = 1.5
+    old.faults.dark = True
+    await asyncio.sleep(3.0)
+    world.store.faults.late_writes = 0.0
+    await wait_primary(group, old, seconds=15.0)
+    by_token = {}
+    for _, _, holder, token in world.store.orders:
+        assert by_token.setdefault(token, holder) == holder
+    assert group.lost == []
+
+
+async def test_fence_left_by_a_dead_driver_is_lifted(world):
+    group = world.groups["g0"]
+    for endpoint in group.endpoints.values():
+        if endpoint.role == "replica":
+            endpoint.held = 7
+    answers = await write_until_done(world, "WRITE item after", seconds=10.0)
+    assert answers
+    assert group.lost == []
+
+
+async def test_stop_is_graceful(world):
+    daemon = world.daemons[0]
+    client = await world.connect("primary")
+    await client.query("BEGIN")
+    await client.query("WRITE item open")
+    stop = asyncio.create_task(daemon.close())
+    await asyncio.sleep(0.5)
+    assert not daemon.node.is_ready()
+    assert (await client.query("COMMIT"))[0].startswith("COMPLETE i-")
+    await stop
+    other = await world.connect("primary", number=1)
+    assert get_row(await other.query("READ item")) == "open"
+
+
+async def test_silent_connection_costs_no_read(world):
+    group = world.groups["g0"]
+    client = await world.connect("primary")
+    await client.query("READ item")
+    for connection in group.primary.connections:
+        connection.receive = lambda line: None
+    assert get_row(await client.query("READ item")) == "none"
+
+
+async def test_full_endpoint_does_not_fail_reads(world):
+    group = world.groups["g0"]
+    replica = next(e for e in group.endpoints.values() if e.role == "replica")
+    replica.queued = 100
+    for _ in range(5):
+        client = await world.connect("bounded_staleness")
+        assert get_row(await client.query("READ item")) == "none"
