--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -97,7 +97,7 @@
             return messages.Outcome(Kind.BUSY, detail=error.message)
         measured = False
         try:
-            channel = await self.lease(piece, member)
+            channel = await self.lease(piece, member, minimum)
             if isinstance(channel, messages.Outcome):
                 return channel
             outcome = await self._run_on(piece, member, channel, minimum)
@@ -107,13 +107,18 @@
             member.gate.leave(ticket, measured)
 
     async def lease(
-        self, piece: Piece, member: members.Member
+        self,
+        piece: Piece,
+        member: members.Member,
+        minimum: positions.Position | None = None,
     ) -> ports.Channel | messages.Outcome:
-        """Lend a connection with the session's state on it."""
+        """Lend a connection with the session's state on it.
+
+        :param minimum: given for work that other endpoints may do as well
+        """
         patience = max(piece.left, 0.0)
-        if not piece.writes and len(piece.tried) + 1 < len(
-            piece.group.members
-        ):
+        if minimum is not None:
+            # Another endpoint may have a free connection.
             patience = min(patience, self._options.lease_patience)
         try:
             async with asyncio.timeout(patience):
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -1,6 +1,7 @@
 """Where a statement goes."""
 
 import asyncio
+import time
 
 from fescuestile import endpoint_choice
 from fescuestile import positions
@@ -11,6 +12,9 @@
 
 Kind = messages.Kind
 
+# Pause between two looks at a primary that is being waited for, in seconds.
+LOOK_SECONDS = 0.1
+
 
 class Choice:
     """Chooses among a group's endpoints."""
@@ -46,15 +50,21 @@
     async def find_primary(
         self, piece: attempts.Piece
     ) -> members.Member | None:
-        """Return the primary, waiting for one while there is time."""
+        """Return the primary, waiting for one while there is time.
+
+        Nothing is sent to one that leaves questions unanswered: what was
+        not sent can go to its successor.
+        """
         while True:
             member = piece.group.find_primary()
             if member is not None:
-                return member
+                silence = member.measure_silence(time.monotonic())
+                if silence < self._options.hold_after:
+                    return member
             left = piece.left
-            if left < attempts.LEAST_SECONDS:
+            if left < attempts.LEAST_SECONDS or piece.group.is_out_of_reach():
                 return None
-            await piece.group.wait_change(left)
+            await piece.group.wait_change(min(left, LOOK_SECONDS))
 
     async def recover(
         self,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -148,6 +148,16 @@
             claimed, key=lambda member: member.entry.started_at, default=None
         )
 
+    def is_out_of_reach(self) -> bool:
+        """Tell whether too few endpoints answer for any proof or write."""
+        now = time.monotonic()
+        answering = sum(
+            member.has_answered
+            and member.measure_silence(now) < self.options.isolated_after
+            for member in self.members.values()
+        )
+        return answering < min(proofs.QUORUM, len(self.members))
+
     def notify(self) -> None:
         """Wake those that wait for a change."""
         waiters, self._waiters = self._waiters, set()
@@ -193,7 +203,10 @@
                     raise
                 finally:
                     if answered and not channel.closed:
+                        was_silent = member.waiting_since != asked_at
                         member.note_answer()
+                        if was_silent:
+                            self.notify()
                         member.pool.give_back(channel)
                     else:
                         member.pool.discard(channel)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -99,16 +99,8 @@
 
     def is_isolated(self) -> bool:
         """Tell whether most groups' primaries are out of reach."""
-        now = time.monotonic()
         groups = [g for g in self.directory.groups.values() if g.members]
-        lost = 0
-        for group in groups:
-            answering = sum(
-                member.has_answered
-                and member.measure_silence(now) < self._options.isolated_after
-                for member in group.members.values()
-            )
-            lost += answering < group.make_plan().majority
+        lost = sum(group.is_out_of_reach() for group in groups)
         return bool(groups) and lost * 2 > len(groups)
 
     def open_session(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -43,6 +43,8 @@
     :ivar primary_refusal: likewise for one that refuses connections, as the
         host of a process that has ended does
     :ivar commit_silence: likewise for one whose replicas receive nothing
+    :ivar hold_after: work that only the primary can do is held back while
+        it has left a question unanswered for this time
     :ivar isolated_after: a daemon that reaches no primary for this time
         takes no new callers
     :ivar isolated_close: an isolated daemon closes idle sessions after this
@@ -76,6 +78,7 @@
     primary_silence: float = 1.0
     primary_refusal: float = 0.6
     commit_silence: float = 1.0
+    hold_after: float = 0.35
     isolated_after: float = 0.5
     isolated_close: float = 2.2
     lingering: float = 3.0
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -144,7 +144,7 @@
         member, minimum = await self._choose_for(piece, work)
         if member is None:
             return messages.Outcome(Kind.BUSY, detail="no endpoint")
-        channel = await self._attempts.lease(piece, member)
+        channel = await self._attempts.lease(piece, member, minimum)
         if isinstance(channel, messages.Outcome):
             piece.tried.add(member.name)
             return channel
--- a/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/fleet.py
@@ -15,6 +15,7 @@
 from fescuestile_api import models
 from fescuestile_client import options as client_options
 from fescuestile_client import session as client_session
+from fescuestile_standins import hosts
 from fescuestile_standins import launcher as launchers
 from fescuestile_standins import wire as wires
 
@@ -185,7 +186,7 @@
         """
         zone_number = self.zones.index(zone) + 1
         host = 1 + len(self.daemons)
-        ip = f"127.0.{zone_number}.{host}"
+        ip = hosts.make_ip(zone_number, host)
         listening = host + LISTENING_HOSTS
         caller, link, operator = (
             launchers.choose_address(zone_number, listening) for _ in range(3)
--- a/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
@@ -18,6 +18,7 @@
 import typing
 
 from fescuestile import errors
+from fescuestile_standins import hosts
 
 READY_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 5.0
@@ -32,7 +33,7 @@
     :param zone_number: number of the zone, from 0
     :param host_number: number of the host in its zone, from 1
     """
-    ip = f"127.0.{zone_number}.{host_number}"
+    ip = hosts.make_ip(zone_number, host_number)
     with socket.socket() as probe:
         probe.bind((ip, 0))
         return f"{ip}:{probe.getsockname()[1]}"
--- a/packages/fescuestile-standins/src/fescuestile_standins/wire_messages.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/wire_messages.py
@@ -8,13 +8,14 @@
 import dataclasses
 
 from fescuestile import codec
+from fescuestile_standins import hosts
 
 EVERYWHERE = "0.0.0.0/0"
 
 
 def make_zone_side(zone_number: int) -> str:
     """Return the side of all hosts ``127.0.zone_number.x``."""
-    return f"127.0.{zone_number}.0/24"
+    return hosts.make_zone_network(zone_number)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -13,15 +13,16 @@
 import cryptography.x509.oid as oid
 
 from fescuestile_standins import fleet as process_fleets
+from fescuestile_standins import hosts
 from fescuestile_standins import launcher as launchers
 from tests import endpoint_groups
 from tests import fleets
 
 PEM = serialization.Encoding.PEM
 FLEET_IPS = (
-    "127.0.0.2",
+    hosts.make_ip(0, 2),
     *(
-        f"127.0.{zone}.{1 + process_fleets.LISTENING_HOSTS}"
+        hosts.make_ip(zone, 1 + process_fleets.LISTENING_HOSTS)
         for zone in (1, 2, 3)
     ),
 )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,16 @@
 """Marks the tests that KNOWN-RED.txt lists and prints them."""
 
+import os
 import pathlib
 
 import pytest
 
+from fescuestile_standins import hosts
+
+# Each parallel process of the tests has loopback addresses of its own.
+WORKER = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+os.environ.setdefault(hosts.NETWORK_VARIABLE, f"127.{20 + int(WORKER)}")
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
--- a/tests/integration/test_links.py
+++ b/tests/integration/test_links.py
@@ -7,6 +7,7 @@
 from fescuestile import errors
 from fescuestile import members
 from fescuestile_daemon import links
+from fescuestile_standins import hosts
 from fescuestile_standins import wire
 from fescuestile_standins import wire_messages
 from tests import builders
@@ -19,7 +20,7 @@
     """Links that answer heartbeats."""
 
     def __init__(self, number: int) -> None:
-        self.ip = f"127.0.{number}.1"
+        self.ip = hosts.make_ip(number, 1)
         self.member = builders.build_member(number)
         self.links = links.Links(self.member, self.ip)
         self.links.add_handler(endpoint_messages.Heartbeat, self.answer)
@@ -47,15 +48,17 @@
     """Give two peers, the second behind a relay, and the wire's control."""
     async with contextlib.AsyncExitStack() as stack:
         served = wire.Wire()
-        control = await wire.connect(await served.start("127.0.9.1:0"))
+        control = await wire.connect(
+            await served.start(f"{hosts.make_ip(9, 1)}:0")
+        )
         stack.push_async_callback(served.close)
         stack.push_async_callback(control.close)
         peers = [Peer(1), Peer(2)]
         for peer in peers:
             await peer.links.start(peer.ip, 0)
             stack.push_async_callback(peer.links.close)
-        target = f"127.0.2.1:{peers[1].links.port}"
-        address = await control.add_relay("127.0.2.1:0", target)
+        target = f"{hosts.make_ip(2, 1)}:{peers[1].links.port}"
+        address = await control.add_relay(f"{hosts.make_ip(2, 1)}:0", target)
         member = builders.build_member(2, link_address=address)
         yield peers[0], member, control
 
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -168,7 +168,7 @@
     await asyncio.sleep(3.0)
     world.store.faults.late_writes = 0.0
     await wait_primary(group, old, seconds=15.0)
-    by_token = {}
+    by_token: dict[int, str] = {}
     for _, _, holder, token in world.store.orders:
         assert by_token.setdefault(token, holder) == holder
     assert group.lost == []
--- /dev/null
+++ b/tests/unit/test_channel_pool.py
@@ -0,0 +1,170 @@
+"""Load pattern: many daemons share the few connections of one endpoint."""
+
+import asyncio
+import random
+import time
+
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import pool
+from fescuestile_daemon.relay import ports
+
+ENTRY = messages.EndpointEntry(
+    "i-1", "g", "127.0.0.1:1", "a", 4, False, False, 0
+)
+
+
+class FakeChannel(ports.Channel):
+    """A connection that is only counted."""
+
+    def __init__(self, endpoint, number):
+        self.endpoint = "i-1"
+        self.values = {}
+        self.prepared = {}
+        self.used_at = time.monotonic()
+        self.number = number
+        self._endpoint = endpoint
+        self._closed = False
+
+    @property
+    def closed(self):
+        return self._closed
+
+    async def call(self, *commands):
+        self.used_at = time.monotonic()
+        return messages.Outcome(messages.Kind.DONE)
+
+    async def inspect(self, command):
+        return None
+
+    def close(self):
+        if not self._closed:
+            self._closed = True
+            self._endpoint.open -= 1
+
+
+class FakeEndpoint(ports.Dialer):
+    """Accepts so many connections of all daemons."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.open = 0
+        self.dials = 0
+        self.refused = 0
+
+    async def dial(self, entry):
+        self.dials += 1
+        await asyncio.sleep(0.001)
+        if self.open >= self.limit:
+            self.refused += 1
+            return messages.Outcome(messages.Kind.TOO_MANY_CONNECTIONS)
+        self.open += 1
+        return FakeChannel(self, self.dials)
+
+
+def make_pool(dialer, cap=11, **settings):
+    observer = pool.Observer(lambda: None, lambda outcome: None)
+    return pool.ChannelPool(
+        ENTRY, dialer, options.RelayOptions(**settings), cap, observer
+    )
+
+
+async def test_thirty_daemons_share_46_connections():
+    endpoint = FakeEndpoint(46)
+    pools = [make_pool(endpoint) for _ in range(30)]
+    source = random.Random(3)
+    served = 0
+
+    async def serve(each):
+        nonlocal served
+        for _ in range(20):
+            await asyncio.sleep(source.expovariate(1 / 0.02))
+            each.usage = endpoint.open / endpoint.limit
+            channel = await each.lease()
+            if isinstance(channel, messages.Outcome):
+                continue
+            await asyncio.sleep(0.005)
+            each.give_back(channel)
+            served += 1
+
+    # Three callers a daemon: bursts need more than the one spare connection.
+    await asyncio.gather(*(serve(each) for each in pools * 3))
+    assert served >= 0.97 * 30 * 3 * 20
+    assert endpoint.refused <= 0.05 * served
+    assert endpoint.open <= 46
+
+
+async def test_spare_connections_are_closed_while_they_are_scarce():
+    endpoint = FakeEndpoint(10)
+    each = make_pool(endpoint)
+    channels = [await each.lease() for _ in range(4)]
+    each.usage = 0.6
+    for channel in channels:
+        each.give_back(channel)
+    assert endpoint.open == 1
+
+
+async def test_with_plenty_spare_connections_are_kept():
+    endpoint = FakeEndpoint(100)
+    each = make_pool(endpoint)
+    channels = [await each.lease() for _ in range(4)]
+    for channel in channels:
+        each.give_back(channel)
+    assert endpoint.open == 4
+    assert await each.lease() in channels
+
+
+async def test_a_refused_connection_delays_the_next():
+    endpoint = FakeEndpoint(1)
+    each = make_pool(endpoint, refused_delay=5.0)
+    first = await each.lease()
+    assert isinstance(await each.lease(), messages.Outcome)
+    waiting = asyncio.create_task(each.lease())
+    await asyncio.sleep(0.01)
+    assert endpoint.dials == 2
+    each.give_back(first)
+    assert await waiting is first
+
+
+async def test_a_connection_with_the_wanted_values_is_preferred():
+    endpoint = FakeEndpoint(10)
+    each = make_pool(endpoint)
+    channels = [await each.lease() for _ in range(3)]
+    channels[0].values = {"color": "red"}
+    for channel in channels:
+        each.give_back(channel)
+    assert await each.lease({"color": "red"}) is channels[0]
+
+
+async def test_one_question_goes_beyond_the_cap():
+    endpoint = FakeEndpoint(10)
+    each = make_pool(endpoint, cap=2)
+    for _ in range(2):
+        await each.lease()
+    assert isinstance(await each.lease(inspects=True), FakeChannel)
+
+
+async def test_closing_wakes_those_that_wait():
+    endpoint = FakeEndpoint(10)
+    each = make_pool(endpoint, cap=1)
+    channel = await each.lease()
+    waiting = asyncio.create_task(each.lease())
+    await asyncio.sleep(0)
+    each.close()
+    outcome = await waiting
+    assert isinstance(outcome, messages.Outcome)
+    each.give_back(channel)
+    assert endpoint.open == 0
+
+
+async def test_cancelled_waiter_passes_its_turn_on():
+    endpoint = FakeEndpoint(10)
+    each = make_pool(endpoint, cap=1)
+    channel = await each.lease()
+    first = asyncio.create_task(each.lease())
+    second = asyncio.create_task(each.lease())
+    await asyncio.sleep(0)
+    each.give_back(channel)
+    first.cancel()
+    async with asyncio.timeout(1):
+        assert await second is channel
