--- a/Makefile
+++ b/Makefile
@@ -20,14 +20,18 @@
 demo: setup
 	$(BIN)/python -m fescuestile_standins.demo
 
+# Processes that run tests at a time: most wait for timers, not processors.
+WORKERS ?= 4
+
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages platform tests measurements
-	$(BIN)/mypy packages/*/src platform/src tests measurements
+	$(BIN)/flake8 packages platform soak tests measurements
+	$(BIN)/mypy packages/*/src platform/src soak tests measurements
 
 schema: setup
 	$(BIN)/python -m grpc_tools.protoc \
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -246,6 +246,32 @@
         elif report.last >= self._awaited:
             self.stalled_since = None
 
+    def is_stalled(self, now: float, awake: float) -> bool:
+        """Tell whether no replica follows the primary.
+
+        Each replica that answers must have been asked again well after the
+        primary told what it holds, and none may be fenced: then a
+        promotion is under way.
+
+        :param now: steady seconds
+        :param awake: seconds for which this daemon ran without a pause
+        """
+        since = self.stalled_since
+        silence = self.options.commit_silence
+        if since is None or min(now - since, awake) < silence:
+            return False
+        asked_again = [
+            member.report
+            for member in self.members.values()
+            if member.report is not None
+            and member.report.role is not Role.PRIMARY
+            and member.reported_at > since + silence / 2
+        ]
+        return bool(asked_again) and all(
+            report.role is Role.REPLICA and report.last < self._awaited
+            for report in asked_again
+        )
+
     def clear_stall(self) -> None:
         """Judge replication anew."""
         self.stalled_since = None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -162,10 +162,7 @@
         )
         if primary.has_answered and silent:
             return Reason.SILENT if self._reaches_others(group, now) else None
-        stalled = group.stalled_since
-        if stalled is not None and (
-            min(now - stalled, awake) > self._options.commit_silence
-        ):
+        if group.is_stalled(now, awake):
             return Reason.NO_COMMITS
         if primary.entry.leaving and self._find_target(group, primary):
             return Reason.LEAVING
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real daemons as processes, faults from outside, promises."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,121 @@
+"""Command line: ``python -m soak run --seed N``."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import typing
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+
+from soak import faults
+from soak import world
+
+SECONDS = 15.0
+DAEMONS = 3
+CALLERS = 12
+FAILED_SEEDS = pathlib.Path(__file__).with_name("seeds.txt")
+
+
+async def run_seed(
+    seed: int, seconds: float, daemons: int, folder: pathlib.Path
+) -> dict[str, typing.Any]:
+    """Run one seed and return what came of it."""
+    planned = faults.draw_faults(seed, seconds)
+    made = world.World(seed, folder, daemons, CALLERS * daemons // DAEMONS)
+    try:
+        await made.start()
+        await made.run(planned, seconds)
+    finally:
+        await made.close()
+    return {
+        "seed": seed,
+        "faults": len(planned),
+        "outcomes": dict(sorted(made.history.outcomes.items())),
+        "broken": made.history.broken,
+        "logs": str(folder),
+    }
+
+
+def run_one(seed: int, seconds: float, daemons: int) -> dict[str, typing.Any]:
+    """Run one seed with a folder of its own for the logs."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    return asyncio.run(run_seed(seed, seconds, daemons, folder))
+
+
+class RunCommand(cleo.commands.command.Command):
+    """Runs seeds one after the other."""
+
+    name = "run"
+    description = "Run seeds; fails when a promise was broken."
+    options = [
+        cleo.helpers.option("seed", None, "First seed.", flag=False),
+        cleo.helpers.option("count", None, "Seeds.", flag=False, default="1"),
+        cleo.helpers.option(
+            "seconds", None, "Length.", flag=False, default=str(SECONDS)
+        ),
+        cleo.helpers.option(
+            "daemons", None, "Daemons.", flag=False, default=str(DAEMONS)
+        ),
+        cleo.helpers.option(
+            "output", None, "table or json.", flag=False, default="table"
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run."""
+        first = int(self.option("seed") or 1)
+        failed = 0
+        for seed in range(first, first + int(self.option("count"))):
+            result = run_one(
+                seed,
+                float(self.option("seconds")),
+                int(self.option("daemons")),
+            )
+            failed += bool(result["broken"])
+            if self.option("output") == "json":
+                self.line(json.dumps(result))
+                continue
+            state = "broken" if result["broken"] else "ok"
+            self.line(f"seed {seed}: {state}, {result['faults']} faults")
+            for line in result["broken"][:5]:
+                self.line(f"  {line}")
+            if result["broken"]:
+                self.line(f"  logs: {result['logs']}")
+        return 1 if failed else 0
+
+
+class ListCommand(cleo.commands.command.Command):
+    """Lists the faults of a seed."""
+
+    name = "list"
+    description = "List the faults of a seed, or the seeds that once failed."
+    options = [cleo.helpers.option("seed", None, "Seed.", flag=False)]
+
+    def handle(self) -> int:
+        """List."""
+        seed = self.option("seed")
+        if seed is None:
+            self.line(FAILED_SEEDS.read_text(encoding="utf-8").rstrip())
+            return 0
+        for fault in faults.draw_faults(int(seed), SECONDS):
+            self.line(
+                f"{fault.at:6.2f} s  {fault.kind}, {fault.seconds} s,"
+                f" {fault.pick}"
+            )
+        return 0
+
+
+def main() -> int:
+    """Run the command line."""
+    application = cleo.application.Application("soak")
+    application.add(RunCommand())
+    application.add(ListCommand())
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,307 @@
+"""The soak's world: daemons behind proxies, stand-ins, faults, checks."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import typing
+
+from soak import callers
+from soak import faults
+from soak import history as histories
+from soak import processes
+from soak import proxies
+from tests.platform.standins import group as wire_group
+from tests.platform.standins import line_server
+from tests.platform.standins import store as stores
+from tests.platform.standins import world as worlds
+
+SETTLE_SECONDS = 6.0
+
+
+class World:
+    """One run."""
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, daemons: int, callers_: int
+    ) -> None:
+        """Take the seed and the size."""
+        self.history = histories.History()
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._count = daemons
+        self._callers = callers_
+        self._groups = {f"g{n}": wire_group.Group(f"g{n}") for n in range(2)}
+        self._store = stores.Store()
+        self._store_proxy = proxies.Proxy("")
+        self._proxies: dict[str, proxies.Proxy] = {}
+        self._daemons: list[processes.DaemonProcess] = []
+        self._version = 1
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start all and wait until the daemons take callers."""
+        await self._store.start()
+        self._store_proxy.target = self._store.address
+        await self._store_proxy.start()
+        for group in self._groups.values():
+            await group.start()
+            self._store.groups[group.name] = group
+            for endpoint in group.endpoints.values():
+                proxy = proxies.Proxy(endpoint.address)
+                await proxy.start()
+                self._proxies[endpoint.name] = proxy
+                self._register(endpoint)
+        self._put_configuration()
+        for number in range(self._count):
+            daemon = processes.DaemonProcess(
+                f"daemon-{number}",
+                self._store_proxy.address,
+                self._store.address,
+                self._folder,
+            )
+            await daemon.start()
+            self._daemons.append(daemon)
+        for daemon in self._daemons:
+            await daemon.wait_ready()
+
+    async def run(self, planned: list[faults.Fault], seconds: float) -> None:
+        """Let callers work while the faults come, then check the end."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        until = began + seconds
+        work = [
+            asyncio.create_task(self._make_caller(number).run(until))
+            for number in range(self._callers)
+        ]
+        reporting = asyncio.create_task(self._report_roles())
+        for fault in planned:
+            await asyncio.sleep(max(0.0, began + fault.at - loop.time()))
+            self._begin(fault)
+        await asyncio.gather(*work)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        reporting.cancel()
+        await self._check_end()
+
+    async def close(self) -> None:
+        """End all that was started."""
+        for daemon in self._daemons:
+            await daemon.end(signal.SIGKILL)
+        for proxy in (*self._proxies.values(), self._store_proxy):
+            await proxy.close()
+        for group in self._groups.values():
+            await group.close()
+        await self._store.close()
+
+    def _make_caller(self, number: int) -> callers.Caller:
+        return callers.Caller(
+            number,
+            f"g{number % len(self._groups)}",
+            self._daemons,
+            self.history,
+            random.Random(self._random.random()),
+        )
+
+    def _register(self, endpoint: wire_group.Endpoint, **more: object) -> None:
+        address = self._proxies[endpoint.name].address
+        self._store.register(endpoint, address=address, **more)
+
+    def _put_configuration(self) -> None:
+        self._store.put(
+            "config",
+            "main",
+            worlds.make_configuration(self._groups, version=self._version),
+        )
+
+    async def _report_roles(self) -> None:
+        """Write each endpoint's changed role, as endpoints do themselves."""
+        known: dict[str, str] = {}
+        while True:
+            for endpoint in self._list_endpoints():
+                if known.get(endpoint.name) != endpoint.role:
+                    known[endpoint.name] = endpoint.role
+                    if ("servers", endpoint.name) in self._store.objects:
+                        self._register(endpoint)
+            await asyncio.sleep(0.05)
+
+    def _list_endpoints(self) -> list[wire_group.Endpoint]:
+        return [
+            endpoint
+            for group in self._groups.values()
+            for endpoint in group.endpoints.values()
+        ]
+
+    def _begin(self, fault: faults.Fault) -> None:
+        task = asyncio.create_task(self._cause(fault))
+        self._tasks.add(task)
+
+    async def _cause(self, fault: faults.Fault) -> None:
+        pick = fault.pick
+        daemon = self._daemons[pick % len(self._daemons)]
+        group = list(self._groups.values())[pick % len(self._groups)]
+        replicas = [e for e in group.endpoints.values() if e.role != "primary"]
+        endpoint = self._list_endpoints()[pick % 6]
+        match fault.kind.split(" ", 1):
+            case ["store", what]:
+                await self._harm_store(what, fault.seconds)
+            case ["kill", _]:
+                await self._restart(daemon, signal.SIGKILL, fault.seconds)
+            case ["stop", _]:
+                await self._restart(daemon, signal.SIGTERM, fault.seconds)
+            case ["pause", _]:
+                daemon.send(signal.SIGSTOP)
+                await asyncio.sleep(fault.seconds)
+                daemon.send(signal.SIGCONT)
+            case ["reload", _]:
+                daemon.send(signal.SIGHUP)
+            case ["primary", what] if group.primary is not None:
+                await self._harm_primary(group.primary, what, fault.seconds)
+            case ["replica", what] if replicas:
+                field = "deaf" if what == "deaf" else "dark"
+                chosen = replicas[pick % len(replicas)]
+                await self._harm([chosen], field, True, fault.seconds)
+            case ["all", _]:
+                await self._harm(replicas, "deaf", True, fault.seconds)
+            case ["answers", _]:
+                await self._harm(
+                    [endpoint], "lose_answers", True, fault.seconds
+                )
+            case ["endpoint", what]:
+                await self._harm_endpoint(endpoint, what, fault.seconds)
+            case ["configuration", _]:
+                self._version += 1
+                self._put_configuration()
+            case ["entry", _] if ("servers", endpoint.name) in (
+                self._store.objects
+            ):
+                self._store.remove("servers", endpoint.name)
+                await asyncio.sleep(1.5)
+                self._register(endpoint)
+            case ["malformed", _]:
+                self._store.put("servers", f"i-odd-{pick}", {"state": pick})
+
+    async def _restart(
+        self,
+        daemon: processes.DaemonProcess,
+        number: signal.Signals,
+        seconds: float,
+    ) -> None:
+        if not daemon.running or daemon.stopping:
+            return
+        await daemon.end(number)
+        await asyncio.sleep(seconds / 3)
+        await daemon.start()
+
+    async def _harm(
+        self,
+        endpoints: list[wire_group.Endpoint],
+        field: str,
+        value: object,
+        seconds: float,
+    ) -> None:
+        healthy = wire_group.Faults()
+        for endpoint in endpoints:
+            setattr(endpoint.faults, field, value)
+        await asyncio.sleep(seconds)
+        for endpoint in endpoints:
+            setattr(endpoint.faults, field, getattr(healthy, field))
+
+    async def _harm_primary(
+        self, primary: wire_group.Endpoint, what: str, seconds: float
+    ) -> None:
+        if what == "dark":
+            await self._harm([primary], "dark", True, seconds)
+            return
+        await primary.server.close()
+        await asyncio.sleep(seconds)
+        await primary.server.start()
+        if primary.group.primary is not primary:
+            primary.group.follow(primary)
+
+    async def _harm_endpoint(
+        self, endpoint: wire_group.Endpoint, what: str, seconds: float
+    ) -> None:
+        proxy = self._proxies[endpoint.name]
+        match what:
+            case "slow":
+                await self._harm([endpoint], "slow", 8.0, seconds)
+            case "leaves":
+                self._register(endpoint, state="draining")
+                await asyncio.sleep(seconds + 2.0)
+                self._register(endpoint)
+            case "link reset":
+                proxy.reset()
+            case "link silenced":
+                proxy.silence()
+            case "link delayed":
+                proxy.harm.delay = 0.1
+            case "link one way":
+                proxy.harm.backward = False
+        if what in ("link delayed", "link one way"):
+            await asyncio.sleep(seconds)
+            proxy.harm = proxies.Harm()
+
+    async def _harm_store(self, what: str, seconds: float) -> None:
+        store_faults = self._store.faults
+        changes: dict[str, dict[str, typing.Any]] = {
+            "silent": {"silent": True},
+            "refuses": {"status": 503},
+            "loses answers": {"lose_writes": True},
+            "executes late": {"late_writes": 1.0},
+        }
+        if what == "forgets history":
+            self._store.forget_history()
+        elif what == "link silenced":
+            self._store_proxy.silence()
+        else:
+            healthy = stores.Faults()
+            for field, value in changes[what].items():
+                setattr(store_faults, field, value)
+            await asyncio.sleep(seconds)
+            for field in changes[what]:
+                setattr(store_faults, field, getattr(healthy, field))
+
+    async def _check_end(self) -> None:
+        """Wait for quiet, then check what must hold at the end."""
+        for daemon in self._daemons:
+            daemon.send(signal.SIGCONT)
+            if not daemon.running:
+                await daemon.start()
+        try:
+            async with asyncio.timeout(SETTLE_SECONDS * 2):
+                await self._wait_service()
+        except TimeoutError:
+            self.history.broken.append("no service after the faults ended")
+        logs = {}
+        for group in self._groups.values():
+            primary = group.primary
+            entries = primary.received if primary is not None else []
+            logs[group.name] = [id_ for e in entries for id_ in e.ids]
+            if group.lost:
+                self.history.broken.append(
+                    f"promotions in {group.name} lost {len(group.lost)} writes"
+                )
+        self.history.check_logs(logs)
+        self.history.check_orders(self._store.orders)
+
+    async def _wait_service(self) -> None:
+        """Wait until each daemon is ready and writes to each group."""
+        for daemon in self._daemons:
+            while not await self._serves(daemon):
+                await asyncio.sleep(0.1)
+
+    async def _serves(self, daemon: processes.DaemonProcess) -> bool:
+        if not await daemon.is_ready():
+            return False
+        for name in self._groups:
+            client = line_server.LineClient()
+            try:
+                await client.connect(daemon.front, f"{name}-primary")
+                lines = await client.query("WRITE end 1")
+            except (OSError, TimeoutError):
+                return False
+            finally:
+                client.close()
+            if callers.find_error(lines):
+                return False
+        return True
--- a/tests/platform/standins/line_server.py
+++ b/tests/platform/standins/line_server.py
@@ -1,6 +1,7 @@
 """Servers and clients of lines, on loopback."""
 
 import asyncio
+import itertools
 import typing
 
 
@@ -73,10 +74,11 @@
 class LineClient:
     """A caller's connection."""
 
+    _numbers = itertools.count(1)
+
     def __init__(self) -> None:
         self._reader: typing.Any = None
         self._writer: typing.Any = None
-        self._next = 0
 
     async def connect(self, address: str, database: str) -> str:
         host, port = address.split(":")
@@ -88,8 +90,7 @@
 
     async def query(self, text: str, id_: str = "") -> list[str]:
         """Return the lines of the answer."""
-        self._next += 1
-        id_ = id_ or f"{id(self):x}{self._next:x}"
+        id_ = id_ or f"f{next(self._numbers):x}"
         self._writer.write(f"QUERY {id_} {text}\r\n".encode())
         lines = []
         while True:
--- a/tests/scenarios/test_admission.py
+++ b/tests/scenarios/test_admission.py
@@ -14,6 +14,9 @@
 from tests.scenarios import floods
 from tests.scenarios import worlds
 
+# Floods measure service, which other tests beside them would change.
+pytestmark = pytest.mark.alone
+
 scenarios("admission.feature")
 
 FLOOD_SECONDS = 12.0
--- /dev/null
+++ b/tests/unit/test_monitor.py
@@ -0,0 +1,173 @@
+"""When a primary is replaced, by what its group showed."""
+
+import random
+import time
+
+import pytest
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import positions
+from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import monitor
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+
+Role = endpoint_messages.Role
+Reason = monitor.Reason
+NAMES = ("p", "r1", "r2")
+
+
+class NoDialer(ports.Dialer):
+    async def dial(self, entry):
+        return messages.Outcome(messages.Kind.LOST, detail="no network")
+
+
+class NoPromoter(ports.Promoter):
+    async def acquire(self):
+        return None
+
+    async def release(self, lease):
+        pass
+
+    async def promote(self, group, endpoint, lease):
+        return None
+
+
+def make_entry(name, leaving=False):
+    return messages.EndpointEntry(
+        name, "g", "127.0.0.1:1", "a", 2, leaving, name == "p", 0
+    )
+
+
+def make_report(name, index, role=Role.REPLICA, term=1):
+    return endpoint_messages.Report(
+        id=0,
+        endpoint=name,
+        verdict=endpoint_messages.Verdict.DONE,
+        role=role,
+        term=term,
+        driver="",
+        primary="",
+        last=positions.Position(1, index),
+    )
+
+
+@pytest.fixture
+def group():
+    made = groups.Group(
+        "g", NoDialer(), options.RelayOptions(), clock.BootClock()
+    )
+    for name in NAMES:
+        made.put_member(make_entry(name), 4).has_answered = True
+    return made
+
+
+@pytest.fixture
+def watch():
+    relay_options = options.RelayOptions()
+    boot_clock = clock.BootClock()
+    return monitor.Monitor(
+        directory.Directory(NoDialer(), relay_options, boot_clock),
+        NoPromoter(),
+        relay_options,
+        boot_clock,
+        random.Random(1),
+    )
+
+
+def report(group, name, index, ago=0.0, role=Role.REPLICA, term=1):
+    """Take a report that was asked for so many seconds ago."""
+    group._take_report(
+        group.members[name],
+        make_report(name, index, role, term),
+        time.monotonic() - ago,
+    )
+
+
+def stall(group, seconds):
+    """Let the primary hold what no replica has received for a while."""
+    report(group, "r1", 5, ago=seconds + 0.1)
+    report(group, "r2", 5, ago=seconds + 0.1)
+    report(group, "p", 7, ago=seconds, role=Role.PRIMARY)
+    group.stalled_since = time.monotonic() - seconds
+
+
+def find(watch, group, awake=60.0):
+    return watch._find_reason(group, time.monotonic(), awake)
+
+
+async def test_nothing_is_done_about_a_group_that_works(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    report(group, "r1", 7)
+    assert find(watch, group) is None
+
+
+async def test_a_primary_that_its_replicas_do_not_follow(group, watch):
+    stall(group, 1.5)
+    report(group, "r1", 5)
+    report(group, "r2", 5)
+    assert find(watch, group) is Reason.NO_COMMITS
+
+
+async def test_replicas_that_were_not_asked_again_prove_no_stall(group, watch):
+    stall(group, 1.5)
+    assert find(watch, group) is None
+
+
+async def test_replicas_fenced_by_another_driver_prove_no_stall(group, watch):
+    stall(group, 1.5)
+    report(group, "r1", 5, role=Role.FENCED, term=2)
+    report(group, "r2", 5, role=Role.FENCED, term=2)
+    assert find(watch, group) is None
+
+
+async def test_a_replica_that_follows_ends_the_stall(group, watch):
+    stall(group, 1.5)
+    report(group, "r1", 7)
+    report(group, "r2", 5)
+    assert find(watch, group) is None
+
+
+async def test_an_open_question_is_silence(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    group.members["p"].waiting_since = time.monotonic() - 1.1
+    assert find(watch, group) is Reason.SILENT
+
+
+async def test_no_question_is_no_silence(group, watch):
+    report(group, "p", 7, ago=2.5, role=Role.PRIMARY)
+    group.members["p"].answered_at -= 60
+    assert find(watch, group) is None
+
+
+async def test_a_daemon_that_reaches_nobody_blames_nobody(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    for name in NAMES:
+        group.members[name].waiting_since = time.monotonic() - 1.1
+    assert find(watch, group) is None
+
+
+async def test_a_refused_connection_is_proof_sooner(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    refusal = messages.Outcome(messages.Kind.LOST, refused=True)
+    group.members["p"].note_dialled(refusal)
+    assert find(watch, group) is None
+    group.members["p"].refused_since -= 0.7
+    assert find(watch, group) is Reason.SILENT
+
+
+async def test_a_leaving_primary_is_handed_over(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    report(group, "r1", 7)
+    group.put_member(make_entry("p", leaving=True), 4)
+    assert find(watch, group) is Reason.LEAVING
+
+
+async def test_a_primary_that_never_answered_is_left_alone(group, watch):
+    report(group, "p", 7, role=Role.PRIMARY)
+    group.members["p"].has_answered = False
+    group.members["p"].waiting_since = time.monotonic() - 9.0
+    assert find(watch, group) is None
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -7,6 +7,7 @@
 from fescuestile import platform_messages
 from fescuestile import ports
 from fescuestile_daemon import platform_adapter
+from fescuestile_standins import hosts
 from fescuestile_standins import platform
 
 
@@ -20,7 +21,10 @@
 @pytest.fixture
 async def adapter(address):
     made = platform_adapter.PlatformAdapter(
-        (address,), "127.0.3.1", timeout=0.3, random_source=random.Random(1)
+        (address,),
+        hosts.make_ip(3, 1),
+        timeout=0.3,
+        random_source=random.Random(1),
     )
     yield made
     await made.close()
--- a/tests/unit/test_wire.py
+++ b/tests/unit/test_wire.py
@@ -7,10 +7,11 @@
 import pytest
 
 from fescuestile import errors
+from fescuestile_standins import hosts
 from fescuestile_standins import wire
 from fescuestile_standins import wire_messages
 
-ANY_PORT = "127.0.9.1:0"
+ANY_PORT = f"{hosts.make_ip(9, 1)}:0"
 QUIET_SECONDS = 0.15
 ZONE_1 = wire_messages.make_zone_side(1)
 ZONE_2 = wire_messages.make_zone_side(2)
@@ -36,9 +37,9 @@
 @pytest.fixture
 async def relay(control):
     """Address of a relay to an echo server in zone 2."""
-    server = await asyncio.start_server(echo, "127.0.2.1", 0)
+    server = await asyncio.start_server(echo, hosts.make_ip(2, 1), 0)
     port = server.sockets[0].getsockname()[1]
-    yield await control.add_relay(ANY_PORT, f"127.0.2.1:{port}")
+    yield await control.add_relay(ANY_PORT, f"{hosts.make_ip(2, 1)}:{port}")
     server.close()
 
 
@@ -72,7 +73,7 @@
     ip, port = relay.split(":")
     return Caller(
         *await asyncio.open_connection(
-            ip, int(port), local_addr=(f"127.0.{zone}.1", 0)
+            ip, int(port), local_addr=(hosts.make_ip(zone, 1), 0)
         )
     )
 
@@ -128,7 +129,7 @@
     for each in (caller, other):
         await each.say(b"a")
         await each.hear(1)
-    assert await control.drop("127.0.1.1", "127.0.2.1") == 1
+    assert await control.drop(hosts.make_ip(1, 1), hosts.make_ip(2, 1)) == 1
     with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
         await caller.hear(1)
     await other.say(b"b")
@@ -145,7 +146,7 @@
 
 async def test_bad_commands_are_refused(control):
     with pytest.raises(errors.InvalidInput, match="expected an address"):
-        await control.add_relay("localhost:1", "127.0.2.1:1")
+        await control.add_relay("localhost:1", f"{hosts.make_ip(2, 1)}:1")
     with pytest.raises(errors.InvalidInput, match="does not appear"):
         await control.cut("zone 1")
 
