--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -120,14 +120,7 @@
         self, group: groups.Group, member: members.Member, now: float
     ) -> None:
         """Ask an endpoint that has not answered lately."""
-        is_primary = group.find_primary() is member
-        pause = (
-            self._options.idle_inspect
-            if is_primary or group.stalled_since is not None
-            else self._options.idle_inspect_replica
-        )
-        quiet = now - member.reported_at
-        if quiet < pause or member.name in self._probes:
+        if member.name in self._probes or not self._is_due(group, member, now):
             return
         if member.measure_silence(now) > REACH_SECONDS:
             # Its connections may have gone silent while new ones work.
@@ -135,6 +128,23 @@
         task = asyncio.create_task(self._inspect(group, member))
         self._probes[member.name] = task
 
+    def _is_due(
+        self, group: groups.Group, member: members.Member, now: float
+    ) -> bool:
+        """Tell whether an endpoint is to be asked for a report."""
+        relay_options = self._options
+        unreported = now - member.reported_at
+        if group.find_primary() is member:
+            quiet = now - max(member.answered_at, member.reported_at)
+            return (
+                quiet > relay_options.idle_inspect
+                or unreported > relay_options.idle_inspect_replica
+            )
+        stalled = group.stalled_since
+        if stalled is not None and now - stalled > relay_options.idle_inspect:
+            return unreported > relay_options.commit_silence / 4
+        return unreported > relay_options.idle_inspect_replica
+
     async def _inspect(
         self, group: groups.Group, member: members.Member
     ) -> None:
