Give up silent reads at half their target; wait in step with a full endpoint

Cause of late reads beside lost answers: a read was given up after 0.25 s whatever its target (0.1 to 0.8 s).

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 demo: setup
 	$(BIN)/python -m fescuestile_standins.demo
+	$(BIN)/python -m tests.platform.standins.demo
 
 # Processes that run tests at a time: most wait for timers, not processors.
 WORKERS ?= 4
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -29,6 +29,8 @@
 
     :ivar writes: it may change data
     :ivar deadline: steady seconds at which the route's timeout ends
+    :ivar attempts: times that it was tried
+    :ivar failures: of these, times that it ran or may have run
     :ivar tried: endpoints that refused it or did not answer
     """
 
@@ -39,6 +41,7 @@
     writes: bool
     deadline: float
     attempts: int = 0
+    failures: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -160,7 +163,7 @@
             return True
         try:
             async with asyncio.timeout(
-                min(max(piece.left, 0.0), self._options.read_silence)
+                min(max(piece.left, 0.0), self._options.set_up_silence)
             ):
                 outcome = await channel.call(*commands)
         except TimeoutError:
@@ -180,7 +183,9 @@
         )
         seconds = piece.left
         if not piece.writes:
-            seconds = min(seconds, self._find_silence(piece))
+            seconds = min(
+                seconds, member.bound_silence(piece.route.target_latency)
+            )
         member.note_asked()
         started = time.monotonic()
         clean = False
@@ -198,10 +203,6 @@
         self.note(piece, member, outcome, minimum, started)
         return outcome
 
-    def _find_silence(self, piece: Piece) -> float:
-        """Return how long a read may stay without an answer."""
-        return max(self._options.read_silence, piece.route.target_latency / 2)
-
     def note(
         self,
         piece: Piece,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -1,8 +1,10 @@
 """Runs single reads and writes: attempts, proofs of freshness, retries."""
 
+import asyncio
 import time
 import typing
 
+from fescuestile import read_confirmation
 from fescuestile import routes
 from fescuestile_daemon.relay import attempts
 from fescuestile_daemon.relay import choice
@@ -16,6 +18,9 @@
 Kind = messages.Kind
 Verb = messages.Verb
 
+# The endpoint had no room just now.
+CROWDED = frozenset({Kind.BUSY, Kind.TOO_MANY_CONNECTIONS})
+
 
 class Directory(typing.Protocol):
     """Routes in force and their groups."""
@@ -98,9 +103,8 @@
         ticket = None
         if piece.route.consistency is routes.Consistency.CURRENT:
             ticket = piece.group.proofs.begin()
-        while piece.attempts < self._options.read_attempts:
-            if piece.left < attempts.LEAST_SECONDS:
-                break
+        delay = self._options.busy_delay
+        while piece.left >= attempts.LEAST_SECONDS:
             piece.attempts += 1
             if ticket is not None:
                 outcome = await self._read_current(piece, ticket)
@@ -114,13 +118,30 @@
                     ticket = piece.group.proofs.begin()
             if outcome.kind in (Kind.DONE, Kind.MALFORMED):
                 return outcome
+            piece.failures += outcome.kind not in messages.NOT_RUN
+            if piece.failures >= self._options.read_failures:
+                break
             if piece.group.proofs.cannot_prove() and outcome.kind is Kind.BUSY:
                 break
+            if outcome.kind in CROWDED and self._has_tried_all(piece, ticket):
+                await asyncio.sleep(min(max(piece.left, 0.0), delay))
+                delay = min(delay * 2, self._options.busy_delay_most)
+                piece.tried.clear()
         if outcome.kind in (Kind.LOST, Kind.BEHIND, Kind.NOT_PRIMARY):
             # Reads have no effect, so the caller may run it again.
             return messages.Outcome(Kind.BUSY, detail=outcome.detail)
         return outcome
 
+    def _has_tried_all(
+        self,
+        piece: attempts.Piece,
+        ticket: read_confirmation.Ticket | None,
+    ) -> bool:
+        """Tell whether no endpoint is left that was not asked just now."""
+        if ticket is not None:
+            return True
+        return len(piece.tried) >= len(piece.group.members)
+
     async def _read_stale(self, piece: attempts.Piece) -> messages.Outcome:
         minimum = await piece.group.proofs.find_minimum(
             piece.arrival.boot_at,
@@ -144,7 +165,7 @@
         return messages.Outcome(Kind.BUSY, detail="no endpoint is known")
 
     async def _read_current(
-        self, piece: attempts.Piece, ticket: typing.Any
+        self, piece: attempts.Piece, ticket: read_confirmation.Ticket
     ) -> messages.Outcome:
         member = await self._choice.find_primary(piece)
         if member is None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -17,6 +17,8 @@
 SERVICE_WEIGHT = 0.1
 # Service time assumed of an endpoint before the first answer, in seconds.
 INITIAL_SERVICE_SECONDS = 0.01
+# A statement that takes this many times the mean is given up.
+SILENCE_FACTOR = 5.0
 # Seconds in which the count of recent failures halves.
 FAILURE_HALF_LIFE_SECONDS = 1.0
 # An endpoint that lacked a position is asked for it again after this time,
@@ -133,6 +135,16 @@
             return False
         return wanted >= self._behind
 
+    def bound_silence(self, target_latency: float) -> float:
+        """Return how long a read may stay without an answer, in seconds.
+
+        Half of the target leaves time for another attempt; an endpoint
+        that is slow at the moment gets several times its mean.
+
+        :param target_latency: seconds within which the work should end
+        """
+        return max(target_latency / 2, SILENCE_FACTOR * self._service)
+
     def describe(
         self,
         level: int,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -27,10 +27,13 @@
     :ivar redial_delay: pause after a connection could not be opened
     :ivar inspect_timeout: longest wait for a report, well above the time
         that reports queue behind statements
-    :ivar read_silence: a read without an answer for this time is tried at
-        another connection; several times a statement's usual work
-    :ivar read_attempts: endpoints tried for one read at most
+    :ivar read_silence: longest wait for a proof or a fresh position before
+        a read begins anew
+    :ivar set_up_silence: longest wait for an answer that takes no slot, such
+        as that to BEGIN; many times a round trip
+    :ivar read_failures: times that one read may fail or stay unanswered
     :ivar busy_delay: pause before an endpoint that refused is tried again
+    :ivar busy_delay_most: the pause doubles up to this
     :ivar sample_interval: a group that serves reads is asked for a fresh
         position this often, a small part of the staleness bounds in use
     :ivar monitor_interval: pause between two looks at the primaries
@@ -68,8 +71,10 @@
     redial_delay: float = 0.2
     inspect_timeout: float = 0.4
     read_silence: float = 0.25
-    read_attempts: int = 5
+    set_up_silence: float = 0.12
+    read_failures: int = 4
     busy_delay: float = 0.02
+    busy_delay_most: float = 0.08
     sample_interval: float = 0.8
     monitor_interval: float = 0.2
     idle_inspect: float = 0.7
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -53,8 +53,12 @@
             if outcome.kind is Kind.DONE:
                 work.answered = True
                 break
-            if work.answered or piece.attempts >= self._options.read_attempts:
+            if self._may_repeat(work, outcome):
+                await self._pause(piece, work, outcome)
+                continue
+            if work.answered or piece.failures >= self._options.read_failures:
                 break
+            piece.failures += outcome.kind not in messages.NOT_RUN
             if outcome.kind is Kind.LOST and (
                 arrival.statement.verb is Verb.COMMIT
             ):
@@ -73,6 +77,21 @@
         )
         return outcome
 
+    def _may_repeat(
+        self, work: sessions.Transaction, outcome: messages.Outcome
+    ) -> bool:
+        """Tell whether a refused statement may run in the same transaction.
+
+        The endpoint itself must have said that it stands as before.
+        """
+        return (
+            outcome.kind is Kind.BUSY
+            and outcome.position is not None
+            and outcome.state is messages.State.IN_TRANSACTION
+            and work.channel is not None
+            and not work.channel.closed
+        )
+
     async def _pause(
         self,
         piece: attempts.Piece,
@@ -150,7 +169,7 @@
             return channel
         try:
             async with asyncio.timeout(
-                min(max(piece.left, 0.0), self._options.read_silence)
+                min(max(piece.left, 0.0), self._options.set_up_silence)
             ):
                 outcome = await channel.call(
                     messages.Begin(work.read_only, minimum)
@@ -218,7 +237,7 @@
         try:
             if not await self._attempts.set_up(piece, channel):
                 return messages.Outcome(Kind.LOST, detail="no session state")
-            async with asyncio.timeout(max(piece.left, 0.0)):
+            async with asyncio.timeout(self._bound(piece, work, member)):
                 outcome = await channel.call(
                     replay.make_run(piece.session, piece.arrival.statement)
                 )
@@ -229,6 +248,20 @@
         self._attempts.note(piece, member, outcome, None, started)
         return outcome
 
+    def _bound(
+        self,
+        piece: attempts.Piece,
+        work: sessions.Transaction,
+        member: members.Member,
+    ) -> float:
+        """Return how long a statement may stay without an answer."""
+        left = max(piece.left, 0.0)
+        if work.answered or piece.arrival.statement.verb is Verb.COMMIT:
+            return left
+        # Nothing of the transaction was answered, so it can begin anew.
+        silence = member.bound_silence(piece.route.target_latency)
+        return min(left, silence)
+
     def _release(self, work: sessions.Transaction) -> None:
         """Give back the connection of a transaction that has ended."""
         channel, member = work.channel, work.member
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -204,7 +204,25 @@
     await client.query("READ item")
     for connection in group.primary.connections:
         connection.receive = lambda line: None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    assert get_row(await client.query("READ item")) == "none"
+    # The route's target is 0.2 s.
+    assert loop.time() - began < 0.2
+
+
+async def test_silent_connection_costs_no_transaction(world):
+    group = world.groups["g0"]
+    client = await world.connect("primary")
+    await client.query("READ item")
+    for connection in group.primary.connections:
+        connection.receive = lambda line: None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    await client.query("BEGIN")
     assert get_row(await client.query("READ item")) == "none"
+    assert loop.time() - began < 0.3
+    assert (await client.query("COMMIT"))[0].startswith("COMPLETE i-")
 
 
 async def test_full_endpoint_does_not_fail_reads(world):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -89,21 +89,22 @@
 
 
 async def test_session_values_are_on_the_connection_that_runs(world):
-    first = await world.connect("primary")
-    second = await world.connect("primary")
-    await first.query("SET color red")
-    for _ in range(3):
-        await first.query("READ item")
-        await second.query("READ item")
-        primary = world.groups["g0"].primary
-        values = [c.values for c in primary.connections]
-        assert {} in values or {"color": "red"} in values
-    await second.query("SET color blue")
-    await second.query("BEGIN")
-    await second.query("READ item")
-    pinned = list(world.groups["g0"].primary.connections)
-    inside = [c.values for c in pinned if c.state == "T"]
-    assert inside == [{"color": "blue"}]
+    red = await world.connect("primary")
+    plain = await world.connect("primary")
+    blue = await world.connect("primary")
+    await red.query("SET color red")
+    await blue.query("SET color blue")
+    primary = world.groups["g0"].primary
+    seen: list[dict[str, str]] = []
+    for client in (red, plain, blue, red, blue, plain) * 3:
+        await client.query("BEGIN")
+        await client.query("READ item")
+        seen.extend(c.values for c in primary.connections if c.state == "T")
+        seen = [dict(values) for values in seen]
+        await client.query("ROLLBACK")
+    wanted = [{"color": "red"}, {}, {"color": "blue"}]
+    wanted += [{"color": "red"}, {"color": "blue"}, {}]
+    assert seen == wanted * 3
 
 
 async def test_unknown_database_is_refused(world):
