--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -97,14 +97,14 @@
         try:
             ticket = await member.gate.enter(work)
         except errors.NotRun as error:
-            return messages.Outcome(Kind.BUSY, detail=error.message)
+            return messages.Outcome(Kind.OVERLOADED, detail=error.message)
         measured = False
         try:
             channel = await self.lease(piece, member, minimum)
             if isinstance(channel, messages.Outcome):
                 return channel
             outcome = await self._run_on(piece, member, channel, minimum)
-            measured = outcome.kind is Kind.DONE
+            measured = outcome.kind in (Kind.DONE, Kind.LOST)
             return outcome
         finally:
             member.gate.leave(ticket, measured)
@@ -223,7 +223,7 @@
                 member.note_answer()
                 member.note_behind(minimum or positions.START)
             case Kind.LOST:
-                member.note_failure()
+                member.note_given_up(time.monotonic() - started)
                 self._recorder.note_lost(
                     piece.arrival.statement.id, member.name, outcome.detail
                 )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -123,7 +123,10 @@
                 break
             if piece.group.proofs.cannot_prove() and outcome.kind is Kind.BUSY:
                 break
-            if outcome.kind in CROWDED and self._has_tried_all(piece, ticket):
+            tried_all = self._has_tried_all(piece, ticket)
+            if outcome.kind is Kind.OVERLOADED and tried_all:
+                break
+            if outcome.kind in CROWDED and tried_all:
                 await asyncio.sleep(min(max(piece.left, 0.0), delay))
                 delay = min(delay * 2, self._options.busy_delay_most)
                 piece.tried.clear()
@@ -192,7 +195,10 @@
                 break
             piece.attempts += 1
             outcome = await self._attempts.run(piece, member, None)
-            if outcome.kind not in messages.NOT_RUN:
+            if (
+                outcome.kind not in messages.NOT_RUN
+                or outcome.kind is Kind.OVERLOADED
+            ):
                 break
             await self._choice.recover(piece, member, outcome)
         if outcome.kind is Kind.DONE and outcome.position is not None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -15,6 +15,10 @@
 FLOORS = (0.1, 0.1, 0.1)
 # Weight of a new sample in the mean service time.
 SERVICE_WEIGHT = 0.1
+# A statement that was given up counts as taking this many times as long, with
+# this weight; one such then allows the next some two and a half times more.
+GIVEN_UP_FACTOR = 1.5
+GIVEN_UP_WEIGHT = 0.3
 # Service time assumed of an endpoint before the first answer, in seconds.
 INITIAL_SERVICE_SECONDS = 0.01
 # A statement that takes this many times the mean is given up.
@@ -118,6 +122,16 @@
         if seconds is not None:
             self._service += SERVICE_WEIGHT * (seconds - self._service)
 
+    def note_given_up(self, seconds: float) -> None:
+        """Note that a statement was given up after so many seconds.
+
+        It would have taken longer, so the mean must grow, or an endpoint
+        that has become slow would never be given the time to answer.
+        """
+        sample = seconds * GIVEN_UP_FACTOR
+        self._service += GIVEN_UP_WEIGHT * (sample - self._service)
+        self.note_failure()
+
     def note_failure(self) -> None:
         """Note a failed or unanswered statement or connection."""
         now = time.monotonic()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
@@ -58,6 +58,8 @@
     DONE = "done"
     # Nothing ran.
     BUSY = "busy"
+    # Nothing ran, and waiting longer would pass the deadline.
+    OVERLOADED = "overloaded"
     BEHIND = "behind"
     NOT_PRIMARY = "not primary"
     WRONG_ENDPOINT = "wrong endpoint"
@@ -78,6 +80,7 @@
 NOT_RUN = frozenset(
     {
         Kind.BUSY,
+        Kind.OVERLOADED,
         Kind.BEHIND,
         Kind.NOT_PRIMARY,
         Kind.WRONG_ENDPOINT,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -56,6 +56,8 @@
             if self._may_repeat(work, outcome):
                 await self._pause(piece, work, outcome)
                 continue
+            if outcome.kind is Kind.OVERLOADED:
+                break
             if work.answered or piece.failures >= self._options.read_failures:
                 break
             piece.failures += outcome.kind not in messages.NOT_RUN
@@ -228,7 +230,7 @@
         try:
             ticket = await member.gate.enter(admitted)
         except errors.NotRun as error:
-            return messages.Outcome(Kind.BUSY, detail=error.message)
+            return messages.Outcome(Kind.OVERLOADED, detail=error.message)
         member.note_asked()
         started = time.monotonic()
         if piece.writes:
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -232,3 +232,29 @@
     for _ in range(5):
         client = await world.connect("bounded_staleness")
         assert get_row(await client.query("READ item")) == "none"
+
+
+async def test_overload_is_refused_at_once_and_nothing_of_it_runs(world):
+    """Pattern: a burst of the lowest rank at one group, ten times too much."""
+    group = world.groups["g0"]
+    group.work = 0.1
+    clients = [await world.connect("bounded_staleness") for _ in range(120)]
+    loop = asyncio.get_running_loop()
+    # The daemon has learnt what the work takes before the burst comes.
+    for client in clients[:12]:
+        await client.query("READ item")
+    before = sum(len(each.served) for each in group.endpoints.values())
+
+    async def ask(number):
+        began = loop.time()
+        answer = await clients[number].query("READ item", id_=f"bead{number}")
+        return get_error(answer), loop.time() - began
+
+    ended = await asyncio.gather(*map(ask, range(120)))
+    refused = [seconds for error, seconds in ended if error == "BUSY"]
+    served = [seconds for error, seconds in ended if error is None]
+    assert len(refused) + len(served) == 120
+    assert len(served) >= 20
+    assert sorted(refused)[len(refused) // 2] < 0.1
+    runs = sum(len(endpoint.served) for endpoint in group.endpoints.values())
+    assert runs - before <= len(served) * 1.2
