Pace work for a full endpoint instead of trying again

A refusal now doubles the pause between two starts at that endpoint, a success shortens it, the work waits in the order of its urgency, and what the pace makes late is refused at once.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -98,16 +98,17 @@
             ticket = await member.gate.enter(work)
         except errors.NotRun as error:
             return messages.Outcome(Kind.OVERLOADED, detail=error.message)
-        measured = False
+        measured = refused = False
         try:
             channel = await self.lease(piece, member, minimum)
             if isinstance(channel, messages.Outcome):
                 return channel
             outcome = await self._run_on(piece, member, channel, minimum)
             measured = outcome.kind in (Kind.DONE, Kind.LOST)
+            refused = outcome.kind is Kind.BUSY
             return outcome
         finally:
-            member.gate.leave(ticket, measured)
+            member.gate.leave(ticket, measured, refused)
 
     async def lease(
         self,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -246,7 +246,11 @@
         except TimeoutError:
             channel.close()
         finally:
-            member.gate.leave(ticket, outcome.kind is Kind.DONE)
+            member.gate.leave(
+                ticket,
+                outcome.kind is Kind.DONE,
+                refused=outcome.kind is Kind.BUSY,
+            )
         self._attempts.note(piece, member, outcome, None, started)
         return outcome
 
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -173,16 +173,24 @@
         rank.note_load(share, now, self._options.load_window)
         return results.succeed(ticket)
 
-    def take(self, now: float) -> Batch:
+    def count_waiting(self, level: int) -> int:
+        """Return how many of this urgency or a greater one wait."""
+        ranks = self._ranks[: self._clamp(level) + 1]
+        return sum(len(rank.queue) for rank in ranks)
+
+    def take(self, now: float, most: int | None = None) -> Batch:
         """Hand out the work that may start and the work that expired.
 
         :param now: monotonic seconds
+        :param most: pieces of work that may start, None for any number
         """
         if not self._waiting and not self._dropped:
             return _EMPTY_BATCH
         self._expire(now)
-        started = []
+        started: list[Ticket] = []
         while self._waiting and self._running < self._concurrency.limit:
+            if most is not None and len(started) >= most:
+                break
             ticket = self._start_next(now)
             if ticket is not None:
                 started.append(ticket)
--- /dev/null
+++ b/tests/unit/test_gate.py
@@ -0,0 +1,123 @@
+"""Load pattern: many daemons press on one primary whose replicas lag."""
+
+import asyncio
+import collections
+import random
+import time
+
+from fescuestile import admission
+from fescuestile import errors
+from fescuestile_daemon.relay import gate
+
+SLOTS = 4
+QUEUE = 16
+WORK_SECONDS = 0.02
+DAEMONS = 35
+SECONDS = 3.0
+
+
+class CrowdedEndpoint:
+    """Runs so many statements at a time, queues some, refuses the rest."""
+
+    def __init__(self):
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._present = 0
+        self.arrivals = 0
+        self.refused = 0
+
+    async def run(self):
+        self.arrivals += 1
+        await asyncio.sleep(0.001)
+        if self._present >= SLOTS + QUEUE:
+            self.refused += 1
+            return False
+        self._present += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(WORK_SECONDS)
+        finally:
+            self._present -= 1
+        return True
+
+
+def make_gate():
+    options = admission.AdmissionOptions(
+        slots=SLOTS, floors=(0.1, 0.1, 0.1), initial_service=0.02
+    )
+    return gate.Gate(admission.AdmissionQueue(options))
+
+
+async def serve(entrance, endpoint, level, ended):
+    deadline = time.monotonic() + 0.8
+    work = gate.Work(level, f"kind-{level}", "caller", deadline)
+    while True:
+        try:
+            ticket = await entrance.enter(work)
+        except errors.NotRun:
+            ended[level, "refused"] += 1
+            return
+        ran = await endpoint.run()
+        entrance.leave(ticket, measured=ran, refused=not ran)
+        if ran:
+            ended[level, "served"] += 1
+            return
+
+
+async def test_urgent_work_is_served_while_daemons_press_on_one_primary():
+    endpoint = CrowdedEndpoint()
+    ended: collections.Counter[tuple[int, str]] = collections.Counter()
+    source = random.Random(5)
+    gates = [make_gate() for _ in range(DAEMONS)]
+    tasks = []
+    # 30 urgent and 400 other statements a second; 200 can be served.
+    until = time.monotonic() + SECONDS
+    while time.monotonic() < until:
+        await asyncio.sleep(0.01)
+        for _ in range(4):
+            level = 0 if source.random() < 0.075 else source.choice((1, 2))
+            entrance = source.choice(gates)
+            tasks.append(
+                asyncio.create_task(serve(entrance, endpoint, level, ended))
+            )
+    await asyncio.gather(*tasks)
+    urgent = ended[0, "served"] / (ended[0, "served"] + ended[0, "refused"])
+    served = sum(n for (_, how), n in ended.items() if how == "served")
+    capacity = SLOTS / WORK_SECONDS * SECONDS
+    assert urgent >= 0.95
+    assert served >= 0.85 * capacity
+    assert endpoint.refused <= 0.5 * served
+
+
+async def test_pace_follows_refusals_and_successes():
+    entrance = make_gate()
+    far = time.monotonic() + 60
+    for refused in (True, True, True):
+        ticket = await entrance.enter(gate.Work(0, "k", "c", far))
+        entrance.leave(ticket, measured=False, refused=refused)
+    slow = entrance.pace
+    assert slow > 0.03
+    for _ in range(40):
+        ticket = await entrance.enter(gate.Work(0, "k", "c", far))
+        entrance.leave(ticket)
+    assert entrance.pace < slow / 8
+
+
+async def test_work_that_the_pace_makes_late_is_refused_at_once():
+    entrance = make_gate()
+    entrance.pace = 0.3
+    now = time.monotonic()
+    waiting = [
+        asyncio.create_task(
+            entrance.enter(gate.Work(1, "k", f"c{n}", now + 5.0))
+        )
+        for n in range(4)
+    ]
+    await asyncio.sleep(0)
+    try:
+        await entrance.enter(gate.Work(2, "late", "c", now + 0.5))
+        raise AssertionError("it would wait for a second")
+    except errors.NotRun:
+        assert time.monotonic() - now < 0.1
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
