--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
@@ -61,12 +61,10 @@
         if offered.is_error():
             raise offered.error
         ticket: Ticket = offered.ok
-        self._hand_out(now)
-        if ticket.started_at is not None:
-            return ticket
         future: asyncio.Future[Ticket] = (
             asyncio.get_running_loop().create_future()
         )
+        # The queue may start it or give it up at this very moment.
         self._waiting[ticket] = future
         self._hand_out(now)
         try:
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import pytest
+
 from fescuestile import admission
 from fescuestile import errors
 from fescuestile_daemon.relay import gate
@@ -121,3 +123,27 @@
     for task in waiting:
         task.cancel()
     await asyncio.gather(*waiting, return_exceptions=True)
+
+
+class DroppingQueue(admission.AdmissionQueue):
+    """Gives up the first work at the moment at which it is offered."""
+
+    def take(self, now, most=None):
+        batch = super().take(now, 0)
+        waiting = [entry[2] for entry in self._expiries]
+        error = errors.NotRun("too late", step="admit")
+        drops = tuple(
+            admission.Drop(ticket, error)
+            for ticket in waiting
+            if self.withdraw(ticket)
+        )
+        return admission.Batch(batch.started, drops)
+
+
+async def test_work_that_is_given_up_at_once_is_told():
+    options = admission.AdmissionOptions(slots=1, floors=(0.1,))
+    entrance = gate.Gate(DroppingQueue(options))
+    work = gate.Work(0, "k", "c", time.monotonic() + 5.0)
+    async with asyncio.timeout(1.0):
+        with pytest.raises(errors.NotRun):
+            await entrance.enter(work)
