--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -61,11 +61,6 @@
         """Connections that are open or being opened."""
         return self._open
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a connection can be lent without waiting for another."""
-        return bool(self._idle) or self._may_dial()
-
     def _may_dial(self) -> bool:
         if self._open >= self.cap:
             return False
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -88,15 +88,3 @@
     """Return the report of the primary of the highest term."""
     primaries = [r for r in reports if r.role is Role.PRIMARY]
     return max(primaries, key=lambda r: r.term, default=None)
-
-
-def find_left_fenced(
-    reports: typing.Iterable[Report],
-) -> tuple[str, ...]:
-    """Return endpoints that a driver left fenced, in a group with a primary.
-
-    :param reports: latest report of each endpoint
-    """
-    return tuple(
-        report.endpoint for report in reports if report.role is Role.FENCED
-    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -95,3 +95,22 @@
         "text": "PUT pump broken",
     }
     return requests.Request(**(fields | changes))
+
+
+def build_log_report(
+    name: str,
+    index: int,
+    role: endpoint_messages.Role = endpoint_messages.Role.REPLICA,
+    term: int = 1,
+) -> endpoint_messages.Report:
+    """Return the report of an endpoint whose log ends in term 1."""
+    return endpoint_messages.Report(
+        id=0,
+        endpoint=name,
+        verdict=endpoint_messages.Verdict.DONE,
+        role=role,
+        term=term,
+        driver="",
+        primary="",
+        last=positions.Position(1, index),
+    )
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -7,13 +7,13 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile import positions
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
+from tests import builders
 
 Role = endpoint_messages.Role
 Reason = monitor.Reason
@@ -42,19 +42,6 @@
     )
 
 
-def make_report(name, index, role=Role.REPLICA, term=1):
-    return endpoint_messages.Report(
-        id=0,
-        endpoint=name,
-        verdict=endpoint_messages.Verdict.DONE,
-        role=role,
-        term=term,
-        driver="",
-        primary="",
-        last=positions.Position(1, index),
-    )
-
-
 @pytest.fixture
 def group():
     made = groups.Group(
@@ -82,7 +69,7 @@
     """Take a report that was asked for so many seconds ago."""
     group._take_report(
         group.members[name],
-        make_report(name, index, role, term),
+        builders.build_log_report(name, index, role, term),
         time.monotonic() - ago,
     )
 
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -6,8 +6,8 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import plans
-from fescuestile import positions
 from fescuestile import promotion
+from tests import builders
 
 Role = endpoint_messages.Role
 NAMES = ("p", "r1", "r2", "r3", "r4")
@@ -21,19 +21,6 @@
     return plans.Plan("g", endpoints, (), ())
 
 
-def make_report(name, index, role=Role.REPLICA, term=1):
-    return endpoint_messages.Report(
-        id=0,
-        endpoint=name,
-        verdict=endpoint_messages.Verdict.DONE,
-        role=role,
-        term=term,
-        driver="",
-        primary="",
-        last=positions.Position(1, index),
-    )
-
-
 @strategies.composite
 def draw_history(draw):
     """Draw logs of a group in which each acknowledged write has a copy.
@@ -60,7 +47,7 @@
     count, ends, fenced = history
     chosen = promotion.choose_promotion(
         make_plan(count),
-        {name: make_report(name, ends[name]) for name in fenced},
+        {name: builders.build_log_report(name, ends[name]) for name in fenced},
         failed="p",
     )
     if chosen is not None:
@@ -73,7 +60,7 @@
     count, ends, fenced = history
     chosen = promotion.choose_promotion(
         make_plan(count),
-        {name: make_report(name, ends[name]) for name in fenced},
+        {name: builders.build_log_report(name, ends[name]) for name in fenced},
         failed="p",
     )
     if chosen is not None:
@@ -83,49 +70,52 @@
 
 def test_a_majority_without_the_primary_is_too_few_of_five():
     fenced = {
-        name: make_report(name, index)
+        name: builders.build_log_report(name, index)
         for name, index in (("r1", 3), ("r2", 4), ("r3", 5))
     }
     plan = make_plan(5)
     assert promotion.choose_promotion(plan, fenced, "p") is None
-    fenced["r4"] = make_report("r4", 9)
+    fenced["r4"] = builders.build_log_report("r4", 9)
     assert promotion.choose_promotion(plan, fenced, "p") == "r4"
 
 
 def test_an_endpoint_that_has_gone_still_counts():
     plan = make_plan(2)
-    fenced = {"r1": make_report("r1", 3)}
+    fenced = {"r1": builders.build_log_report("r1", 3)}
     assert promotion.choose_promotion(plan, fenced, "p", expected=3) is None
     assert promotion.choose_promotion(plan, fenced, "p") == "r1"
 
 
 def test_a_group_of_one_is_left_alone():
     plan = make_plan(1)
-    fenced = {"p": make_report("p", 3)}
+    fenced = {"p": builders.build_log_report("p", 3)}
     assert promotion.choose_promotion(plan, fenced, "p") is None
 
 
 def test_a_primary_that_alone_holds_the_end_leads_again():
-    fenced = {"p": make_report("p", 9), "r1": make_report("r1", 3)}
+    fenced = {
+        "p": builders.build_log_report("p", 9),
+        "r1": builders.build_log_report("r1", 3),
+    }
     assert promotion.choose_promotion(make_plan(3), fenced, "p") == "p"
-    fenced["r1"] = make_report("r1", 9)
+    fenced["r1"] = builders.build_log_report("r1", 9)
     assert promotion.choose_promotion(make_plan(3), fenced, "p") == "r1"
 
 
 def test_next_term_is_above_promises():
     reports = [
-        make_report("p", 1, Role.PRIMARY, 4),
-        make_report("r1", 1, Role.FENCED, 6),
+        builders.build_log_report("p", 1, Role.PRIMARY, 4),
+        builders.build_log_report("r1", 1, Role.FENCED, 6),
     ]
     assert promotion.find_next_term(reports) == 7
     assert promotion.find_next_term([]) == 1
 
 
 def test_primary_of_the_highest_term_counts():
-    old = make_report("p", 9, Role.PRIMARY, 3)
-    new = make_report("r1", 5, Role.PRIMARY, 4)
+    old = builders.build_log_report("p", 9, Role.PRIMARY, 3)
+    new = builders.build_log_report("r1", 5, Role.PRIMARY, 4)
     assert promotion.find_primary([old, new]) is new
-    assert promotion.find_primary([make_report("r1", 5)]) is None
+    assert promotion.find_primary([builders.build_log_report("r1", 5)]) is None
 
 
 @pytest.mark.parametrize(("left", "covered"), [(1.0, True), (0.7, False)])
