Wait for a switchover's target; try again when another got ahead

Now a majority waits 0.5 s for the target's grant, and the operator's request is tried up to three times, each miss logged.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
@@ -4,6 +4,7 @@
 import typing
 
 import expression
+import structlog
 
 from fescuestile import errors
 from fescuestile import failover_messages
@@ -17,7 +18,12 @@
 from fescuestile_daemon import published
 from fescuestile_daemon import tasks
 
+log = structlog.get_logger()
+
 SWITCHOVER_TIMEOUT_SECONDS = 8.0
+# Times that an operator's switchover is tried: writes under way at the fence
+# may leave another endpoint ahead of the target, which then has to catch up.
+SWITCHOVER_TRIES = 3
 STEP_SWITCHOVER = "switchover"
 
 SwitchoverResult = expression.Result[
@@ -67,17 +73,29 @@
 
         :param change_id: id of the change; a repeat finds it done
         """
-        outcome = await self.switch_over(database, target)
-        if outcome.is_error():
-            return expression.Error(outcome.error)
-        done = outcome.ok
-        if done.primary != target:
-            message = f"{done.primary} was promoted, its log is longer"
-            return expression.Error(
-                errors.NotRun(message, STEP_SWITCHOVER, target, "target")
+        others = []
+        for _ in range(SWITCHOVER_TRIES):
+            outcome = await self.switch_over(database, target)
+            if outcome.is_error():
+                return expression.Error(outcome.error)
+            done = outcome.ok
+            if done.primary == target:
+                return expression.Ok(
+                    operator_server.SwitchoverDone(done.term, done.primary)
+                )
+            log.info(
+                "switchover promoted another endpoint",
+                database=database,
+                target=target,
+                promoted=done.primary,
+                term=done.term,
+                change=change_id,
             )
-        return expression.Ok(
-            operator_server.SwitchoverDone(done.term, done.primary)
+            others.append(done.primary)
+        names = ", ".join(others)
+        message = f"promoted instead, with longer logs: {names}"
+        return expression.Error(
+            errors.NotRun(message, STEP_SWITCHOVER, target, "target")
         )
 
     def _take_published(
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -21,6 +21,9 @@
 STEP_TIMEOUT_SECONDS = 0.6
 REFUSED_TIMEOUT_SECONDS = 0.15
 GRANT_WAIT_SECONDS = 0.1
+# A switchover waits this long for its target's grant: most of the step's
+# timeout, since writes stand still meanwhile and the operator chose it.
+TARGET_WAIT_SECONDS = 0.5
 RETRY_SECONDS = 0.3
 FOLLOW_SECONDS = 1.0
 CATCH_UP_SECONDS = 5.0
@@ -290,7 +293,7 @@
                 if elapsed >= FOLLOW_SECONDS:
                     return _rest(driver), ()
             case steps.Step.FENCING | steps.Step.PROMOTING:
-                late = elapsed >= GRANT_WAIT_SECONDS
+                late = elapsed >= _find_grant_wait(driver)
                 if late and self._has_grants(driver):
                     return self._promote(driver, now)
                 if elapsed >= _find_timeout(driver):
@@ -330,6 +333,13 @@
         )
 
 
+def _find_grant_wait(driver: steps.Driver) -> float:
+    """Return how long a majority waits for grants that would be better."""
+    if driver.target and driver.target not in driver.grants:
+        return TARGET_WAIT_SECONDS
+    return GRANT_WAIT_SECONDS
+
+
 def _find_timeout(driver: steps.Driver) -> float:
     """Return how long the step may take; a duel is left early."""
     if driver.step is steps.Step.FENCING and driver.refused:
--- a/tests/unit/test_failover.py
+++ b/tests/unit/test_failover.py
@@ -203,6 +203,26 @@
     assert actions == (steps.SendPromote(NAMES[2], 2),)
 
 
+def test_a_switchover_is_not_lost_to_a_late_reply_of_its_target():
+    rules = build_rules()
+    driver = steps.Driver("d1", highest=1)
+    driver, _ = rules.advance(driver, steps.SwitchoverAsked(NAMES[2]), 0.0)
+    driver, _ = rules.advance(driver, steps.CaughtUp(), 0.0)
+    for number in (1, 2):
+        event = steps.FenceReplied(2, grant(number, 2))
+        driver, _ = rules.advance(driver, event, 0.01)
+    # A busy endpoint answers a fence after some statements.
+    driver, actions = rules.advance(driver, steps.Ticked(), 0.4)
+    assert not any(isinstance(each, steps.SendPromote) for each in actions)
+    late: tuple[tuple[steps.Event, str], ...] = (
+        (steps.FenceReplied(2, grant(3, 2)), NAMES[2]),
+        (steps.Ticked(), NAMES[1]),
+    )
+    for following, chosen in late:
+        _, actions = rules.advance(driver, following, 0.55)
+        assert actions == (steps.SendPromote(chosen, 2),)
+
+
 def test_a_failed_primary_that_still_grants_is_not_promoted_again():
     rules = build_rules()
     driver = steps.Driver("d1", highest=1)
