While connections are scarce, wait for one before opening another

Each statement beside another opened a connection, which took a slot for 12 ms and was closed after it.

Now work waits 0.03 s for a connection that runs a single statement, one that a transaction holds doesn't count, and above the scarce share a daemon opens none beside one that will soon be free.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -18,6 +18,9 @@
     :ivar scarce_idle: the same while connections are scarce
     :ivar lease_patience: longest wait of a read for a free connection
         before another endpoint is tried
+    :ivar dial_patience: unless connections are plenty, work waits this long
+        for one that runs a single statement before another is opened; about
+        two statements
     :ivar refused_delay: pause before the next connection is opened after
         the endpoint had no room for one
     :ivar trusted_idle: a connection that answered within this time is used
@@ -39,6 +42,8 @@
     :ivar monitor_interval: pause between two looks at the primaries
     :ivar idle_inspect: a primary without traffic is asked this often
     :ivar idle_inspect_replica: likewise a replica
+    :ivar crowded_inspect: likewise one whose queue is long, so that the
+        pauses before it follow the queue
     :ivar second_replica: a proof asks one replica; after this time without
         one it asks the others
     :ivar primary_silence: a primary that answered nothing for this time is
@@ -65,6 +70,7 @@
     idle_connection: float = 5.0
     scarce_idle: float = 0.3
     lease_patience: float = 0.05
+    dial_patience: float = 0.03
     refused_delay: float = 0.1
     trusted_idle: float = 0.5
     dial_timeout: float = 0.5
@@ -79,6 +85,7 @@
     monitor_interval: float = 0.2
     idle_inspect: float = 0.7
     idle_inspect_replica: float = 1.5
+    crowded_inspect: float = 0.35
     second_replica: float = 0.04
     primary_silence: float = 1.0
     primary_refusal: float = 0.6
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -47,6 +47,7 @@
         self._dialer = dialer
         self._options = relay_options
         self._idle: list[ports.Channel] = []
+        self._held: set[ports.Channel] = set()
         self._waiters: collections.deque[asyncio.Future[None]] = (
             collections.deque()
         )
@@ -64,38 +65,81 @@
     def _may_dial(self) -> bool:
         if self._open >= self.cap:
             return False
-        return not self._open or time.monotonic() >= self.failed_until
+        if not self._open:
+            return True
+        if time.monotonic() < self.failed_until:
+            return False
+        scarce = self.usage >= self._options.scarce_above
+        return not scarce or not self._count_brief()
+
+    def _count_brief(self) -> int:
+        """Return how many connections will be free after one statement."""
+        return self._open - len(self._idle) - len(self._held)
+
+    def _find_patience(self) -> float:
+        """Return how long to wait for a connection rather than open one.
+
+        Opening takes one of the endpoint's slots for about a statement's
+        time, and while connections are scarce it takes another daemon's.
+        """
+        plenty = self.usage < self._options.plenty_below
+        if plenty or not self._count_brief():
+            return 0.0
+        return self._options.dial_patience
 
     async def lease(
         self,
         values: typing.Mapping[str, str] | None = None,
         inspects: bool = False,
+        holds: bool = False,
     ) -> ports.Channel | messages.Outcome:
         """Lend a connection, one with the wanted session values if any.
 
         :param values: session values that the work needs
         :param inspects: a question to the endpoint itself, for which one
             connection above the cap may be opened
+        :param holds: it is kept for a transaction
         :returns: the connection, or why none could be opened
         """
+        channel = await self._find_channel(values, inspects)
+        if holds and isinstance(channel, ports.Channel):
+            self._held.add(channel)
+        return channel
+
+    async def _find_channel(
+        self, values: typing.Mapping[str, str] | None, inspects: bool
+    ) -> ports.Channel | messages.Outcome:
+        asked_at = time.monotonic()
         while not self._closed:
             channel = self._take_idle(values)
             if channel is not None:
                 return channel
+            left: float | None = None
             if self._may_dial() or (inspects and self._open <= self.cap):
-                return await self._dial()
-            waiter = asyncio.get_running_loop().create_future()
-            self._waiters.append(waiter)
-            try:
-                await waiter
-            except asyncio.CancelledError:
-                if waiter.done() and not waiter.cancelled():
-                    self._wake()
-                raise
+                left = asked_at + self._find_patience() - time.monotonic()
+                if left <= 0:
+                    return await self._dial()
+            await self._wait(left)
         return messages.Outcome(messages.Kind.BUSY, detail="endpoint left")
 
+    async def _wait(self, seconds: float | None) -> None:
+        """Wait until a connection may be free, or for so many seconds."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(seconds):
+                await waiter
+        except TimeoutError:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self._wake()
+            raise
+
     def give_back(self, channel: ports.Channel) -> None:
         """Take back a connection that is between transactions."""
+        self._held.discard(channel)
         if channel.closed or self._closed:
             self.discard(channel)
             return
@@ -107,6 +151,7 @@
 
     def discard(self, channel: ports.Channel) -> None:
         """Close a lent connection whose state is in doubt."""
+        self._held.discard(channel)
         channel.close()
         self._open -= 1
         self._wake()
--- a/tests/unit/test_channel_pool.py
+++ b/tests/unit/test_channel_pool.py
@@ -168,3 +168,42 @@
     first.cancel()
     async with asyncio.timeout(1):
         assert await second is channel
+
+
+async def test_while_scarce_work_waits_for_a_connection_in_use():
+    """Pattern: more statements at a time than a daemon's few connections."""
+    endpoint = FakeEndpoint(46)
+    each = make_pool(endpoint)
+    each.usage = 0.7
+    served = 0
+
+    async def serve():
+        nonlocal served
+        for _ in range(20):
+            channel = await each.lease()
+            await asyncio.sleep(0.005)
+            each.give_back(channel)
+            served += 1
+
+    await asyncio.gather(serve(), serve(), serve())
+    assert served == 60
+    assert endpoint.dials <= 3
+
+
+async def test_nobody_waits_for_a_connection_that_a_transaction_holds():
+    endpoint = FakeEndpoint(46)
+    each = make_pool(endpoint, dial_patience=5.0)
+    each.usage = 0.9
+    await each.lease(holds=True)
+    async with asyncio.timeout(1.0):
+        assert isinstance(await each.lease(), FakeChannel)
+    assert endpoint.dials == 2
+
+
+async def test_an_unanswered_wait_for_a_connection_opens_another():
+    endpoint = FakeEndpoint(46)
+    each = make_pool(endpoint, dial_patience=0.02)
+    each.usage = 0.6
+    await each.lease()
+    async with asyncio.timeout(1.0):
+        assert isinstance(await each.lease(), FakeChannel)
