Count a fence only where it was taken; decide on fresh reports

Cause: a second driver took the lease just after a promotion, with reports from before it, and fenced under the very term that the promotion had begun. The replica refused that fence and went on to receive, but its reply was counted; so was the old primary, and the replica was promoted without what the new primary had acknowledged. The second driver acted at all because a stall was blamed on the new primary, and it had not asked again.

- A reply counts only if the endpoint holds this fence, or gave up a lead of an earlier term.
- An ended primary counts with a majority only.
- A driver asks all members again once it has the lease.
- A stall is judged anew under a later primary; a handover's target under a later term ends it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -51,6 +51,7 @@
         self.expected = 0
         self._expected_at = 0.0
         self._awaited = positions.START
+        self._awaited_term = 0
         self._dialer = dialer
         self.proofs = proofs.Proofs(self, boot_clock)
         self._waiters: set[asyncio.Future[None]] = set()
@@ -158,6 +159,13 @@
         )
         return answering < min(proofs.QUORUM, len(self.members))
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether a member has left a question open for a while."""
+        return any(
+            member.measure_silence(now) > self.options.suspect_after
+            for member in self.members.values()
+        )
+
     def notify(self) -> None:
         """Wake those that wait for a change."""
         waiters, self._waiters = self._waiters, set()
@@ -221,6 +229,17 @@
             self._take_report(member, report, asked_at)
         return report
 
+    async def refresh(self, seconds: float) -> None:
+        """Ask all members for reports, for so many seconds at most."""
+        asks = [
+            asyncio.create_task(
+                self.inspect(member, messages.Inspect(), seconds)
+            )
+            for member in self.members.values()
+        ]
+        if asks:
+            await asyncio.wait(asks, timeout=seconds)
+
     def _take_report(
         self,
         member: members.Member,
@@ -244,6 +263,10 @@
     def _note_replication(self, report: messages.Report) -> None:
         """Note whether some replica receives what the primary writes."""
         if report.role is Role.PRIMARY:
+            if report.term > self._awaited_term:
+                # Another primary has begun; its replicas get their time.
+                self.stalled_since = None
+                self._awaited_term = report.term
             if self.stalled_since is None and len(self.members) > 1:
                 self._awaited = report.last
                 self.stalled_since = time.monotonic()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -29,6 +29,9 @@
 VACANT_SECONDS = 1.5
 # A report counts for a decision this long, in seconds.
 ANSWERS_SECONDS = 2.0
+# Longest wait for the reports on which a decision rests, in seconds; some
+# round trips and the queue of a crowded endpoint.
+REFRESH_SECONDS = 0.15
 # An endpoint that leaves a question open for this time is out of reach, in
 # seconds; slow statements take a part of it.
 REACH_SECONDS = 0.6
@@ -134,7 +137,7 @@
         """Tell whether an endpoint is to be asked for a report."""
         relay_options = self._options
         unreported = now - member.reported_at
-        if member.gate.pace.seconds:
+        if member.gate.pace.seconds or group.is_silent(now):
             return unreported > relay_options.crowded_inspect
         if group.find_primary() is member:
             quiet = now - max(member.answered_at, member.reported_at)
@@ -238,6 +241,8 @@
             if lease is None:
                 await asyncio.sleep(self._options.primary_silence / 2)
                 return
+            # Another driver may have been quicker.
+            await group.refresh(REFRESH_SECONDS)
             now = time.monotonic()
             awake = self._pauses.bound(60.0, self._clock.now())
             reason_now = self._find_reason(group, now, awake)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -43,7 +43,8 @@
     :ivar idle_inspect: a primary without traffic is asked this often
     :ivar idle_inspect_replica: likewise a replica
     :ivar crowded_inspect: likewise one whose queue is long, so that the
-        pauses before it follow the queue
+        pauses before it follow the queue, and those of a group of which one
+        is silent
     :ivar second_replica: a proof asks one replica; after this time without
         one it asks the others
     :ivar primary_silence: a primary that answered nothing for this time is
@@ -53,11 +54,14 @@
     :ivar commit_silence: likewise for one whose replicas receive nothing
     :ivar hold_after: work that only the primary can do is held back while
         it has left a question unanswered for this time
+    :ivar suspect_after: an endpoint that leaves a question open for this
+        time makes the others of its group be asked too, so that a daemon that
+        is cut off learns it soon; above what crowded endpoints take
     :ivar isolated_after: a daemon that reaches no primary for this time
         takes no new callers
     :ivar isolated_close: an isolated daemon closes idle sessions after this
-        time; the balancer, which asks once a second and twice, sends their
-        callers elsewhere by then
+        time, or once the balancer was told twice that it is not ready and
+        sends their callers elsewhere
     :ivar lingering: an entry that the registry dropped counts this long
     :ivar refuse_after: current reads are refused at once when no majority
         was reached for this time
@@ -91,7 +95,8 @@
     primary_refusal: float = 0.6
     commit_silence: float = 1.0
     hold_after: float = 0.35
-    isolated_after: float = 0.5
+    suspect_after: float = 0.2
+    isolated_after: float = 0.4
     isolated_close: float = 2.2
     lingering: float = 3.0
     refuse_after: float = 0.8
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -71,7 +71,10 @@
             group=group.name,
             term=term,
             failed=name,
-            fenced={n: str(r.last) for n, r in self._fenced.items()},
+            fenced={
+                n: f"{r.last} in term {r.term}"
+                for n, r in self._fenced.items()
+            },
             members=sorted(plan.endpoint_by_name),
             chosen=chosen,
         )
@@ -149,10 +152,12 @@
         report = await self._group.inspect(
             member, messages.Fence(term, as_primary), FENCE_SECONDS
         )
-        if report is not None and report.role is not Role.PRIMARY:
-            self._fenced[member.name] = report
-            return report
-        return None
+        if report is None or not promotion.counts_as_fenced(
+            report, term, as_primary
+        ):
+            return None
+        self._fenced[member.name] = report
+        return report
 
     async def _wait_log(
         self, target: members.Member, ended: messages.Report
@@ -162,6 +167,9 @@
             report = await self._group.inspect(
                 target, messages.Inspect(), FENCE_SECONDS
             )
+            if report is not None and report.term > ended.term:
+                # The primary was an outdated one.
+                return False
             if report is not None and failover.rank_log(
                 report
             ) >= failover.rank_log(ended):
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -36,6 +36,20 @@
     return now + timeout < lease.expires_at
 
 
+def counts_as_fenced(report: Report, term: int, as_primary: bool) -> bool:
+    """Tell whether a reply to a fence shows that its endpoint has stopped.
+
+    A replica that knows of the term, or of a later one, does not take the
+    fence and goes on to receive: another driver was quicker.
+
+    :param term: term of the fence
+    :param as_primary: the endpoint was to give up its lead
+    """
+    if report.role is Role.FENCED:
+        return report.term == term
+    return as_primary and report.role is Role.REPLICA and report.term < term
+
+
 def choose_promotion(
     plan: plans.Plan,
     fenced: typing.Mapping[str, Report],
@@ -44,6 +58,9 @@
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
 
+    An ended primary counts with a majority only: among those would be one
+    that took part in a later term, if there was one.
+
     :param plan: names the group's endpoints
     :param fenced: replies of endpoints that take no more part in the old
         term, each with its log's end read under the fence
@@ -70,7 +87,7 @@
     ended = known.get(failed)
     if best is not None and has_all_replicas:
         return best
-    if ended is None:
+    if ended is None or len(known) <= size // 2:
         return None
     if best is not None and failover.rank_log(
         replicas[best]
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -158,3 +158,11 @@
     group.members["p"].has_answered = False
     group.members["p"].waiting_since = time.monotonic() - 9.0
     assert find(watch, group) is None
+
+
+def test_a_later_primary_is_not_blamed_for_the_stall_of_the_one_before(group):
+    stall(group, 1.5)
+    report(group, "r1", 6, role=Role.PRIMARY, term=2)
+    report(group, "r2", 5, term=2)
+    report(group, "p", 5, term=2)
+    assert not group.is_stalled(time.monotonic(), awake=60.0)
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -122,3 +122,31 @@
 def test_nothing_is_sent_that_may_outlive_the_lease(left, covered):
     lease = promotion.Lease("d", 3, expires_at=10.0)
     assert promotion.covers_call(lease, 10.0 - left, 0.8) is covered
+
+
+def test_an_ended_primary_alone_is_no_proof_of_its_term():
+    """All others may have gone on under a later term."""
+    plan = make_plan(3)
+    fenced = {"p": builders.build_log_report("p", 9)}
+    assert promotion.choose_promotion(plan, fenced, "p") is None
+    fenced["r1"] = builders.build_log_report("r1", 8)
+    assert promotion.choose_promotion(plan, fenced, "p") == "p"
+
+
+@pytest.mark.parametrize(
+    ("role", "term", "as_primary", "counts"),
+    [
+        (Role.FENCED, 3, False, True),
+        (Role.FENCED, 4, False, False),
+        (Role.REPLICA, 3, False, False),
+        (Role.REPLICA, 2, False, False),
+        (Role.REPLICA, 2, True, True),
+        (Role.REPLICA, 3, True, False),
+        (Role.PRIMARY, 2, True, False),
+    ],
+)
+def test_a_fence_counts_only_where_it_was_taken(
+    role, term, as_primary, counts
+):
+    report = builders.build_log_report("r1", 5, role, term)
+    assert promotion.counts_as_fenced(report, 3, as_primary) is counts
