Leave silent endpoints at once; end a loop of refused reads

Only endpoints that may be chosen count now; the test failed first. - An endpoint that leaves a question open counts as slower by that time, so reads leave a zone that was cut off at once.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -49,6 +49,13 @@
         """Seconds left."""
         return self.deadline - time.monotonic()
 
+    def has_tried_all(self) -> bool:
+        """Tell whether no endpoint that takes new work is left to try."""
+        return all(
+            member.name in self.tried
+            for member in self.group.list_candidates()
+        )
+
     def bound_turn(self, member: members.Member) -> float:
         """Return the steady seconds until which it may wait for its turn.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -112,9 +112,7 @@
                     ticket = piece.group.proofs.begin()
             else:
                 outcome = await self._read_stale(piece)
-                if outcome.kind is Kind.BEHIND and len(piece.tried) >= len(
-                    piece.group.members
-                ):
+                if outcome.kind is Kind.BEHIND and piece.has_tried_all():
                     ticket = piece.group.proofs.begin()
             if outcome.kind in (Kind.DONE, Kind.MALFORMED):
                 return outcome
@@ -123,7 +121,7 @@
                 break
             if piece.group.proofs.cannot_prove() and outcome.kind is Kind.BUSY:
                 break
-            tried_all = self._has_tried_all(piece, ticket)
+            tried_all = ticket is not None or piece.has_tried_all()
             if outcome.kind is Kind.OVERLOADED and tried_all:
                 break
             if outcome.kind in CROWDED and tried_all:
@@ -135,16 +133,6 @@
             return messages.Outcome(Kind.BUSY, detail=outcome.detail)
         return outcome
 
-    def _has_tried_all(
-        self,
-        piece: attempts.Piece,
-        ticket: read_confirmation.Ticket | None,
-    ) -> bool:
-        """Tell whether no endpoint is left that was not asked just now."""
-        if ticket is not None:
-            return True
-        return len(piece.tried) >= len(piece.group.members)
-
     async def _read_stale(self, piece: attempts.Piece) -> messages.Outcome:
         minimum = await piece.group.proofs.find_minimum(
             piece.arrival.boot_at,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -203,6 +203,7 @@
                 self.gate.queue.expected_wait(level, now, kind),
                 self.gate.expect_wait(level, now),
             ),
+            silence=self.measure_silence(now),
             failures=self._decay(now) + (now < self.pool.failed_until),
             is_primary=is_primary,
             is_near=self.entry.zone == zone,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -30,6 +30,8 @@
 SPREAD_SECONDS = 1.0
 POLL_SECONDS = 0.05
 ISOLATION_POLL_SECONDS = 0.2
+# The balancer sends no callers after so many probes in a row that failed.
+BALANCER_MISSES = 2
 
 
 class Node:
@@ -61,6 +63,7 @@
         )
         self._isolation: asyncio.Task[None] | None = None
         self._stopping = False
+        self._misses = 0
         self._accepts = True
 
     async def start(self) -> None:
@@ -82,7 +85,10 @@
             if since is None:
                 since = now
                 log.warning("isolated", sessions=len(self.sessions))
-            elif now - since > self._options.isolated_close:
+            elif (
+                self._misses >= BALANCER_MISSES
+                or now - since > self._options.isolated_close
+            ):
                 self._close_idle()
 
     def _close_idle(self) -> None:
@@ -91,6 +97,12 @@
                 session.close()
                 self.sessions.discard(session)
 
+    def answer_probe(self) -> bool:
+        """Tell the balancer whether new callers should come here."""
+        ready = self.is_ready()
+        self._misses = 0 if ready else self._misses + 1
+        return ready
+
     def is_ready(self) -> bool:
         """Tell whether new callers should come here."""
         if self._stopping or not self.directory.is_complete:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -208,9 +208,7 @@
             if work.route.consistency is routes.Consistency.READ_YOUR_WRITES:
                 minimum = max(minimum, piece.session.written)
             member = self._choice.choose(piece, minimum)
-            if member is not None and len(piece.tried) < len(
-                piece.group.members
-            ):
+            if member is not None and not piece.has_tried_all():
                 return member, minimum
         work.ticket = work.group.proofs.begin()
         return await self._choice.find_primary(piece), None
--- a/packages/fescuestile/src/fescuestile/endpoint_choice.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_choice.py
@@ -9,6 +9,9 @@
 # Added for an endpoint that failed lately, in seconds; above the usual time
 # of a statement, so that it is tried when the others are much slower.
 FAILURE_SECONDS = 0.2
+# An endpoint that leaves a question open for longer counts as slower by that
+# time, in seconds; statements that wait for their turn take less.
+USUAL_SILENCE_SECONDS = 0.06
 # Round trip to another availability zone, in seconds.
 ZONE_SECONDS = 0.003
 
@@ -21,6 +24,7 @@
     :ivar service: seconds that its statements take lately
     :ivar wait: seconds that new work is expected to wait for it here
     :ivar failures: recent failures, decaying
+    :ivar silence: seconds for which it has left a question open
     :ivar is_primary: it is the group's primary
     :ivar is_near: it stands in this daemon's availability zone
     :ivar lags: it is known to lack the position that the read must see
@@ -30,6 +34,7 @@
     service: float
     wait: float
     failures: float = 0.0
+    silence: float = 0.0
     is_primary: bool = False
     is_near: bool = False
     lags: bool = False
@@ -38,6 +43,8 @@
 def estimate_cost(candidate: Candidate) -> float:
     """Return the seconds that a read is expected to cost there."""
     cost = candidate.service + candidate.wait
+    if candidate.silence > USUAL_SILENCE_SECONDS:
+        cost += candidate.silence
     if candidate.is_primary:
         cost *= PRIMARY_FACTOR
     if not candidate.is_near:
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import structlog.testing
 
 from tests.platform import test_path
 
@@ -258,3 +259,56 @@
     assert sorted(refused)[len(refused) // 2] < 0.1
     runs = sum(len(endpoint.served) for endpoint in group.endpoints.values())
     assert runs - before <= len(served) * 1.2
+
+
+async def test_a_daemon_that_is_cut_off_moves_its_callers(world):
+    """Pattern: a zone cut; its daemons reach one endpoint of each group."""
+    loop = asyncio.get_running_loop()
+    clients = [await world.connect("primary", name) for name in world.groups]
+
+    async def read_on(client):
+        while True:
+            await client.query("READ item")
+
+    readers = [asyncio.create_task(read_on(client)) for client in clients]
+    await asyncio.sleep(0.5)
+    for group in world.groups.values():
+        for endpoint in group.endpoints.values():
+            endpoint.faults.dark = endpoint.zone != "a"
+    node = world.daemons[0].node
+    cut_at = loop.time()
+    while node.is_ready():
+        await asyncio.sleep(0.01)
+    assert loop.time() - cut_at < 0.8
+    for reader in readers:
+        reader.cancel()
+    node.answer_probe()
+    await asyncio.sleep(1.0)
+    assert len(node.sessions) == len(clients)
+    node.answer_probe()
+    await asyncio.sleep(0.5)
+    assert not node.sessions
+
+
+async def test_a_refused_read_is_not_tried_again_and_again(world):
+    """Pattern: a crowded group of which one endpoint is leaving."""
+    node = world.daemons[0].node
+    group = world.groups["g0"]
+    replica = next(e for e in group.endpoints.values() if e.role == "replica")
+    client = await world.connect("bounded_staleness")
+    await client.query("READ item")
+    world.store.register(replica, state="draining")
+    members = node.directory.groups["g0"].members
+    async with asyncio.timeout(2.0):
+        while not members[replica.name].entry.leaving:
+            await asyncio.sleep(0.01)
+    for member in members.values():
+        member.gate.pace.seconds = 0.6
+        for level in range(3):
+            member.gate.pace.note_start(
+                level, asyncio.get_running_loop().time()
+            )
+    with structlog.testing.capture_logs() as lines:
+        assert get_error(await client.query("READ item", id_="f00d")) == "BUSY"
+    told = [line for line in lines if line.get("request") == "f00d"]
+    assert told[0]["attempts"] <= 3
--- a/tests/unit/test_endpoint_choice.py
+++ b/tests/unit/test_endpoint_choice.py
@@ -64,3 +64,12 @@
     assert endpoint_choice.choose([lagging, primary]) == "p"
     assert endpoint_choice.choose([lagging]) == "r1"
     assert endpoint_choice.choose([]) is None
+
+
+def test_an_endpoint_that_went_silent_gets_no_more_reads():
+    """Pattern: a zone is cut off, and its endpoints were the quickest."""
+    silent = Candidate("r1", 0.01, 0.0, silence=0.1, is_near=True)
+    other = Candidate("r2", 0.014, 0.02)
+    assert endpoint_choice.choose([silent, other]) == "r2"
+    usual = Candidate("r1", 0.01, 0.0, silence=0.03, is_near=True)
+    assert endpoint_choice.choose([usual, other]) == "r1"
