--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -68,20 +68,32 @@
         self._task: asyncio.Task[None] | None = None
         self._drives: dict[str, asyncio.Task[None]] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._retired = False
         self._since: dict[tuple[str, Reason], float] = {}
 
     async def start(self) -> None:
         """Start to watch."""
         self._task = asyncio.create_task(self._run())
 
-    async def close(self) -> None:
-        """Stop; a promotion under way is left to end."""
+    def retire(self) -> None:
+        """Begin no more replacements: this daemon is about to end."""
+        self._retired = True
+
+    async def close(self, seconds: float) -> None:
+        """Stop; a replacement under way has some time to end.
+
+        :param seconds: longest wait for it
+        """
+        self.retire()
         if self._task is not None:
             self._task.cancel()
         for task in self._probes.values():
             task.cancel()
-        if self._drives:
-            await asyncio.wait(self._drives.values(), timeout=2.0)
+        drives = list(self._drives.values())
+        if drives and seconds > 0:
+            await asyncio.wait(drives, timeout=seconds)
+        for drive in drives:
+            drive.cancel()
 
     async def _run(self) -> None:
         while True:
@@ -107,7 +119,9 @@
             group.proofs.sample()
             group.expire_expected()
             reason = self._find_reason(group, now, awake)
-            if reason is not None and group.name not in self._drives:
+            if reason is None or self._retired:
+                continue
+            if group.name not in self._drives:
                 self._drives[group.name] = asyncio.create_task(
                     self._drive(group, reason)
                 )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -23,8 +23,10 @@
 ACCEPT_SHARE = 0.45
 # Open transactions may go on for this part of the grace period.
 TRANSACTION_SHARE = 0.5
-# By this part of the grace period the process has ended.
+# By this part of the grace period all sessions are closed.
 EXIT_SHARE = 0.8
+# A replacement of a primary that is under way may go on until this part.
+END_SHARE = 0.92
 # Idle sessions are closed over this time, in seconds, so that their callers
 # don't all come back at once.
 SPREAD_SECONDS = 1.0
@@ -145,6 +147,7 @@
         """
         started = time.monotonic()
         self._stopping = True
+        self._monitor.retire()
         log.info("stopping", sessions=len(self.sessions), grace=grace)
         loop = asyncio.get_running_loop()
         while time.monotonic() - started < grace * EXIT_SHARE:
@@ -169,6 +172,7 @@
             session.close()
         if self._isolation is not None:
             self._isolation.cancel()
-        await self._monitor.close()
+        left = grace * END_SHARE - (time.monotonic() - started)
+        await self._monitor.close(left)
         self.directory.close()
         log.info("stopped", seconds=round(loop.time() - started, 3))
--- a/packages/fescuestile/src/fescuestile/errors.py
+++ b/packages/fescuestile/src/fescuestile/errors.py
@@ -67,5 +67,9 @@
     """The platform gave no answer; a change may have taken effect."""
 
 
+class PlatformRefused(PlatformUnavailable):
+    """The platform refused a call; it was not executed."""
+
+
 class VersionConflict(FescuestileError):
     """A conditional update named a version that is not the current one."""
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -1,5 +1,6 @@
 """When a primary is replaced, by what its group showed."""
 
+import asyncio
 import random
 import time
 
@@ -166,3 +167,55 @@
     report(group, "r2", 5, term=2)
     report(group, "p", 5, term=2)
     assert not group.is_stalled(time.monotonic(), awake=60.0)
+
+
+class SlowPromoter(NoPromoter):
+    """Its store answers nothing."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def acquire(self):
+        self.asked += 1
+        await asyncio.sleep(3600)
+
+
+def make_watch(group, promoter):
+    relay_options = options.RelayOptions()
+    boot_clock = clock.BootClock()
+    held = directory.Directory(NoDialer(), relay_options, boot_clock)
+    held.groups[group.name] = group
+    return monitor.Monitor(
+        held, promoter, relay_options, boot_clock, random.Random(1)
+    )
+
+
+async def fail_primary(group, watch):
+    """Let the primary be silent while the others answer, and look."""
+    watch._look()
+    await asyncio.sleep(0.25)
+    for member in group.members.values():
+        member.restart_silence()
+    report(group, "p", 5, role=Role.PRIMARY)
+    group.members["p"].waiting_since = time.monotonic() - 1.5
+    watch._look()
+    await asyncio.sleep(0.25)
+
+
+async def test_a_replacement_that_hangs_holds_no_stop_up(group):
+    promoter = SlowPromoter()
+    watch = make_watch(group, promoter)
+    await fail_primary(group, watch)
+    assert promoter.asked == 1
+    began = time.monotonic()
+    await watch.close(0.2)
+    assert time.monotonic() - began < 0.5
+
+
+async def test_a_stopping_daemon_begins_no_replacement(group):
+    promoter = SlowPromoter()
+    watch = make_watch(group, promoter)
+    watch.retire()
+    await fail_primary(group, watch)
+    assert promoter.asked == 0
+    await watch.close(0.0)
