--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -56,6 +56,15 @@
             for member in self.group.list_candidates()
         )
 
+    def make_work(self, member: members.Member) -> gate.Work:
+        """Return what an endpoint's gate needs to know of it."""
+        return gate.Work(
+            level=self.route.level,
+            kind=self.route.database,
+            caller=str(id(self.session)),
+            deadline=self.bound_turn(member),
+        )
+
     def bound_turn(self, member: members.Member) -> float:
         """Return the steady seconds until which it may wait for its turn.
 
@@ -106,14 +115,8 @@
         minimum: positions.Position | None,
     ) -> messages.Outcome:
         """Run a statement once at an endpoint."""
-        work = gate.Work(
-            level=piece.route.level,
-            kind=piece.route.database,
-            caller=str(id(piece.session)),
-            deadline=piece.bound_turn(member),
-        )
         try:
-            ticket = await member.gate.enter(work)
+            ticket = await member.gate.enter(piece.make_work(member))
         except errors.NotRun as error:
             return messages.Outcome(Kind.OVERLOADED, detail=error.message)
         measured = refused = False
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -29,22 +29,23 @@
     ) -> members.Member | None:
         """Return the endpoint for a read, None when there is none.
 
+        Endpoints that can't serve it in time count as tried.
+
         :param minimum: position that the endpoint's log must hold
         """
         group = piece.group
         primary = group.find_primary()
         able = [
             member.describe(
-                piece.route.level,
-                piece.route.database,
-                minimum,
-                self._zone,
-                member is primary,
+                piece.make_work(member), minimum, self._zone, member is primary
             )
             for member in group.list_candidates()
         ]
-        fresh = [c for c in able if c.name not in piece.tried]
-        name = endpoint_choice.choose(fresh or able)
+        in_time = [c for c in able if c.in_time]
+        if not in_time:
+            piece.tried.update(c.name for c in able)
+        fresh = [c for c in in_time if c.name not in piece.tried]
+        name = endpoint_choice.choose(fresh or in_time)
         return group.members[name] if name else None
 
     async def find_primary(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -144,6 +144,10 @@
         if piece.route.consistency is routes.Consistency.READ_YOUR_WRITES:
             minimum = max(minimum, piece.session.written)
         member = self._choice.choose(piece, minimum)
+        if member is None and piece.has_tried_all() and piece.tried:
+            return messages.Outcome(
+                Kind.OVERLOADED, detail="no endpoint can serve it in time"
+            )
         if member is None:
             return await self._wait_member(piece)
         outcome = await self._attempts.run(piece, member, minimum)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
@@ -1,6 +1,7 @@
 """Admission to one endpoint for coroutines."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -16,6 +17,18 @@
 LEAST_SLEEP_SECONDS = 0.002
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """When new work would have its turn.
+
+    :ivar wait: seconds that it is expected to wait
+    :ivar in_time: it could then end by its deadline
+    """
+
+    wait: float
+    in_time: bool
+
+
 class Gate:
     """Holds work until the admission queue and the pace let it start.
 
@@ -64,6 +77,20 @@
                 self.leave(ticket, measured=False)
             raise
 
+    def expect_turn(self, work: Work, now: float) -> Turn:
+        """Return when new work would have its turn."""
+        queued = self.queue.expected_wait(
+            work.level, now, work.kind, work.caller
+        )
+        paced = self.expect_wait(work.level, now)
+        in_time = now + paced <= work.deadline
+        if queued and in_time:
+            late = self.queue.measure_lateness(
+                queued, work.kind, work.deadline, now
+            )
+            in_time = late <= 0
+        return Turn(max(queued, paced), in_time)
+
     def expect_wait(self, level: int, now: float) -> float:
         """Return the seconds that the pace makes new work wait.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -251,7 +251,7 @@
             return
         member.report = report
         member.reported_at = asked_at
-        member.pool.usage = report.connections / max(1, self.connections)
+        member.note_connections(report.connections / max(1, self.connections))
         self._note_replication(report)
         if (
             known is None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/members.py
@@ -29,7 +29,7 @@
 PATIENCE_SHARE = 0.5
 # Work waits so many times its least service time if that is longer: an
 # endpoint whose every statement is late still serves a few rounds of them.
-PATIENCE_FACTOR = 6.0
+PATIENCE_FACTOR = 8.0
 # Seconds in which the count of recent failures halves.
 FAILURE_HALF_LIFE_SECONDS = 1.0
 # An endpoint that lacked a position is asked for it again after this time,
@@ -129,6 +129,16 @@
         if seconds is not None:
             self._service += SERVICE_WEIGHT * (seconds - self._service)
 
+    def note_connections(self, usage: float) -> None:
+        """Note which share of the endpoint's connections is in use.
+
+        While few are left there will be one here, so work waits for its turn
+        in the gate, by rank, and not for a connection.
+        """
+        self.pool.usage = usage
+        slots = 1 if self.pool.is_scarce else max(1, self.entry.slots)
+        self.gate.queue.set_slots(slots)
+
     def note_trip(self, seconds: float, reported: bool) -> None:
         """Note how long a report took, or that there was no room for it.
 
@@ -188,21 +198,19 @@
 
     def describe(
         self,
-        level: int,
-        kind: str,
+        work: gate.Work,
         wanted: positions.Position | None,
         zone: str,
         is_primary: bool,
     ) -> endpoint_choice.Candidate:
         """Return what the choice of an endpoint needs."""
         now = time.monotonic()
+        turn = self.gate.expect_turn(work, now)
         return endpoint_choice.Candidate(
             name=self.name,
             service=self._service,
-            wait=max(
-                self.gate.queue.expected_wait(level, now, kind),
-                self.gate.expect_wait(level, now),
-            ),
+            wait=turn.wait,
+            in_time=turn.in_time,
             silence=self.measure_silence(now),
             failures=self._decay(now) + (now < self.pool.failed_until),
             is_primary=is_primary,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -62,6 +62,11 @@
         """Connections that are open or being opened."""
         return self._open
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether the endpoint has few connections left for all daemons."""
+        return self.usage >= self._options.scarce_above
+
     def _may_dial(self) -> bool:
         if self._open >= self.cap:
             return False
@@ -69,8 +74,7 @@
             return True
         if time.monotonic() < self.failed_until:
             return False
-        scarce = self.usage >= self._options.scarce_above
-        return not scarce or not self._count_brief()
+        return not self.is_scarce or not self._count_brief()
 
     def _count_brief(self) -> int:
         """Return how many connections will be free after one statement."""
@@ -158,10 +162,9 @@
 
     def trim(self) -> None:
         """Close connections that were not needed lately."""
-        scarce = self.usage >= self._options.scarce_above
         oldest = time.monotonic() - (
             self._options.scarce_idle
-            if scarce
+            if self.is_scarce
             else self._options.idle_connection
         )
         for channel in list(self._idle):
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -176,12 +176,10 @@
         rank = self._get_rank(work.level)
         if work.deadline <= now:
             return expression.Error(self._refuse("the deadline passed", 0.0))
-        if not self._can_start_at_once():
+        if not self._can_start_at_once() and not work.continues:
             wait = self.expected_wait(work.level, now, work.kind, work.caller)
-            service = self.times.get_mean(work.kind)
-            margins = self._margins
-            late = now + margins.add(wait, service) - work.deadline
-            if late > 0 and not work.continues:
+            late = self.measure_lateness(wait, work.kind, work.deadline, now)
+            if late > 0:
                 message = f"expected wait of {wait:.3f} s passes the deadline"
                 return expression.Error(self._refuse(message, late))
         if len(rank.queue) >= self._options.rank_length:
@@ -194,6 +192,18 @@
         rank.note_load(share, now, self._options.load_window)
         return results.succeed(ticket)
 
+    def measure_lateness(
+        self, wait: float, kind: str, deadline: float, now: float
+    ) -> float:
+        """Return by how many seconds work would miss its deadline.
+
+        :param wait: seconds that it is expected to wait
+        :returns: with the margins of estimates; negative for in time
+        """
+        return (
+            now + self._margins.add(wait, self.times.get_mean(kind)) - deadline
+        )
+
     def count_waiting(self, level: int) -> int:
         """Return how many of a rank wait."""
         return len(self._get_rank(level).queue)
--- a/packages/fescuestile/src/fescuestile/endpoint_choice.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_choice.py
@@ -27,6 +27,7 @@
     :ivar silence: seconds for which it has left a question open
     :ivar is_primary: it is the group's primary
     :ivar is_near: it stands in this daemon's availability zone
+    :ivar in_time: the read's turn would come in time
     :ivar lags: it is known to lack the position that the read must see
     """
 
@@ -37,6 +38,7 @@
     silence: float = 0.0
     is_primary: bool = False
     is_near: bool = False
+    in_time: bool = True
     lags: bool = False
 
 
--- a/tests/unit/test_channel_pool.py
+++ b/tests/unit/test_channel_pool.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+from fescuestile_daemon.relay import gate
+from fescuestile_daemon.relay import members
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import pool
@@ -206,3 +208,25 @@
     await each.lease()
     async with asyncio.timeout(1.0):
         assert isinstance(await each.lease(), FakeChannel)
+
+
+async def test_while_connections_are_scarce_work_waits_by_rank():
+    """Pattern: one connection here, many statements; the urgent goes first."""
+    observed = members.Member(
+        ENTRY, FakeEndpoint(46), options.RelayOptions(), 11
+    )
+    observed.note_connections(0.9)
+    started = []
+
+    async def run(level):
+        deadline = time.monotonic() + 5.0
+        work = gate.Work(level, f"kind-{level}", "caller", deadline)
+        ticket = await observed.gate.enter(work)
+        started.append(level)
+        await asyncio.sleep(0.002)
+        observed.gate.leave(ticket)
+
+    await asyncio.gather(*map(run, (2, 2, 1, 0)))
+    assert started == [2, 0, 1, 2]
+    observed.note_connections(0.3)
+    assert observed.gate.queue.limit == ENTRY.slots
