--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -42,8 +42,7 @@
             for member in group.list_candidates()
         ]
         in_time = [c for c in able if c.in_time]
-        if not in_time:
-            piece.tried.update(c.name for c in able)
+        piece.tried.update(c.name for c in able if not c.in_time)
         fresh = [c for c in in_time if c.name not in piece.tried]
         name = endpoint_choice.choose(fresh or in_time)
         return group.members[name] if name else None
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog.testing
 
+from fescuestile import errors
 from tests.platform import test_path
 
 get_row = test_path.get_row
@@ -290,25 +291,51 @@
     assert not node.sessions
 
 
+def slow_down(member):
+    """Let an endpoint's gate pause for longer than reads wait."""
+    member.gate.pace.seconds = 0.6
+    for level in range(3):
+        member.gate.pace.note_start(level, asyncio.get_running_loop().time())
+
+
+async def count_attempts(client):
+    """Return how often a read that is refused was tried."""
+    with structlog.testing.capture_logs() as lines:
+        answer = await client.query("READ item", id_="f00d")
+    assert get_error(answer) == "BUSY"
+    told = [line for line in lines if line.get("request") == "f00d"]
+    return told[0]["attempts"]
+
+
 async def test_a_refused_read_is_not_tried_again_and_again(world):
     """Pattern: a crowded group of which one endpoint is leaving."""
-    node = world.daemons[0].node
     group = world.groups["g0"]
     replica = next(e for e in group.endpoints.values() if e.role == "replica")
     client = await world.connect("bounded_staleness")
     await client.query("READ item")
     world.store.register(replica, state="draining")
-    members = node.directory.groups["g0"].members
+    members = world.daemons[0].node.directory.groups["g0"].members
     async with asyncio.timeout(2.0):
         while not members[replica.name].entry.leaving:
             await asyncio.sleep(0.01)
     for member in members.values():
-        member.gate.pace.seconds = 0.6
-        for level in range(3):
-            member.gate.pace.note_start(
-                level, asyncio.get_running_loop().time()
-            )
-    with structlog.testing.capture_logs() as lines:
-        assert get_error(await client.query("READ item", id_="f00d")) == "BUSY"
-    told = [line for line in lines if line.get("request") == "f00d"]
-    assert told[0]["attempts"] <= 3
+        slow_down(member)
+    assert await count_attempts(client) <= 3
+
+
+async def test_a_read_is_refused_where_only_a_late_endpoint_is_left(
+    world, monkeypatch
+):
+    """Pattern: one endpoint's queue has just filled, the others are late."""
+    client = await world.connect("bounded_staleness")
+    await client.query("READ item")
+    found = world.daemons[0].node.directory.groups["g0"].members
+    filled, *others = found.values()
+
+    async def refuse(work):
+        raise errors.NotRun("just filled", step="admit")
+
+    monkeypatch.setattr(filled.gate, "enter", refuse)
+    for member in others:
+        slow_down(member)
+    assert await count_attempts(client) <= 3
