--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -1,44 +1,18 @@
 """A database group that speaks the wire: log, terms, lag, fences."""
 
 import asyncio
-import dataclasses
 import secrets
 import time
 import typing
 
 from tests.platform.standins import line_server
+from tests.platform.standins import records
 
 # Statements that wait for a slot before BUSY is answered.
 QUEUE = 16
 PROMOTION_SECONDS = 0.15
-
-
-@dataclasses.dataclass
-class Entry:
-    """One commit in a log."""
-
-    term: int
-    number: int
-    writes: tuple[tuple[str, str], ...]
-    ids: tuple[str, ...]
-
-
-@dataclasses.dataclass
-class Faults:
-    """What goes wrong at an endpoint; tests set it.
-
-    :ivar dark: it takes bytes and answers nothing
-    :ivar lose_answers: it runs statements and drops the connection
-    :ivar fail_reads: share of reads that fail, by turns
-    :ivar slow: factor of the work's time
-    :ivar deaf: it receives nothing from the primary
-    """
-
-    dark: bool = False
-    lose_answers: bool = False
-    fail_reads: bool = False
-    slow: float = 1.0
-    deaf: bool = False
+Entry = records.Entry
+Faults = records.Faults
 
 
 class Endpoint:
