--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -55,11 +55,14 @@
     def _open(self, transport: typing.Any) -> "Connection":
         return Connection(self, transport)
 
-    def receive(self, entry: Entry) -> bool:
-        """Take an entry from the primary; tell whether it was taken."""
+    def receive(self, leader: "Endpoint") -> bool:
+        """Take what it lacks of the primary's log; tell whether it did.
+
+        A log has no gaps: what was missed comes before what is new.
+        """
         if self.held or self.faults.deaf or not self.server.running:
             return False
-        self.received.append(entry)
+        self.received = list(leader.received)
         loop = asyncio.get_running_loop()
         loop.call_later(self.group.lag, self.apply, len(self.received))
         return True
@@ -127,7 +130,7 @@
         endpoint.received.append(entry)
         endpoint.applied = len(endpoint.received)
         taken = [
-            other.receive(entry)
+            other.receive(endpoint)
             for other in self.endpoints.values()
             if other is not endpoint and other.term == endpoint.term
         ]
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -185,3 +185,14 @@
     client = await world.connect("primary")
     await client.query("WRITE item x", id_="cafe01")
     assert ("cafe01", "WRITE") in world.groups["g0"].primary.served
+
+
+async def test_a_stand_in_that_was_deaf_gets_what_it_missed(world):
+    group = world.groups["g0"]
+    deaf = next(e for e in group.endpoints.values() if e.role == "replica")
+    client = await world.connect("primary")
+    deaf.faults.deaf = True
+    await client.query("WRITE item-1 missed")
+    deaf.faults.deaf = False
+    await client.query("WRITE item-2 value")
+    assert deaf.received == group.primary.received
