Tell at once what a refused report makes late

Work that longer pauses make too late was dropped but told at the next start only, when the sign was a report and not a statement. The test failed first.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/gate.py
@@ -131,6 +131,7 @@
         now = time.monotonic()
         self.pace.note_refusal(now)
         self._review(now)
+        self._hand_out(now)
 
     def close(self) -> None:
         """Refuse what waits."""
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -147,3 +147,22 @@
     async with asyncio.timeout(1.0):
         with pytest.raises(errors.NotRun):
             await entrance.enter(work)
+
+
+async def test_what_a_refused_report_makes_late_is_told_at_once():
+    entrance = make_gate()
+    now = time.monotonic()
+    entrance.pace.seconds = 0.2
+    entrance.pace.note_start(1, now)
+    waiting = [
+        asyncio.create_task(
+            entrance.enter(gate.Work(1, "k", f"c{n}", now + 0.6))
+        )
+        for n in range(2)
+    ]
+    await asyncio.sleep(0)
+    entrance.note_full()
+    entrance.note_full()
+    ended = await asyncio.gather(*waiting, return_exceptions=True)
+    assert isinstance(ended[-1], errors.NotRun)
+    assert time.monotonic() - now < 0.1
