--- a/tests/model_check/test_takeovers.py
+++ b/tests/model_check/test_takeovers.py
@@ -6,21 +6,16 @@
 """
 
 import asyncio
-import dataclasses
 import random
 
 import pytest
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile import positions
 from fescuestile import promotion
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
 from fescuestile_daemon.relay import takeover
-from tests import builders
+from tests import fences
 from tests import virtual_time
 
 Role = endpoint_messages.Role
@@ -37,42 +32,12 @@
     """A promoted endpoint lacks a write that was acknowledged."""
 
 
-@dataclasses.dataclass
-class Endpoint:
-    """One endpoint.
-
-    :ivar log: entries as (term, number)
-    :ivar reachable: by daemons
-    :ivar linked: to the other endpoints
-    """
-
-    name: str
-    role: Role = Role.REPLICA
-    term: int = 1
-    log: list[tuple[int, int]] = dataclasses.field(default_factory=list)
-    held: int = 0
-    reachable: bool = True
-    linked: bool = True
-
-    def report(self):
-        is_fenced = self.held > self.term
-        term, number = self.log[-1] if self.log else (1, 0)
-        made = builders.build_log_report(self.name, number, self.role)
-        return dataclasses.replace(
-            made,
-            last=positions.Position(term, number),
-            term=self.held if is_fenced else self.term,
-            role=Role.FENCED if is_fenced else self.role,
-            followed=self.term,
-        )
-
-
-class Cluster(ports.Dialer, ports.Promoter):
+class Cluster(fences.Dialer, ports.Promoter):
     """A group, its replication and the order of promotions."""
 
     def __init__(self, seed):
         self.random = random.Random(seed)
-        self.endpoints = {name: Endpoint(name) for name in NAMES}
+        self.endpoints = {name: fences.Endpoint(name) for name in NAMES}
         self.endpoints["e1"].role = Role.PRIMARY
         self.acknowledged: set[tuple[int, int]] = set()
         self.promotions = 0
@@ -113,8 +78,10 @@
 
     # What a driver uses
 
-    async def dial(self, entry):
-        return Channel(self, self.endpoints[entry.id])
+    async def travel(self, endpoint):
+        await asyncio.sleep(self.random.uniform(0.001, 0.05))
+        if not endpoint.reachable:
+            await asyncio.sleep(3600)
 
     async def acquire(self):
         now = clock.BootClock().now()
@@ -146,60 +113,6 @@
                 each.term, each.held = chosen.term, 0
 
 
-class Channel(ports.Channel):
-    """A daemon's connection to an endpoint."""
-
-    def __init__(self, cluster, endpoint):
-        self.endpoint = endpoint.name
-        self.values = {}
-        self.prepared = {}
-        self.used_at = 0.0
-        self._cluster = cluster
-        self._target = endpoint
-
-    @property
-    def closed(self):
-        return False
-
-    async def call(self, *commands):
-        raise NotImplementedError
-
-    async def inspect(self, command):
-        source = self._cluster.random
-        await asyncio.sleep(source.uniform(0.001, 0.05))
-        each = self._target
-        if not each.reachable:
-            await asyncio.sleep(3600)
-        match command:
-            case messages.Fence(term, True):
-                if each.role is Role.PRIMARY and each.term < term:
-                    each.role = Role.REPLICA
-            case messages.Fence(term, False):
-                if each.role is Role.REPLICA and term > each.term:
-                    each.held = term
-            case messages.Unfence():
-                each.held = 0
-        report = each.report()
-        await asyncio.sleep(source.uniform(0.001, 0.05))
-        return report
-
-    def close(self):
-        pass
-
-
-def make_group(cluster):
-    """Return one daemon's knowledge of the group."""
-    made = groups.Group(
-        "g", cluster, options.RelayOptions(), clock.BootClock()
-    )
-    for name in NAMES:
-        entry = messages.EndpointEntry(
-            name, "g", "127.0.0.1:1", "a", 2, False, name == "e1", 0
-        )
-        made.put_member(entry, 4)
-    return made
-
-
 async def run_rounds(seed):
     """Return how many promotions took effect.
 
@@ -210,7 +123,7 @@
     asyncio.get_running_loop().set_exception_handler(
         lambda loop, context: failures.append(context["exception"])
     )
-    known = [make_group(cluster) for _ in range(DAEMONS)]
+    known = [fences.make_group(cluster) for _ in range(DAEMONS)]
     for group in known:
         await group.refresh(0.2)
     writes = asyncio.create_task(write_on(cluster))
