--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -52,6 +52,14 @@
     revision: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sighting:
+    """Another daemon's lease and when it was first seen, in boot time."""
+
+    revision: int
+    seen_at: float
+
+
 class LeaseStore(abc.ABC):
     """Where the lease object is."""
 
@@ -90,8 +98,7 @@
         self._lock = asyncio.Lock()
         self._lease: promotion.Lease | None = None
         self._users = 0
-        # Another daemon's revision and when it was first seen.
-        self._sighting: tuple[int, float] | None = None
+        self._sighting: _Sighting | None = None
 
     @property
     def lease(self) -> promotion.Lease | None:
@@ -132,10 +139,11 @@
         if self._is_own(found.record):
             return True
         now = self._clock.now()
-        if self._sighting is None or self._sighting[0] != found.revision:
-            self._sighting = (found.revision, now)
+        sighting = self._sighting
+        if sighting is None or sighting.revision != found.revision:
+            self._sighting = _Sighting(found.revision, now)
             return False
-        lasted = now - self._sighting[1]
+        lasted = now - sighting.seen_at
         return lasted > LEASE_SECONDS + LEASE_MARGIN_SECONDS
 
     def _make_claim(self) -> str:
--- a/packages/fescuestile/src/fescuestile/pacing.py
+++ b/packages/fescuestile/src/fescuestile/pacing.py
@@ -18,6 +18,9 @@
 class PaceOptions:
     """How pauses follow what an endpoint shows; times in seconds.
 
+    Pauses grow faster than they shrink: some reports drain a full queue of
+    the endpoints in use, and a calm second brings the pace back.
+
     :ivar least: first pause, about one statement's time
     :ivar most: longest pause, a part of the timeouts in use
     :ivar none_below: shorter pauses are none
