--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -200,12 +200,17 @@
     assert get_row(await other.query("READ item")) == "open"
 
 
-async def test_silent_connection_costs_no_read(world):
-    group = world.groups["g0"]
+async def connect_by_silent_connections(world):
+    """Return a caller; the primary's open connections went silent."""
     client = await world.connect("primary")
     await client.query("READ item")
-    for connection in group.primary.connections:
+    for connection in world.groups["g0"].primary.connections:
         connection.receive = lambda line: None
+    return client
+
+
+async def test_silent_connection_costs_no_read(world):
+    client = await connect_by_silent_connections(world)
     loop = asyncio.get_running_loop()
     began = loop.time()
     assert get_row(await client.query("READ item")) == "none"
@@ -214,11 +219,7 @@
 
 
 async def test_silent_connection_costs_no_transaction(world):
-    group = world.groups["g0"]
-    client = await world.connect("primary")
-    await client.query("READ item")
-    for connection in group.primary.connections:
-        connection.receive = lambda line: None
+    client = await connect_by_silent_connections(world)
     loop = asyncio.get_running_loop()
     began = loop.time()
     await client.query("BEGIN")
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -37,6 +37,15 @@
     return count, ends, fenced
 
 
+def choose(count, ends, fenced):
+    """Return who replaces the failed primary after these fences."""
+    return promotion.choose_promotion(
+        make_plan(count),
+        {name: builders.build_log_report(name, ends[name]) for name in fenced},
+        failed="p",
+    )
+
+
 def find_acknowledged(ends):
     return max(end for name, end in ends.items() if name != "p")
 
@@ -45,11 +54,7 @@
 @hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
 def test_chosen_endpoint_holds_every_acknowledged_write(history):
     count, ends, fenced = history
-    chosen = promotion.choose_promotion(
-        make_plan(count),
-        {name: builders.build_log_report(name, ends[name]) for name in fenced},
-        failed="p",
-    )
+    chosen = choose(count, ends, fenced)
     if chosen is not None:
         assert ends[chosen] >= find_acknowledged(ends)
 
@@ -58,11 +63,7 @@
 @hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
 def test_nothing_can_be_acknowledged_after_the_choice(history):
     count, ends, fenced = history
-    chosen = promotion.choose_promotion(
-        make_plan(count),
-        {name: builders.build_log_report(name, ends[name]) for name in fenced},
-        failed="p",
-    )
+    chosen = choose(count, ends, fenced)
     if chosen is not None:
         replicas = set(NAMES[1:count])
         assert "p" in fenced or replicas <= fenced
