Log and count work at leaving endpoints and attempts to replace them

Now a line tells each attempt that begins at an endpoint after its mark, with the time since then (counter attempts_leaving); which members of the group are leaving when a failover chooses; a switchover that changes nothing, with its step; a leaving primary that nobody can replace. An answered statement names its last endpoint.

The stand-ins' endpoints can refuse fences.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -33,6 +33,7 @@
     :ivar failures: failed attempts in which it ran or may have run
     :ivar tried: endpoints that refused it, did not answer, or are not
         expected to serve it in time
+    :ivar endpoint: endpoint of the last attempt, empty before the first
     """
 
     session: sessions.Session
@@ -44,6 +45,7 @@
     attempts: int = 0
     failures: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    endpoint: str = ""
 
     @property
     def remaining(self) -> float:
@@ -244,7 +246,7 @@
                 seconds,
                 endpoint.get_response_timeout(pending.route.target_latency),
             )
-        endpoint.record_request()
+        self.record_sent(pending, endpoint)
         started = time.monotonic()
         clean = False
         try:
@@ -261,6 +263,25 @@
         self.record_outcome(pending, endpoint, outcome, minimum, started)
         return outcome
 
+    def record_sent(
+        self,
+        pending: PendingStatement,
+        endpoint: endpoint_states.EndpointState,
+        continues: bool = False,
+    ) -> None:
+        """Record that a statement is sent to an endpoint.
+
+        :param continues: whether it continues a transaction begun there
+        """
+        pending.endpoint = endpoint.name
+        endpoint.record_request()
+        if endpoint.entry.leaving and not continues:
+            self._recorder.record_leaving_attempt(
+                pending.arrival.statement.id,
+                endpoint.name,
+                endpoint.measure_leaving(),
+            )
+
     def record_outcome(
         self,
         pending: PendingStatement,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -4,6 +4,7 @@
 import time
 
 from fescuestile import admission
+from fescuestile import clock
 from fescuestile import endpoint_choice
 from fescuestile import positions
 from fescuestile import routes
@@ -53,6 +54,8 @@
     :ivar has_answered: it has answered at least once
     :ivar dropped_at: monotonic seconds at which its registry entry was missed,
         None while there is an entry
+    :ivar leaving_since: boot-time seconds at which its entry was first seen to
+        be leaving, None while it accepts new work
     """
 
     def __init__(
@@ -61,12 +64,16 @@
         dialer: ports.Dialer,
         relay_options: options.RelayOptions,
         cap: int,
+        boot_clock: clock.Clock,
     ) -> None:
         """Start without connections.
 
         :param cap: connections that this daemon opens to it at most
+        :param boot_clock: clock that counts suspensions, by which it leaves
         """
-        self.entry = entry
+        self._clock = boot_clock
+        self.leaving_since: float | None = None
+        self.put_entry(entry)
         self.pool = pool.ConnectionPool(
             entry,
             dialer,
@@ -103,6 +110,22 @@
         """The endpoint's id."""
         return self.entry.id
 
+    def put_entry(self, entry: messages.EndpointEntry) -> None:
+        """Apply its registry entry."""
+        self.entry = entry
+        if not entry.leaving:
+            self.leaving_since = None
+        elif self.leaving_since is None:
+            self.leaving_since = self._clock.now()
+
+    def measure_leaving(self) -> float:
+        """Return for how many seconds it has been leaving."""
+        return (
+            0.0
+            if self.leaving_since is None
+            else self._clock.now() - self.leaving_since
+        )
+
     def record_request(self) -> None:
         """Record that a request is sent to it."""
         if self.unanswered_since is None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
@@ -78,6 +78,7 @@
         kind: messages.Kind,
         seconds: float,
         attempts: int,
+        endpoint: str = "",
         detail: str = "",
     ) -> None:
         """Record how a statement ended.
@@ -88,6 +89,8 @@
         :param request: id of the statement
         :param seconds: time since it arrived
         :param attempts: attempts made
+        :param endpoint: endpoint of the last attempt, empty if it was sent
+            to none
         """
         self.counters["statements", kind.value] += 1
         histogram = self.latencies.get(route.level)
@@ -110,6 +113,23 @@
             seconds=round(seconds, 4),
             late=late,
             attempts=attempts,
+            endpoint=endpoint,
+        )
+
+    def record_leaving_attempt(
+        self, request: str, endpoint: str, seconds: float
+    ) -> None:
+        """Record new work that is sent to a leaving endpoint.
+
+        :param request: id of the statement
+        :param seconds: time since the endpoint was first seen to be leaving
+        """
+        self.count("attempts_leaving", endpoint)
+        log.info(
+            "new work sent to leaving endpoint",
+            request=request,
+            endpoint=endpoint,
+            leaving_seconds=round(seconds, 3),
         )
 
     def record_lost_attempt(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -92,6 +92,7 @@
             outcome.kind,
             time.monotonic() - arrival.monotonic_at,
             pending.attempts,
+            pending.endpoint,
             outcome.detail,
         )
         return outcome
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -52,6 +52,7 @@
         self._awaited_position = positions.START
         self._awaited_term = 0
         self._dialer = dialer
+        self._clock = boot_clock
         self.leadership = leadership.LeadershipChecks(self, boot_clock)
         self._waiters: set[asyncio.Future[None]] = set()
 
@@ -91,13 +92,13 @@
             known = None
         if known is None:
             known = endpoint_states.EndpointState(
-                entry, self._dialer, self.options, cap
+                entry, self._dialer, self.options, cap, self._clock
             )
             self.endpoints[entry.id] = known
             self.leadership.set_plan(self.make_plan())
         elif entry.claims_primary != known.entry.claims_primary:
             known.report = None
-        known.entry = entry
+        known.put_entry(entry)
         known.dropped_at = None
         known.pool.cap = cap
         if len(self.endpoints) >= self.expected:
@@ -336,6 +337,10 @@
             if not endpoint.entry.leaving:
                 yield endpoint
 
+    def list_leaving(self) -> list[str]:
+        """Return the names of the endpoints that are leaving."""
+        return [e.name for e in self.endpoints.values() if e.entry.leaving]
+
     def close(self) -> None:
         """Cancel leadership checks and remove all endpoints."""
         self.leadership.close()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -75,6 +75,7 @@
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._seen_since: dict[tuple[str, Reason], float] = {}
+        self._without_target: set[str] = set()
 
     async def start(self) -> None:
         """Start the periodic checks."""
@@ -216,8 +217,11 @@
             )
         if group.is_stalled(now, unpaused):
             return Reason.NO_COMMITS
-        if primary.entry.leaving and self._find_target(group, primary):
-            return Reason.LEAVING
+        if primary.entry.leaving:
+            target = self._find_target(group, primary)
+            self._log_target(group, primary, target)
+            if target is not None:
+                return Reason.LEAVING
         fenced = any(
             endpoint.report is not None
             and endpoint.report.role is Role.FENCED
@@ -280,6 +284,32 @@
             default=None,
         )
 
+    def _log_target(
+        self,
+        group: groups.Group,
+        primary: endpoint_states.EndpointState,
+        target: endpoint_states.EndpointState | None,
+    ) -> None:
+        """Log once that a leaving primary cannot be switched over."""
+        if target is not None:
+            self._without_target.discard(primary.name)
+            return
+        if primary.name in self._without_target:
+            return
+        self._without_target.add(primary.name)
+        now = time.monotonic()
+        others = [e for e in group.endpoints.values() if e is not primary]
+        log.warning(
+            "leaving primary has no replacement",
+            group=group.name,
+            primary=primary.name,
+            leaving=group.list_leaving(),
+            roles={e.name: e.report and e.report.role for e in others},
+            unanswered={
+                e.name: round(e.measure_unanswered(now), 3) for e in others
+            },
+        )
+
     async def _run_takeover(self, group: groups.Group, reason: Reason) -> None:
         try:
             await asyncio.sleep(self._random.uniform(0, START_JITTER_SECONDS))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -82,6 +82,7 @@
                 for n, r in self._fenced.items()
             },
             members=sorted(plan.endpoint_by_name),
+            leaving=group.list_leaving(),
             chosen=chosen,
         )
         if chosen is None or not await self._promote(chosen):
@@ -109,9 +110,12 @@
             target, messages.Inspect(), FENCE_TIMEOUT_SECONDS
         )
         if before is None or before.role is not Role.REPLICA:
+            role = before.role if before else None
+            self._log_no_switchover(primary, target, "target", role)
             return False
         final = await self._fence(primary, term, as_primary=True)
         if final is None:
+            self._log_no_switchover(primary, target, "fence", None)
             return False
         caught_up = await self._wait_caught_up(target, final)
         chosen = target.name if caught_up else primary.name
@@ -129,6 +133,28 @@
         await self._finish(chosen, primary)
         return True
 
+    def _log_no_switchover(
+        self,
+        primary: endpoint_states.EndpointState,
+        target: endpoint_states.EndpointState,
+        step: str,
+        role: Role | None,
+    ) -> None:
+        """Log why a switchover changed nothing.
+
+        :param step: "target" if the target did not report as a replica,
+            "fence" if the primary did not step down
+        :param role: role that the target reported, None for no report
+        """
+        log.warning(
+            "switchover changed nothing",
+            group=self._group.name,
+            primary=primary.name,
+            target=target.name,
+            step=step,
+            role=role,
+        )
+
     def _holds_lease(self) -> bool:
         return promotion.covers_call(
             self._lease, self._clock.now(), FENCE_TIMEOUT_SECONDS
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -89,6 +89,7 @@
             outcome.kind,
             time.monotonic() - arrival.monotonic_at,
             pending.attempts,
+            pending.endpoint,
             outcome.detail,
         )
         return outcome
@@ -284,7 +285,9 @@
             ticket = await endpoint.admission.acquire(admitted)
         except errors.NotRun as error:
             return messages.Outcome(Kind.OVERLOADED, detail=error.message)
-        endpoint.record_request()
+        self._attempts.record_sent(
+            pending, endpoint, continues=transaction.answered
+        )
         started = time.monotonic()
         if pending.writes:
             transaction.wrote = True
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -262,6 +262,8 @@
                 self._fail("LAGGING")
                 return
         match words[0]:
+            case "PAUSE" | "DEMOTE" if endpoint.faults.refuse_fences:
+                self._fail("BUSY")
             case "STATUS":
                 self._send_result(endpoint.status())
             case "PAUSE":
--- a/tests/platform/standins/records.py
+++ b/tests/platform/standins/records.py
@@ -29,6 +29,7 @@
     :ivar fail_reads: all reads fail
     :ivar slow: factor of the service time
     :ivar deaf: the endpoint does not replicate
+    :ivar refuse_fences: the endpoint has no free slot for fences
     """
 
     dark: bool = False
@@ -36,3 +37,4 @@
     fail_reads: bool = False
     slow: float = 1.0
     deaf: bool = False
+    refuse_fences: bool = False
--- a/tests/unit/test_channel_pool.py
+++ b/tests/unit/test_channel_pool.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from fescuestile import clock
 from fescuestile_daemon.relay import admission_controller
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import messages
@@ -216,7 +217,11 @@
     With one connection and many statements, the most urgent one goes first.
     """
     observed = endpoint_states.EndpointState(
-        ENTRY, FakeEndpoint(46), options.RelayOptions(), 11
+        ENTRY,
+        FakeEndpoint(46),
+        options.RelayOptions(),
+        11,
+        clock.ManualClock(),
     )
     observed.record_connection_usage(0.9)
     started = []
