--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -19,7 +19,12 @@
 
 
 class Endpoint:
-    """An endpoint of a group."""
+    """An endpoint of a group.
+
+    :ivar served: ids and verbs of the statements that it ran
+    :ivar begun: loop time and id of the work that began to arrive: single
+        statements and the first ones of transactions, refused ones too
+    """
 
     def __init__(self, group: "Group", name: str, zone: str) -> None:
         self.group = group
@@ -37,6 +42,7 @@
         self.queued = 0
         self.started_at_ms = int(time.time() * 1000)
         self.served: list[tuple[str, str]] = []
+        self.begun: list[tuple[float, str]] = []
 
     @property
     def address(self) -> str:
@@ -191,6 +197,7 @@
         self.connected = False
         self.state = "I"
         self.read_only = False
+        self.continues = False
         self.writes: list[tuple[str, str]] = []
         self.ids: list[str] = []
         self.values: dict[str, str] = {}
@@ -321,11 +328,16 @@
 
     def _clear(self) -> None:
         self.state = "I"
+        self.continues = False
         self.writes = []
         self.ids = []
 
     async def _run(self, id_: str, words: list[str]) -> None:
         endpoint = self.endpoint
+        if not self.continues and words[0] != "COMMIT":
+            now = asyncio.get_running_loop().time()
+            endpoint.begun.append((now, id_))
+        self.continues = self.state == "T"
         if endpoint.queued >= MAX_QUEUED:
             self._fail("BUSY")
             return
--- a/tests/platform/standins/line_server.py
+++ b/tests/platform/standins/line_server.py
@@ -116,3 +116,15 @@
     def close(self) -> None:
         if self._writer is not None:
             self._writer.close()
+
+
+def get_row(lines: list[str]) -> str | None:
+    """Return the first row of an answer."""
+    rows = [line for line in lines if line.startswith("ROW ")]
+    return rows[0].removeprefix("ROW ") if rows else None
+
+
+def get_error(lines: list[str]) -> str | None:
+    """Return the error code of an answer."""
+    errors = [line for line in lines if line.startswith("ERROR ")]
+    return errors[0].split(" ")[1] if errors else None
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -51,7 +51,12 @@
     :ivar ready_addresses: where each daemon answers readiness probes
     """
 
-    def __init__(self, groups: int = 1, daemons: int = 1) -> None:
+    def __init__(
+        self,
+        groups: int = 1,
+        daemons: int = 1,
+        bounds: boot.Bounds | None = None,
+    ) -> None:
         self.groups = {
             f"g{n}": wire_group.Group(f"g{n}") for n in range(groups)
         }
@@ -61,6 +66,7 @@
         self.ready_addresses: list[str] = []
         self.clients: list[line_server.LineClient] = []
         self._daemon_count = daemons
+        self._bounds = bounds or boot.Bounds()
 
     async def start(self) -> None:
         """Start stand-ins and daemons, and wait until these are ready."""
@@ -84,6 +90,7 @@
             listen=boot.Listen(front="127.0.0.1:0", ready="127.0.0.1:0"),
             platform=boot.Address(address=self.store.address),
             cloud=boot.Address(address=self.store.address),
+            bounds=self._bounds,
             metrics_port=0,
         )
         started = daemon.Daemon(settings)
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -6,10 +6,10 @@
 import structlog.testing
 
 from fescuestile import errors
-from tests.platform import test_path
+from tests.platform.standins import line_server
 
-get_row = test_path.get_row
-get_error = test_path.get_error
+get_row = line_server.get_row
+get_error = line_server.get_error
 
 
 async def wait_primary(group, other_than, seconds=6.0):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -6,17 +6,11 @@
 
 import pytest
 
+from tests.platform.standins import line_server
 from tests.platform.standins import world as worlds
 
-
-def get_row(lines):
-    rows = [line for line in lines if line.startswith("ROW ")]
-    return rows[0].removeprefix("ROW ") if rows else None
-
-
-def get_error(lines):
-    errors = [line for line in lines if line.startswith("ERROR ")]
-    return errors[0].split(" ")[1] if errors else None
+get_row = line_server.get_row
+get_error = line_server.get_error
 
 
 async def read_until(client, text, expected):
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -1,6 +1,7 @@
 """Tests of single takeovers against simulated endpoints."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -50,6 +51,10 @@
             elif each.role is Role.REPLICA and each.reachable:
                 each.term, each.fence_term = term, 0
 
+    def mark_leaving(self, name):
+        entry = self.group.endpoints[name].entry
+        self.group.put_endpoint(dataclasses.replace(entry, leaving=True), 4)
+
     async def inspect_all(self):
         for endpoint in self.group.endpoints.values():
             await self.group.inspect(endpoint, messages.Inspect(), 0.05)
@@ -75,6 +80,28 @@
     assert world.promoted == ["r2"]
 
 
+async def test_failover_prefers_an_endpoint_that_stays(world):
+    """Guards against work at an endpoint that was promoted while leaving.
+
+    Both replicas hold the same log.
+    """
+    await world.inspect_all()
+    world.mark_leaving("r2")
+    world.endpoints["p"].reachable = False
+    assert await world.replace()
+    assert world.promoted == ["r1"]
+
+
+async def test_the_longest_log_is_promoted_even_if_it_leaves(world):
+    """Guards against losing a write that only a leaving endpoint holds."""
+    await world.inspect_all()
+    world.mark_leaving("r2")
+    world.endpoints["p"].reachable = False
+    world.endpoints["r2"].log.append((1, 6))
+    assert await world.replace()
+    assert world.promoted == ["r2"]
+
+
 async def test_a_driver_with_an_outdated_term_promotes_nobody(world):
     """Another takeover ended first; its primary acknowledged a write."""
     await world.inspect_all()
