Prefer endpoints that stay when a failover chooses among equal logs

Callers saw their requests sent to an endpoint 12 s after it had said that it leaves, then cut when it exited, and no primary for nine seconds.

Cause: promotion.choose_promotion broke ties between equal logs by name and did not know which endpoints are leaving. A leaving primary that has been switched over goes on as a replica until it exits, with the same log as the others; if its successor fails meanwhile, it is as likely to be promoted as any. Class: a decision of failover that lacks a state of membership which all other choices of endpoints consult.

Why it works: logs are compared first, so no acknowledged write is lost; a leaving endpoint is promoted only if no other has as long a log. The model check now marks endpoints as leaving at random and finds no lost write.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -65,10 +65,11 @@
         term = promotion.find_next_term(group.list_reports())
         plan = group.make_plan()
         name = failed.name if failed else ""
+        leaving = group.list_leaving()
         for _ in range(FENCE_ATTEMPTS):
             await self._fence_all(term, name)
             chosen = promotion.choose_promotion(
-                plan, self._fenced, name, group.expected
+                plan, self._fenced, name, group.expected, leaving
             )
             if chosen is not None or not self._holds_lease():
                 break
@@ -82,7 +83,7 @@
                 for n, r in self._fenced.items()
             },
             members=sorted(plan.endpoint_by_name),
-            leaving=group.list_leaving(),
+            leaving=leaving,
             chosen=chosen,
         )
         if chosen is None or not await self._promote(chosen):
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -64,6 +64,7 @@
     fenced: typing.Mapping[str, Report],
     failed_primary: str = "",
     expected_size: int = 0,
+    leaving: typing.Collection[str] = (),
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
 
@@ -77,6 +78,8 @@
         replica qualifies
     :param expected_size: number of endpoints that the group had until
         recently, when some of them are not in the plan any more
+    :param leaving: endpoints that accept no new work; one of them is chosen
+        only when no other replica has as long a log
     """
     known = {
         name: report
@@ -90,7 +93,11 @@
     has_all_replicas = len(replicas) >= size - 1
     best = max(
         replicas,
-        key=lambda name: (failover.make_log_key(replicas[name]), name),
+        key=lambda name: (
+            failover.make_log_key(replicas[name]),
+            name not in leaving,
+            name,
+        ),
         default=None,
     )
     fenced_primary = known.get(failed_primary)
--- a/tests/model_check/test_takeovers.py
+++ b/tests/model_check/test_takeovers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -69,6 +70,13 @@
         replica.term = leader.term
         return True
 
+    def mark_leaving(self, group):
+        """Mark other endpoints of a daemon's view as leaving."""
+        for each in list(group.endpoints.values()):
+            leaving = self.random.random() < 0.3
+            entry = dataclasses.replace(each.entry, leaving=leaving)
+            group.put_endpoint(entry, 4)
+
     def inject_faults(self):
         """Change what is reachable; linked outdated primaries step down."""
         for each in self.endpoints.values():
@@ -133,6 +141,7 @@
     for _ in range(ROUNDS):
         cluster.inject_faults()
         group = cluster.random.choice(views)
+        cluster.mark_leaving(group)
         if cluster.random.random() < 0.5:
             # The other half of the drivers decide by outdated reports.
             await group.refresh(0.2)
@@ -190,7 +199,7 @@
         search()
 
 
-def choose_any(plan, fenced, failed="", expected=0):
+def choose_any(plan, fenced, failed="", expected=0, leaving=()):
     return max(fenced, key=lambda name: fenced[name].last, default=None)
 
 
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -23,7 +23,7 @@
 
 @strategies.composite
 def draw_history(draw):
-    """Draw the end of each log and the fenced endpoints of a group.
+    """Draw the ends of a group's logs and who is fenced and leaving.
 
     The primary holds all writes and each replica a prefix of them. Every
     write that a replica holds counts as acknowledged.
@@ -33,16 +33,17 @@
     ends = {"p": written}
     for name in NAMES[1:count]:
         ends[name] = draw(strategies.integers(0, written))
-    fenced = draw(strategies.sets(strategies.sampled_from(NAMES[:count])))
-    return count, ends, fenced
+    names = strategies.sets(strategies.sampled_from(NAMES[:count]))
+    return count, ends, draw(names), draw(names)
 
 
-def choose(count, ends, fenced):
+def choose(count, ends, fenced, leaving):
     """Return the endpoint to promote after these fences, if any."""
     return promotion.choose_promotion(
         make_plan(count),
         {name: builders.build_log_report(name, ends[name]) for name in fenced},
         failed_primary="p",
+        leaving=leaving,
     )
 
 
@@ -53,8 +54,8 @@
 @hypothesis.given(draw_history())
 @hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
 def test_chosen_endpoint_holds_every_acknowledged_write(history):
-    count, ends, fenced = history
-    chosen = choose(count, ends, fenced)
+    count, ends, fenced, leaving = history
+    chosen = choose(count, ends, fenced, leaving)
     if chosen is not None:
         assert ends[chosen] >= find_acknowledged(ends)
 
@@ -62,13 +63,24 @@
 @hypothesis.given(draw_history())
 @hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
 def test_nothing_can_be_acknowledged_after_the_choice(history):
-    count, ends, fenced = history
-    chosen = choose(count, ends, fenced)
+    count, ends, fenced, leaving = history
+    chosen = choose(count, ends, fenced, leaving)
     if chosen is not None:
         replicas = set(NAMES[1:count])
         assert "p" in fenced or replicas <= fenced
 
 
+@hypothesis.given(draw_history())
+@hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
+def test_a_leaving_replica_is_chosen_only_for_its_longer_log(history):
+    """Guards against work at an endpoint that was promoted while leaving."""
+    count, ends, fenced, leaving = history
+    chosen = choose(count, ends, fenced, leaving)
+    if chosen in leaving and chosen != "p":
+        staying = fenced - leaving - {"p"}
+        assert all(ends[name] < ends[chosen] for name in staying)
+
+
 def test_a_majority_without_the_primary_is_too_few_of_five():
     fenced = {
         name: builders.build_log_report(name, index)
