Bound the time for which a leaving primary gets new work

Callers' requests reached a leaving primary for as long as it lived if its switchover did not come: without a lease, a target or an answer to the fence. Only reads by replicas stopped when the mark was seen.

Cause: the way to the primary (writes, current reads, reads that no replica is fresh enough for, first statements of transactions, retries, parked and queued work) trusted that a switchover ends it and had no limit of its own. Class: a bound that holds only while another mechanism succeeds.

An open transaction goes on. An endpoint whose entry was lost and comes back as leaving gets no more time. A leaving endpoint that a failover had to promote for its longer log falls under the same limit. Refusals are BUSY: nothing of the work ran.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/admission_controller.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/admission_controller.py
@@ -140,17 +140,26 @@
         self._drop_late(now)
         self._dispatch(now)
 
+    def refuse_new(self, message: str) -> None:
+        """Refuse queued work, except what continues a transaction."""
+        self._refuse(
+            [each for each in self._waiting if not each.work.continues],
+            message,
+        )
+
     def close(self) -> None:
         """Refuse all queued work."""
-        waiting, self._waiting = self._waiting, {}
-        for ticket, future in waiting.items():
-            self.queue.withdraw(ticket)
-            if not future.done():
-                error = errors.NotRun("the endpoint left", step="admit")
-                future.set_exception(error)
+        self._refuse(list(self._waiting), "the endpoint left")
         if self._timer is not None:
             self._timer.cancel()
 
+    def _refuse(self, tickets: list[Ticket], message: str) -> None:
+        for ticket in tickets:
+            self.queue.withdraw(ticket)
+            future = self._waiting.pop(ticket)
+            if not future.done():
+                future.set_exception(errors.NotRun(message, step="admit"))
+
     def _drop_late(self, now: float) -> None:
         """Drop queued work that longer pauses make miss its deadline."""
         self.queue.drop_late(now, self.pacer.list_starts(now))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -182,7 +182,12 @@
                 return messages.Outcome(Kind.BUSY, detail=connection.detail)
             return connection
         if await self.set_up(pending, connection):
-            return connection
+            if endpoint.accepts_work:
+                return connection
+            endpoint.pool.release(connection)
+            return messages.Outcome(
+                Kind.BUSY, detail="the endpoint is leaving"
+            )
         endpoint.pool.discard(connection)
         endpoint.record_failure()
         return messages.Outcome(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -56,18 +56,23 @@
 
     async def find_primary(
         self, pending: attempts.PendingStatement
-    ) -> endpoint_states.EndpointState | None:
+    ) -> endpoint_states.EndpointState | messages.Outcome:
         """Return the primary, waiting for one until the deadline.
 
         An unresponsive primary is not returned: a statement that was not
         sent to it can still run at its successor, whereas a write that was
         sent would be in doubt.
 
-        :returns: None when no responsive primary appeared in time, or when
-            too few endpoints respond for one to be confirmed
+        :returns: the primary, or why there is none: it is leaving for too
+            long, none that responds appeared in time, or too few endpoints
+            respond for one to be confirmed
         """
         while True:
             endpoint = pending.group.find_primary()
+            if endpoint is not None and not endpoint.accepts_work:
+                return messages.Outcome(
+                    Kind.LEAVING, detail="the primary is leaving"
+                )
             if endpoint is not None:
                 unanswered = endpoint.measure_unanswered(time.monotonic())
                 if unanswered < self._options.hold_after:
@@ -77,7 +82,7 @@
                 left < attempts.MIN_REMAINING_SECONDS
                 or pending.group.is_unreachable()
             ):
-                return None
+                return messages.Outcome(Kind.BUSY, detail="no primary")
             await pending.group.wait_change(min(left, POLL_SECONDS))
 
     async def handle_refusal(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -71,6 +71,7 @@
         :param cap: connections that this daemon opens to it at most
         :param boot_clock: clock that counts suspensions, by which it leaves
         """
+        self._options = relay_options
         self._clock = boot_clock
         self.leaving_since: float | None = None
         self.put_entry(entry)
@@ -118,6 +119,21 @@
         elif self.leaving_since is None:
             self.leaving_since = self._clock.now()
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether work may still begin at it."""
+        return (
+            self.leaving_since is None
+            or self.measure_leaving() < self._options.leaving_limit
+        )
+
+    def refuse_late_work(self) -> None:
+        """Refuse the work that waits for it once it accepts none."""
+        self.pool.accepts_work = self.accepts_work
+        if not self.accepts_work:
+            self.pool.wake_all()
+            self.admission.refuse_new("the endpoint is leaving")
+
     def measure_leaving(self) -> float:
         """Return for how many seconds it has been leaving."""
         return (
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -128,7 +128,7 @@
             ):
                 break
             tried_all = ticket is not None or pending.has_tried_all()
-            if outcome.kind is Kind.OVERLOADED and tried_all:
+            if outcome.kind in messages.FINAL_REFUSALS and tried_all:
                 break
             if outcome.kind in AT_CAPACITY and tried_all:
                 await asyncio.sleep(min(max(pending.remaining, 0.0), delay))
@@ -178,8 +178,8 @@
         ticket: read_confirmation.ReadTicket,
     ) -> messages.Outcome:
         endpoint = await self._chooser.find_primary(pending)
-        if endpoint is None:
-            return messages.Outcome(Kind.BUSY, detail="no primary")
+        if isinstance(endpoint, messages.Outcome):
+            return endpoint
         outcome = await self._attempts.run(pending, endpoint, None)
         if outcome.kind is not Kind.DONE:
             return outcome
@@ -203,13 +203,14 @@
         outcome = messages.Outcome(Kind.BUSY, detail="no primary")
         while pending.remaining >= attempts.MIN_REMAINING_SECONDS:
             endpoint = await self._chooser.find_primary(pending)
-            if endpoint is None:
+            if isinstance(endpoint, messages.Outcome):
+                outcome = endpoint
                 break
             pending.attempts += 1
             outcome = await self._attempts.run(pending, endpoint, None)
             if (
                 outcome.kind not in messages.NOT_RUN
-                or outcome.kind is Kind.OVERLOADED
+                or outcome.kind in messages.FINAL_REFUSALS
             ):
                 break
             await self._chooser.handle_refusal(pending, endpoint, outcome)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -53,6 +53,7 @@
         self._awaited_term = 0
         self._dialer = dialer
         self._clock = boot_clock
+        self._known_since = boot_clock.now()
         self.leadership = leadership.LeadershipChecks(self, boot_clock)
         self._waiters: set[asyncio.Future[None]] = set()
 
@@ -94,6 +95,10 @@
             known = endpoint_states.EndpointState(
                 entry, self._dialer, self.options, cap, self._clock
             )
+            if entry.leaving:
+                # Its mark may be as old as the group is known here: its
+                # entry may have been lost meanwhile.
+                known.leaving_since = self._known_since
             self.endpoints[entry.id] = known
             self.leadership.set_plan(self.make_plan())
         elif entry.claims_primary != known.entry.claims_primary:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/messages.py
@@ -63,6 +63,8 @@
     BUSY = "busy"
     # Not run, because waiting for a slot would pass the deadline.
     OVERLOADED = "overloaded"
+    # Not run, because the primary is leaving and has not been replaced.
+    LEAVING = "leaving"
     BEHIND = "behind"
     NOT_PRIMARY = "not primary"
     WRONG_ENDPOINT = "wrong endpoint"
@@ -84,6 +86,7 @@
     {
         Kind.BUSY,
         Kind.OVERLOADED,
+        Kind.LEAVING,
         Kind.BEHIND,
         Kind.NOT_PRIMARY,
         Kind.WRONG_ENDPOINT,
@@ -92,6 +95,9 @@
     }
 )
 
+# Refusals after which another attempt would be refused, too.
+FINAL_REFUSALS = frozenset({Kind.OVERLOADED, Kind.LEAVING})
+
 
 class State(enum.Enum):
     """Transaction state of a session after a statement."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -121,6 +121,7 @@
         for group in self._directory.groups.values():
             for endpoint in group.endpoints.values():
                 endpoint.pool.trim()
+                endpoint.refuse_late_work()
                 self._probe(group, endpoint, now)
             group.leadership.sample()
             group.expire_expected()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -66,6 +66,8 @@
     :ivar isolated_close: an isolated daemon closes idle sessions after this
         time, or once two probes in a row have told the load balancer that it
         is not ready, which then sends their callers elsewhere
+    :ivar leaving_limit: time for which new work still goes to a leaving
+        primary that has not been replaced, from when its mark is known
     :ivar removal_delay: time for which an endpoint that the registry dropped
         is still counted
     :ivar refuse_after: current reads are refused at once when no majority
@@ -103,5 +105,6 @@
     suspect_after: float = 0.2
     isolated_after: float = 0.4
     isolated_close: float = 2.2
+    leaving_limit: float = 4.0
     removal_delay: float = 3.0
     refuse_after: float = 0.8
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -29,6 +29,8 @@
     """Connections to one endpoint, opened when needed, up to a cap.
 
     :ivar cap: most connections that this daemon opens
+    :ivar accepts_work: whether connections are given to work, and not only to
+        status reports
     :ivar usage: share of the endpoint's connections that all daemons use
     :ivar failed_until: monotonic seconds until which, after a failed
         attempt, none is opened as long as another one is open
@@ -55,6 +57,7 @@
         self._open = 0
         self._closed = False
         self.cap = cap
+        self.accepts_work = True
         self.usage = 0.0
         self.failed_until = 0.0
 
@@ -116,7 +119,7 @@
         self, values: typing.Mapping[str, str] | None, inspects: bool
     ) -> ports.EndpointConnection | messages.Outcome:
         requested_at = time.monotonic()
-        while not self._closed:
+        while not self._closed and (self.accepts_work or inspects):
             connection = self._pop_idle(values)
             if connection is not None:
                 return connection
@@ -184,12 +187,18 @@
         while self._idle:
             self.discard(self._idle.pop())
 
+    def wake_all(self) -> None:
+        """Let all that wait for a connection try again."""
+        waiters, self._waiters = self._waiters, collections.deque()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
     def close(self) -> None:
         """Close idle connections now, and those in use on their return."""
         self._closed = True
         self.drop_idle()
-        while self._waiters:
-            self._wake_next()
+        self.wake_all()
 
     def _pop_idle(
         self, values: typing.Mapping[str, str] | None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -67,7 +67,7 @@
             if self._may_retry(transaction, outcome):
                 await self._wait_before_retry(pending, transaction, outcome)
                 continue
-            if outcome.kind is Kind.OVERLOADED:
+            if outcome.kind in messages.FINAL_REFUSALS:
                 break
             if (
                 transaction.answered
@@ -192,8 +192,8 @@
     ) -> messages.Outcome:
         """Begin the transaction on a connection to an endpoint."""
         endpoint, minimum = await self._choose_endpoint(pending, transaction)
-        if endpoint is None:
-            return messages.Outcome(Kind.BUSY, detail="no endpoint")
+        if isinstance(endpoint, messages.Outcome):
+            return endpoint
         connection = await self._attempts.acquire_connection(
             pending, endpoint, minimum, holds=True
         )
@@ -230,7 +230,8 @@
         pending: attempts.PendingStatement,
         transaction: sessions.Transaction,
     ) -> tuple[
-        endpoint_states.EndpointState | None, positions.Position | None
+        endpoint_states.EndpointState | messages.Outcome,
+        positions.Position | None,
     ]:
         """Return where to begin a transaction, and the position it must see.
 
@@ -245,7 +246,9 @@
                 pending.deadline,
             )
             if minimum is None:
-                return None, None
+                return messages.Outcome(
+                    Kind.BUSY, detail="no fresh position"
+                ), None
             if (
                 transaction.route.consistency
                 is routes.Consistency.READ_YOUR_WRITES
@@ -295,6 +298,10 @@
         try:
             if not await self._attempts.set_up(pending, connection):
                 return messages.Outcome(Kind.LOST, detail="no session state")
+            if not (transaction.answered or endpoint.accepts_work):
+                return messages.Outcome(
+                    Kind.BUSY, detail="the endpoint is leaving"
+                )
             async with asyncio.timeout(
                 self._find_answer_timeout(pending, transaction, endpoint)
             ):
--- a/tests/unit/test_channel_pool.py
+++ b/tests/unit/test_channel_pool.py
@@ -1,6 +1,7 @@
 """Pools of many daemons that share the few connections of one endpoint."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -211,6 +212,35 @@
         assert isinstance(await daemon_pool.acquire(), FakeConnection)
 
 
+async def test_no_work_waits_for_a_connection_to_a_leaving_endpoint():
+    """Guards against work at an endpoint that no longer accepts any.
+
+    The work waits for a connection; status reports still get one.
+    """
+    leaving = endpoint_states.EndpointState(
+        dataclasses.replace(ENTRY, leaving=True),
+        FakeEndpoint(46),
+        options.RelayOptions(leaving_limit=1.0),
+        1,
+        time_source := clock.ManualClock(),
+    )
+    held = await leaving.pool.acquire()
+    assert isinstance(held, FakeConnection)
+    waiting = asyncio.create_task(leaving.pool.acquire())
+    await asyncio.sleep(0.01)
+    time_source.advance(0.9)
+    leaving.refuse_late_work()
+    assert not waiting.done()
+    time_source.advance(0.2)
+    leaving.refuse_late_work()
+    async with asyncio.timeout(0.1):
+        refusal = await waiting
+    assert isinstance(refusal, messages.Outcome)
+    assert refusal.kind is messages.Kind.BUSY
+    leaving.pool.release(held)
+    assert await leaving.pool.acquire(inspects=True) is held
+
+
 async def test_while_connections_are_scarce_statements_start_by_rank():
     """Guards against statements queueing for a connection without rank.
 
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -160,6 +160,16 @@
     assert find_reason(group_monitor, group) is Reason.LEAVING
 
 
+def test_a_leaving_endpoint_that_reappears_gets_no_more_time(group):
+    """Guards against work at a leaving endpoint whose entry was lost."""
+    group._known_since -= 60.0
+    group.put_endpoint(make_entry("p", leaving=True), 4)
+    assert group.endpoints["p"].accepts_work
+    group.remove_endpoint("p")
+    group.put_endpoint(make_entry("p", leaving=True), 4)
+    assert not group.endpoints["p"].accepts_work
+
+
 async def test_a_primary_that_never_answered_is_kept(group, group_monitor):
     add_report(group, "p", 7, role=Role.PRIMARY)
     group.endpoints["p"].has_answered = False
