--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -67,7 +67,7 @@
             if self._may_retry(transaction, outcome):
                 await self._wait_before_retry(pending, transaction, outcome)
                 continue
-            if outcome.kind is Kind.OVERLOADED:
+            if outcome.kind in messages.FINAL_REFUSALS:
                 break
             if (
                 transaction.answered
@@ -89,6 +89,7 @@
             outcome.kind,
             time.monotonic() - arrival.monotonic_at,
             pending.attempts,
+            pending.endpoint,
             outcome.detail,
         )
         return outcome
@@ -191,8 +192,8 @@
     ) -> messages.Outcome:
         """Begin the transaction on a connection to an endpoint."""
         endpoint, minimum = await self._choose_endpoint(pending, transaction)
-        if endpoint is None:
-            return messages.Outcome(Kind.BUSY, detail="no endpoint")
+        if isinstance(endpoint, messages.Outcome):
+            return endpoint
         connection = await self._attempts.acquire_connection(
             pending, endpoint, minimum, holds=True
         )
@@ -229,7 +230,8 @@
         pending: attempts.PendingStatement,
         transaction: sessions.Transaction,
     ) -> tuple[
-        endpoint_states.EndpointState | None, positions.Position | None
+        endpoint_states.EndpointState | messages.Outcome,
+        positions.Position | None,
     ]:
         """Return where to begin a transaction, and the position it must see.
 
@@ -244,7 +246,9 @@
                 pending.deadline,
             )
             if minimum is None:
-                return None, None
+                return messages.Outcome(
+                    Kind.BUSY, detail="no fresh position"
+                ), None
             if (
                 transaction.route.consistency
                 is routes.Consistency.READ_YOUR_WRITES
@@ -284,7 +288,9 @@
             ticket = await endpoint.admission.acquire(admitted)
         except errors.NotRun as error:
             return messages.Outcome(Kind.OVERLOADED, detail=error.message)
-        endpoint.record_request()
+        self._attempts.record_sent(
+            pending, endpoint, continues=transaction.answered
+        )
         started = time.monotonic()
         if pending.writes:
             transaction.wrote = True
@@ -292,6 +298,10 @@
         try:
             if not await self._attempts.set_up(pending, connection):
                 return messages.Outcome(Kind.LOST, detail="no session state")
+            if not (transaction.answered or endpoint.accepts_work):
+                return messages.Outcome(
+                    Kind.BUSY, detail="the endpoint is leaving"
+                )
             async with asyncio.timeout(
                 self._find_answer_timeout(pending, transaction, endpoint)
             ):
