Prefer endpoints that stay in the product's own failover

Callers lost the primary for longer: routing refuses work at a leaving primary, so a group whose failover promoted one served no writes until a second switchover.

Change: the runner passes the leaving endpoints to the actor with each observation, and the choice prefers one that stays among equal logs. A longer log still wins, so nothing acknowledged is lost; a test guards that.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
@@ -40,6 +40,7 @@
         by name
     :ivar owners: owning daemon of each endpoint, by name
     :ivar remote_observations: what other daemons report about the primary
+    :ivar leaving: names of the endpoints that accept no new work
     """
 
     database: str
@@ -47,6 +48,7 @@
     unresponsive_seconds: typing.Mapping[str, float]
     owners: typing.Mapping[str, str]
     remote_observations: tuple[failure_detection.RemoteObservation, ...] = ()
+    leaving: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +136,7 @@
         group = self._groups.get(state.database)
         if group is None:
             return
+        group.rules.leaving = state.leaving
         for observed in state.reports.values():
             event = failover_steps.ReportReceived(observed.report)
             self._advance(state.database, event)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
@@ -141,6 +141,8 @@
     ) -> failover_actor.GroupObserved:
         now = self._parts.time_source.now()
         plan = self._groups[database].revision.plan
+        snapshot = self._parts.group_snapshots.get(database)
+        views = snapshot.endpoints if snapshot else {}
         unresponsive = {}
         for endpoint in plan.endpoints:
             watch = self._parts.find_watch(database, endpoint.name)
@@ -161,16 +163,11 @@
             database,
             reports,
             unresponsive,
-            self._find_owners(database),
+            {name: view.owner for name, view in views.items()},
             self._list_remote_observations(database, primary, now),
+            frozenset(name for name, view in views.items() if view.leaving),
         )
 
-    def _find_owners(self, database: str) -> dict[str, str]:
-        snapshot = self._parts.group_snapshots.get(database)
-        if snapshot is None:
-            return {}
-        return {name: v.owner for name, v in snapshot.endpoints.items()}
-
     def _list_remote_observations(
         self, database: str, primary: str, now: float
     ) -> tuple[failure_detection.RemoteObservation, ...]:
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -53,6 +53,7 @@
     grants: typing.Mapping[str, Report],
     target: str = "",
     failed_primary: str = "",
+    leaving: typing.Collection[str] = (),
 ) -> str:
     """Return the endpoint to promote among those that granted the term.
 
@@ -60,8 +61,10 @@
     :param target: endpoint to prefer
     :param failed_primary: endpoint to leave out when the others are a
         majority: entries that only it holds were never confirmed
+    :param leaving: endpoints that accept no new work
     :returns: the target, if its log is as advanced as those of a majority,
-        else the endpoint with the most advanced log; ties go by name
+        else the endpoint with the most advanced log; among equal logs one
+        that stays, then the last by name
     """
     others = {name: grants[name] for name in grants if name != failed_primary}
     if len(others) >= plan.majority:
@@ -75,15 +78,27 @@
         ]
         if len(behind) >= plan.majority:
             return target
-    return max(grants, key=lambda name: (make_log_key(grants[name]), name))
+    return max(
+        grants,
+        key=lambda name: (
+            make_log_key(grants[name]),
+            name not in leaving,
+            name,
+        ),
+    )
 
 
 class FailoverRules:
-    """Transitions of the drivers of one group."""
+    """Transitions of the drivers of one group.
+
+    :ivar plan: the group's plan
+    :ivar leaving: endpoints that accept no new work
+    """
 
     def __init__(self, plan: plans.Plan, source: random.Random) -> None:
         """Initialize with the group's plan and a source of jitter."""
         self.plan = plan
+        self.leaving: frozenset[str] = frozenset()
         self._random = source
 
     def advance(
@@ -230,7 +245,11 @@
 
     def _choose(self, driver: steps.Driver) -> str:
         return choose_endpoint(
-            self.plan, driver.grants, driver.target, driver.failed_primary
+            self.plan,
+            driver.grants,
+            driver.target,
+            driver.failed_primary,
+            self.leaving,
         )
 
     def _may_improve_choice(self, driver: steps.Driver) -> bool:
@@ -240,7 +259,7 @@
         chosen = self._choose(driver)
         if driver.target:
             return chosen != driver.target
-        return (
+        return chosen in self.leaving or (
             bool(driver.failed_primary)
             and driver.failed_primary in driver.grants
         )
--- a/tests/scenarios/test_membership.py
+++ b/tests/scenarios/test_membership.py
@@ -46,6 +46,29 @@
     world.run(asyncio.sleep(3.0))
 
 
+@when(parsers.parse('the process of endpoint "{name}" is killed'))
+def kill_endpoint(world, name):
+    world.fleet.groups[worlds.DATABASE].endpoints[name].kill()
+
+
+@then(parsers.parse('"{name}" becomes primary within {limit:d} seconds'))
+def check_new_primary(world, name, limit):
+    first = world.fleet.groups[worlds.DATABASE].first_primary
+
+    async def find_primaries():
+        reply = await world.call(
+            world.daemons[0], "Status", pb.StatusRequest()
+        )
+        return [
+            endpoint.endpoint
+            for endpoint in reply.endpoints
+            if endpoint.role == "primary" and endpoint.endpoint != first
+        ]
+
+    world.run(world.wait_until(find_primaries, limit))
+    assert world.run(find_primaries()) == [name]
+
+
 @then(parsers.parse('{limit:d} seconds later no answer comes from "{name}"'))
 def check_no_new_work(world, load, limit, name):
     elapsed = time.monotonic() - world.context["marked_at"]
--- a/tests/unit/test_failover.py
+++ b/tests/unit/test_failover.py
@@ -292,6 +292,54 @@
     assert failover.choose_endpoint(PLAN, grants, target) == NAMES[chosen]
 
 
+def test_a_failover_promotes_an_endpoint_that_stays():
+    """Guards against a new primary that is leaving and refuses all work.
+
+    The replicas have logs of equal length.
+    """
+    rules = build_rules()
+    rules.leaving = frozenset({NAMES[2]})
+    driver, _ = start(rules)
+    for number in (2, 3):
+        replied = steps.FenceReplied(2, grant(number, 2))
+        driver, actions = rules.advance(driver, replied, 0.2)
+    assert actions == (steps.SendPromote(NAMES[1], 2),)
+
+
+def test_a_failover_promotes_a_leaving_endpoint_for_its_longer_log():
+    """Guards against losing a write that a leaving endpoint confirmed."""
+    rules = build_rules()
+    rules.leaving = frozenset({NAMES[2]})
+    driver, _ = start(rules)
+    ahead = grant(3, 2, last=Position(1, 11))
+    for reply in (grant(2, 2), ahead):
+        replied = steps.FenceReplied(2, reply)
+        driver, _ = rules.advance(driver, replied, 0.2)
+    late = 0.2 + failover.GRANT_WAIT_SECONDS
+    _, actions = rules.advance(driver, steps.Ticked(), late)
+    assert actions == (steps.SendPromote(NAMES[2], 2),)
+
+
+def test_a_driver_waits_for_the_grant_of_an_endpoint_that_stays():
+    """Guards against a new primary that is leaving, likewise.
+
+    The majority that grants the term first is leaving as a whole.
+    """
+    plan = builders.build_plan(
+        endpoints=tuple(builders.build_endpoint(n) for n in range(1, 6))
+    )
+    rules = failover.FailoverRules(plan, random.Random(1))
+    rules.leaving = frozenset(f"endpoint-{n}" for n in (3, 4, 5))
+    driver, _ = start(rules)
+    for number in (3, 4, 5):
+        replied = steps.FenceReplied(2, grant(number, 2))
+        driver, actions = rules.advance(driver, replied, 0.2)
+        assert actions == ()
+    replied = steps.FenceReplied(2, grant(2, 2))
+    _, actions = rules.advance(driver, replied, 0.2)
+    assert actions == (steps.SendPromote("endpoint-2", 2),)
+
+
 def test_endpoints_that_do_not_follow_get_a_follow_command():
     reports = {
         NAMES[0]: REPORT(1, role=Role.PRIMARY),
