Choose no address twice for the stand-ins' processes

Likely cause: start_daemon chooses three ports of one IP one after the other and holds none of them, so the system may pick one twice; nothing else listens or connects from that IP. The test fails without the change.

--- a/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/launcher.py
@@ -27,16 +27,25 @@
 STEP = "launch"
 
 
+_chosen_addresses: set[str] = set()
+
+
 def choose_address(zone_number: int, host_number: int) -> str:
     """Return the ``IP:port`` of a host with a port free now.
 
+    None is returned twice: its port stays free until a process listens.
+
     :param zone_number: number of the zone, from 0
     :param host_number: number of the host in its zone, from 1
     """
     ip = hosts.make_ip(zone_number, host_number)
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            address = f"{ip}:{probe.getsockname()[1]}"
+        if address not in _chosen_addresses:
+            _chosen_addresses.add(address)
+            return address
 
 
 class Process:
--- a/tests/unit/test_launcher.py
+++ b/tests/unit/test_launcher.py
@@ -1,6 +1,7 @@
 import asyncio
 import os
 import signal
+import socket
 
 import pytest
 
@@ -25,6 +26,25 @@
         assert hosts.make_ip(1, 1) == f"{network}.1.1"
 
 
+def test_no_address_is_chosen_twice(monkeypatch):
+    """Guards against a daemon that is to listen twice on one port.
+
+    The system may pick the same port again, as nothing listens on it yet.
+    """
+    ports = iter((40001, 40001, 40002))
+
+    class Probe(socket.socket):
+        def bind(self, address):
+            pass
+
+        def getsockname(self):
+            return ("", next(ports))
+
+    monkeypatch.setattr(socket, "socket", Probe)
+    first = launchers.choose_address(1, 99)
+    assert launchers.choose_address(1, 99) != first
+
+
 async def test_a_process_is_frozen_resumed_and_stopped(tmp_path):
     async with launchers.Launcher(tmp_path) as launcher:
         platform = await fleets.Fleet(launcher).start_platform()
