Switch a leaving primary over only to an endpoint that reports

A leaving primary kept its work, and from now on its group would refuse all work at its leaving limit, as long as one replica refused reports: the target is the replica with the longest log that is known, and an old report counted as long as the replica answered anything at all. Every attempt asked the same replica for a report, got none and changed nothing.

Change: a target's report must be as recent as any on which the monitor decides (2 s). The test, with two replicas of equal logs of which the first has no slot for reports, failed before (no switchover in 5 s) and passes within the time in which the primary still gets work.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -275,7 +275,7 @@
             if endpoint is not primary
             and endpoint.report is not None
             and endpoint.report.role is Role.REPLICA
-            and now - endpoint.answered_at < REPORT_VALID_SECONDS
+            and now - endpoint.reported_at < REPORT_VALID_SECONDS
         ]
         return max(
             candidates,
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -271,6 +271,8 @@
         match words[0]:
             case "PAUSE" | "DEMOTE" if endpoint.faults.refuse_fences:
                 self._fail("BUSY")
+            case "STATUS" if endpoint.faults.refuse_reports:
+                self._fail("BUSY")
             case "STATUS":
                 self._send_result(endpoint.status())
             case "PAUSE":
--- a/tests/platform/standins/records.py
+++ b/tests/platform/standins/records.py
@@ -30,6 +30,7 @@
     :ivar slow: factor of the service time
     :ivar deaf: the endpoint does not replicate
     :ivar refuse_fences: the endpoint has no free slot for fences
+    :ivar refuse_reports: the endpoint has no free slot for reports
     """
 
     dark: bool = False
@@ -38,3 +39,4 @@
     slow: float = 1.0
     deaf: bool = False
     refuse_fences: bool = False
+    refuse_reports: bool = False
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -301,6 +301,26 @@
     assert stranded.list_late() == []
 
 
+async def test_a_switchover_takes_a_target_that_reports(world):
+    """Guards against a leaving primary that keeps its work.
+
+    Both replicas hold the same log; the first one refuses all reports.
+    """
+    group = world.groups["g0"]
+    primary, refusing, other = group.endpoints.values()
+    client = await world.connect("primary")
+    await client.query("WRITE item a")
+    await asyncio.sleep(2.0)
+    refusing.faults.refuse_reports = True
+    await mark_leaving(world, primary)
+    # Until then the primary still gets new work.
+    async with asyncio.timeout(boot.Bounds().leaving_limit):
+        while group.primary in (None, primary):
+            await asyncio.sleep(0.02)
+    assert group.primary is other
+    assert group.lost == []
+
+
 async def test_failover_promotes_no_leaving_endpoint_of_equal_log(world):
     """Guards against work at an endpoint that was promoted while leaving.
 
