Let the primary serve reads of a group that leaves as a whole

Reads that a replica may serve waited until their deadline and were then refused when all endpoints of their group were leaving, although the primary may serve them until its leaving limit and writes were served there.

Cause: without an endpoint that stays, the read waited for a change of the group instead of going to the primary, as it does when all replicas lag. Now it goes there at once; after the limit it is refused at once. The branch that waited is gone: whenever an endpoint stays but none is chosen, all were found to be too late.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
@@ -154,24 +154,20 @@
             return messages.Outcome(Kind.BUSY, detail="no fresh position")
         if pending.route.consistency is routes.Consistency.READ_YOUR_WRITES:
             minimum = max(minimum, pending.session.last_write)
+        if not any(pending.group.list_candidates()):
+            return messages.Outcome(
+                Kind.BEHIND, detail="all endpoints are leaving"
+            )
         endpoint = self._chooser.choose(pending, minimum)
-        if endpoint is None and pending.has_tried_all() and pending.tried:
+        if endpoint is None:
             return messages.Outcome(
                 Kind.OVERLOADED, detail="no endpoint can serve it in time"
             )
-        if endpoint is None:
-            return await self._wait_for_endpoint(pending)
         outcome = await self._attempts.run(pending, endpoint, minimum)
         if outcome.kind is not Kind.DONE:
             pending.tried.add(endpoint.name)
         return outcome
 
-    async def _wait_for_endpoint(
-        self, pending: attempts.PendingStatement
-    ) -> messages.Outcome:
-        await pending.group.wait_change(min(max(pending.remaining, 0.0), 0.1))
-        return messages.Outcome(Kind.BUSY, detail="no endpoint is known")
-
     async def _read_current(
         self,
         pending: attempts.PendingStatement,
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -301,6 +301,26 @@
     assert stranded.list_late() == []
 
 
+@pytest.mark.parametrize("route_type", worlds.ROUTE_TYPES)
+async def test_reads_of_a_group_that_leaves_as_a_whole(stranded, route_type):
+    """Guards against reads that wait for an endpoint that stays.
+
+    The primary serves them while it may; then they are refused at once.
+    """
+    world = stranded.world
+    reader = await world.connect(route_type)
+    await reader.query("READ item")
+    await stranded.mark()
+    for endpoint in world.groups["g0"].endpoints.values():
+        await mark_leaving(world, endpoint)
+    error, seconds = await query_timed(reader, "READ item")
+    assert (error, seconds < REFUSAL_SECONDS) == (None, True)
+    await stranded.wait(DRAIN_SECONDS)
+    error, seconds = await query_timed(reader, "READ item")
+    assert (error, seconds < REFUSAL_SECONDS) == ("BUSY", True)
+    assert stranded.list_late() == []
+
+
 async def test_a_switchover_takes_a_target_that_reports(world):
     """Guards against a leaving primary that keeps its work.
 
