Give each daemon of the soak a loopback IP of its own

Seen with three soaks side by side: a daemon ended at its start, 'error while attempting to bind on address (127.0.0.1, 54003): address already in use', and the run waited 15 s for it. Ports were chosen on 127.0.0.1, where each outgoing connection takes one too, also while a daemon is down for a restart.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,6 +1,7 @@
 """Daemon processes, which the soak signals by their process ids."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -12,12 +13,23 @@
 START_TIMEOUT_SECONDS = 15.0
 
 
-def find_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-    return port
+def choose_addresses(number: int, count: int) -> list[str]:
+    """Return free ``IP:port`` of a loopback IP that one daemon listens on.
+
+    Outgoing connections have the IP 127.0.0.1, and other processes of the
+    soak choose other IPs, so nothing takes the ports of a daemon that is
+    down.
+
+    :param number: number of the daemon, unique in this process
+    """
+    high, low = divmod(os.getpid() % (100 * 250), 250)
+    addresses = []
+    with contextlib.ExitStack() as probes:
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            probe.bind((f"127.{high + 100}.{low + 1}.{number + 201}", 0))
+            addresses.append("{}:{}".format(*probe.getsockname()))
+    return addresses
 
 
 class DaemonProcess:
@@ -31,21 +43,22 @@
 
     def __init__(
         self,
-        name: str,
+        number: int,
         store_address: str,
         cloud_address: str,
         folder: pathlib.Path,
     ) -> None:
         """Write the settings file.
 
-        :param name: name of the daemon
+        :param number: number of the daemon, unique in this process
         :param store_address: ``IP:port`` of the object store
         :param cloud_address: ``IP:port`` of the cloud's interface
         :param folder: folder for the settings and the log
         """
-        self.name = name
-        self.caller_address = f"127.0.0.1:{find_port()}"
-        self.ready_address = f"127.0.0.1:{find_port()}"
+        self.name = name = f"daemon-{number}"
+        addresses = choose_addresses(number, 3)
+        self.caller_address, self.ready_address, metrics = addresses
+        ip, _, metrics_port = metrics.partition(":")
         self.stopping = False
         self.paused = False
         self._log = folder / f"{name}.log"
@@ -54,7 +67,7 @@
             yaml.safe_dump(
                 {
                     "node": name,
-                    "ip": "127.0.0.1",
+                    "ip": ip,
                     "zone": "a",
                     "listen": {
                         "front": self.caller_address,
@@ -63,7 +76,7 @@
                     "platform": {"address": store_address},
                     "cloud": {"address": cloud_address},
                     "bounds": {"grace_s": 4.0},
-                    "metrics_port": find_port(),
+                    "metrics_port": int(metrics_port),
                 }
             ),
             encoding="utf-8",
--- a/soak/world.py
+++ b/soak/world.py
@@ -65,7 +65,7 @@
         self._put_configuration()
         for number in range(self._daemon_count):
             daemon = processes.DaemonProcess(
-                f"daemon-{number}",
+                number,
                 self._store_proxy.address,
                 self._store.address,
                 self._folder,
