Check in the soak that no work begins at endpoints that have left

Now the mark stays for 4.4 to 7 s, through role changes and lapsed entries, and what began at the endpoint later than the drain time after the mark is a violation. A disturbed store or a paused daemon moves the time from which a mark can be known, a restarted daemon learns of it anew.

Each run gets a series of overlapping faults over the others (endpoints leave, primaries fail while endpoints leave, daemons stop in turn, signals to one daemon, configurations), and one in four sessions goes on until its daemon closes the connection.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -63,7 +63,7 @@
                         daemon.caller_address, f"{self._group}-{route}"
                     )
                 if opened == "READY I -":
-                    await self._run_session(client, daemon, route)
+                    await self._run_session(client, daemon, route, until)
                 else:
                     self._history.outcomes["session refused"] += 1
             except (OSError, TimeoutError):
@@ -77,10 +77,20 @@
         client: line_server.LineClient,
         daemon: processes.DaemonProcess,
         route: str,
+        until: float,
     ) -> None:
-        """Run a few operations in one session."""
-        own_number = 0
-        for _ in range(self._random.randrange(1, 8)):
+        """Run operations in one session.
+
+        One in four sessions goes on until the daemon closes it.
+
+        :param until: time of the event loop at which to stop
+        """
+        loop = asyncio.get_running_loop()
+        own_number = operations = 0
+        lasts = self._random.random() < 0.25
+        planned = self._random.randrange(1, 8)
+        while loop.time() < until and (lasts or operations < planned):
+            operations += 1
             # A stopping daemon answers all statements sent before its SIGTERM.
             was_stopping = daemon.stopping
             kind = self._random.random()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,36 @@
 )
 
 
+@dataclasses.dataclass(frozen=True)
+class Series:
+    """Faults that come one after the other and may overlap.
+
+    :ivar kinds: kinds in order
+    :ivar longest_gap: most seconds between two of them
+    :ivar has_one_target: whether they have one target or several in turn
+    """
+
+    kinds: tuple[str, ...]
+    longest_gap: float
+    has_one_target: bool = False
+
+
+SERIES = (
+    Series(("endpoint leaves",) * 6, 0.5),
+    Series(
+        (*("endpoint leaves",) * 3, *("primary dark", "primary ends") * 2),
+        1.2,
+    ),
+    Series(("stop daemon",) * 3, 1.0),
+    Series(
+        ("reload daemon", "pause daemon", "reload daemon", "stop daemon"),
+        0.5,
+        has_one_target=True,
+    ),
+    Series(("configuration changes",) * 6, 0.3),
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Fault:
     """Scheduled fault.
@@ -66,4 +96,21 @@
             )
         )
         at += source.expovariate(1 / 1.2)
+    faults.extend(_draw_series(seed, seconds))
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw_series(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of one series, over which the others come."""
+    source = random.Random(f"series {seed}")
+    series = source.choice(SERIES)
+    at = source.uniform(0.5, max(0.6, seconds - 6.0))
+    pick = source.randrange(1000)
+    faults = []
+    for kind in series.kinds:
+        faults.append(
+            Fault(round(at, 2), kind, round(source.uniform(0.4, 3.0), 2), pick)
+        )
+        at += source.uniform(0.1, series.longest_gap)
+        pick += not series.has_one_target
     return faults
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -10,6 +10,8 @@
 
 import yaml
 
+from soak import leaving
+
 START_TIMEOUT_SECONDS = 15.0
 
 
@@ -75,7 +77,11 @@
                     },
                     "platform": {"address": store_address},
                     "cloud": {"address": cloud_address},
-                    "bounds": {"grace_s": 4.0},
+                    "bounds": {
+                        "grace_s": 4.0,
+                        "drain_ms": leaving.DRAIN_SECONDS * 1000,
+                        "config_apply_ms": leaving.KNOWN_SECONDS * 1000,
+                    },
                     "metrics_port": int(metrics_port),
                 }
             ),
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """Test environment of the soak: daemons, proxies, stand-ins and faults."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import signal
@@ -9,6 +10,7 @@
 from soak import callers
 from soak import faults
 from soak import history as histories
+from soak import leaving
 from soak import processes
 from soak import proxies
 from tests.platform.standins import group as wire_group
@@ -17,6 +19,8 @@
 from tests.platform.standins import world as worlds
 
 SETTLE_TIMEOUT_SECONDS = 6.0
+# Time until a daemon notices that its connection to the store is silent.
+SILENT_LINK_SECONDS = 2.5
 
 
 class World:
@@ -47,6 +51,8 @@
         self._proxies: dict[str, proxies.Proxy] = {}
         self._daemons: list[processes.DaemonProcess] = []
         self._version = 1
+        self._marked: dict[str, leaving.Interval] = {}
+        self._disturbances = leaving.Disturbances()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -116,9 +122,12 @@
             random.Random(self._random.random()),
         )
 
-    def _register(self, endpoint: wire_group.Endpoint, **more: object) -> None:
-        address = self._proxies[endpoint.name].address
-        self._store.register(endpoint, address=address, **more)
+    def _register(self, endpoint: wire_group.Endpoint) -> None:
+        self._store.register(
+            endpoint,
+            address=self._proxies[endpoint.name].address,
+            state="draining" if endpoint.name in self._marked else "ready",
+        )
 
     def _put_configuration(self) -> None:
         self._store.put(
@@ -157,15 +166,18 @@
         endpoint = self._list_endpoints()[pick % 6]
         match fault.kind.split(" ", 1):
             case ["store", detail]:
-                await self._inject_store_fault(detail, fault.seconds)
+                learning = self._disturbances.learning
+                with leaving.record(learning, SILENT_LINK_SECONDS):
+                    await self._inject_store_fault(detail, fault.seconds)
             case ["kill", _]:
                 await self._restart(daemon, signal.SIGKILL, fault.seconds)
             case ["stop", _]:
                 await self._restart(daemon, signal.SIGTERM, fault.seconds)
             case ["pause", _]:
-                daemon.send(signal.SIGSTOP)
-                await asyncio.sleep(fault.seconds)
-                daemon.send(signal.SIGCONT)
+                with leaving.record(self._disturbances.learning):
+                    daemon.send(signal.SIGSTOP)
+                    await asyncio.sleep(fault.seconds)
+                    daemon.send(signal.SIGCONT)
             case ["reload", _]:
                 daemon.send(signal.SIGHUP)
             case ["primary", detail] if group.primary is not None:
@@ -210,9 +222,12 @@
     ) -> None:
         if not daemon.running or daemon.stopping:
             return
-        await daemon.end(number)
-        await asyncio.sleep(seconds / 3)
-        await daemon.start()
+        with leaving.record(self._disturbances.restarts):
+            await daemon.end(number)
+            await asyncio.sleep(seconds / 3)
+            await daemon.start()
+            with contextlib.suppress(TimeoutError):
+                await daemon.wait_ready()
 
     async def _set_endpoint_fault(
         self,
@@ -249,10 +264,8 @@
                 await self._set_endpoint_fault(
                     [endpoint], "slow", 8.0, seconds
                 )
-            case "leaves":
-                self._register(endpoint, state="draining")
-                await asyncio.sleep(seconds + 2.0)
-                self._register(endpoint)
+            case "leaves" if endpoint.name not in self._marked:
+                await self._mark_leaving(endpoint, seconds)
             case "link reset":
                 proxy.reset()
             case "link silenced":
@@ -265,6 +278,26 @@
             await asyncio.sleep(seconds)
             proxy.faults = proxies.ProxyFaults()
 
+    async def _mark_leaving(
+        self, endpoint: wire_group.Endpoint, seconds: float
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        marked = self._marked[endpoint.name] = leaving.Interval(loop.time())
+        self._register(endpoint)
+        await asyncio.sleep(leaving.LEAVING_SECONDS + seconds)
+        marked.end = loop.time()
+        del self._marked[endpoint.name]
+        self._register(endpoint)
+        late = leaving.list_late_work(
+            endpoint.begun, marked, self._disturbances
+        )
+        self.history.outcomes["endpoint left"] += 1
+        if late:
+            self.history.violations.append(
+                f"{len(late)} statements began at {endpoint.name} after its"
+                f" drain time, first {late[0]}"
+            )
+
     async def _inject_store_fault(self, detail: str, seconds: float) -> None:
         store_faults = self._store.faults
         changes: dict[str, dict[str, typing.Any]] = {
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -1,9 +1,12 @@
 """Each check of the soak finds a violation of its guarantee."""
 
+import asyncio
+
 import pytest
 
 from soak import faults
 from soak import history as histories
+from soak import leaving
 
 
 @pytest.fixture
@@ -63,6 +66,50 @@
     assert len(history.violations) == 2
 
 
+async def test_work_that_began_too_late_at_a_leaving_endpoint_is_found():
+    now = asyncio.get_running_loop().time()
+    marked = leaving.Interval(now - 10.0, now - 1.0)
+    disturbances = leaving.Disturbances()
+    on_time = (now - 9.0, "on time")
+    late = (now - 10.0 + leaving.DRAIN_SECONDS + 0.1, "late")
+    after = (now - 0.5, "stays again")
+    begun = [(now - 11.0, "before"), on_time, late, after]
+    found = leaving.list_late_work(begun, marked, disturbances)
+    assert found == ["late"]
+
+
+def test_a_store_fault_delays_when_a_mark_is_known():
+    disturbances = leaving.Disturbances()
+    disturbances.learning = [
+        leaving.Interval(8.0, 10.5),
+        leaving.Interval(10.9, 12.0),
+        leaving.Interval(14.0, 20.0),
+    ]
+    assert disturbances.find_known_at(10.0) == 12.0
+    begun = [(14.9, "in time"), (15.1, "late")]
+    marked = leaving.Interval(10.0, 30.0)
+    found = leaving.list_late_work(begun, marked, disturbances)
+    assert found == ["late"]
+
+
+def test_a_daemon_that_restarts_learns_of_a_mark_anew():
+    disturbances = leaving.Disturbances()
+    disturbances.restarts = [leaving.Interval(12.0, 14.0)]
+    begun = [(13.5, "while it restarts"), (16.9, "in time"), (17.1, "late")]
+    marked = leaving.Interval(10.0, 30.0)
+    found = leaving.list_late_work(begun, marked, disturbances)
+    assert found == ["late"]
+
+
+async def test_a_disturbance_is_recorded():
+    intervals: list[leaving.Interval] = []
+    started_at = asyncio.get_running_loop().time()
+    with leaving.record(intervals, seconds_after=1.0):
+        await asyncio.sleep(0.01)
+    assert intervals[0].start == pytest.approx(started_at, abs=0.1)
+    assert intervals[0].end == pytest.approx(started_at + 1.01, abs=0.1)
+
+
 def test_the_same_seed_gives_the_same_faults():
     assert faults.draw_faults(7, 15.0) == faults.draw_faults(7, 15.0)
     kinds = {
