--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -48,6 +48,19 @@
     return (report.last.term, report.last.index)
 
 
+def make_promotion_key(
+    report: Report, leaving: typing.Collection[str]
+) -> tuple[tuple[int, int], bool, str]:
+    """Return the key by which endpoints are chosen; the highest is promoted.
+
+    Among equal logs an endpoint that stays goes before one that is leaving.
+
+    :param leaving: names of the endpoints that accept no new work
+    """
+    name = report.endpoint
+    return make_log_key(report), name not in leaving, name
+
+
 def choose_endpoint(
     plan: plans.Plan,
     grants: typing.Mapping[str, Report],
@@ -79,12 +92,7 @@
         if len(behind) >= plan.majority:
             return target
     return max(
-        grants,
-        key=lambda name: (
-            make_log_key(grants[name]),
-            name not in leaving,
-            name,
-        ),
+        grants, key=lambda name: make_promotion_key(grants[name], leaving)
     )
 
 
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -93,11 +93,7 @@
     has_all_replicas = len(replicas) >= size - 1
     best = max(
         replicas,
-        key=lambda name: (
-            failover.make_log_key(replicas[name]),
-            name not in leaving,
-            name,
-        ),
+        key=lambda name: failover.make_promotion_key(replicas[name], leaving),
         default=None,
     )
     fenced_primary = known.get(failed_primary)
