--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -3,6 +3,8 @@
 import random
 import time
 
+import structlog
+
 from fescuestile import admission
 from fescuestile import clock
 from fescuestile import endpoint_choice
@@ -14,6 +16,8 @@
 from fescuestile_daemon.relay import pool
 from fescuestile_daemon.relay import ports
 
+log = structlog.get_logger()
+
 # Guaranteed minimum share of the slots of each of the three ranks.
 FLOORS = (0.1, 0.1, 0.1)
 # Weight of a new sample in the mean service time.
@@ -129,10 +133,19 @@
 
     def refuse_late_work(self) -> None:
         """Refuse the work that waits for it once it accepts none."""
+        accepted_work = self.pool.accepts_work
         self.pool.accepts_work = self.accepts_work
-        if not self.accepts_work:
-            self.pool.wake_all()
-            self.admission.refuse_new("the endpoint is leaving")
+        if self.accepts_work:
+            return
+        self.pool.wake_all()
+        self.admission.refuse_new("the endpoint is leaving")
+        if accepted_work:
+            log.info(
+                "leaving endpoint gets no more work",
+                endpoint=self.name,
+                group=self.entry.group,
+                leaving_seconds=round(self.measure_leaving(), 3),
+            )
 
     def measure_leaving(self) -> float:
         """Return for how many seconds it has been leaving."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -131,7 +131,8 @@
                 if left <= 0:
                     return await self._dial()
             await self._wait(left)
-        return messages.Outcome(messages.Kind.BUSY, detail="endpoint left")
+        detail = "endpoint left" if self._closed else "the endpoint is leaving"
+        return messages.Outcome(messages.Kind.BUSY, detail=detail)
 
     async def _wait(self, seconds: float | None) -> None:
         """Wait until a connection may be free.
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -184,7 +184,10 @@
     client = await stranded.world.connect("primary")
     await stranded.mark()
     assert get_error(await client.query(text)) is None
-    await stranded.wait(DRAIN_SECONDS)
+    with structlog.testing.capture_logs() as lines:
+        await stranded.wait(DRAIN_SECONDS)
+    (line,) = find_lines(lines, "leaving endpoint gets no more work")
+    assert line["endpoint"] == stranded.primary.name
     error, seconds = await query_timed(client, text)
     assert error == "BUSY"
     assert seconds < REFUSAL_SECONDS
