Read the registry again before a takeover

Callers lost acknowledged writes, and a leaving endpoint was promoted, because a daemon replaced a primary that it did not know.

Cause: a driver asks all endpoints for reports once it has the lease, but all means those of its own copy of the registry. A daemon that was cut off from the store, or whose connection to it is silent, can get the lease over a new connection before its watch has caught up. If the successor of a leaving primary registered meanwhile, the daemon sees a group without a primary, fences the endpoints that it knows and promotes one of them: an endpoint that is leaving for all it knows or not, while the real primary and its replicas go on to acknowledge. Class: a decision from a copy whose age nobody checks; the lease is current, the facts are not.

Change: the driver lists the registry after it has the lease, then asks for reports; without an answer the takeover is given up.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -11,6 +11,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import failover
 from fescuestile import failure_detection
+from fescuestile import promotion
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import groups
@@ -55,6 +56,7 @@
         self,
         routes: directory.Directory,
         promoter: ports.Promoter,
+        registry: ports.Registry,
         relay_options: options.RelayOptions,
         boot_clock: clock.Clock,
         source: random.Random,
@@ -62,10 +64,12 @@
         """Watch the groups of ``routes`` once started.
 
         :param promoter: requests promotions for takeovers
+        :param registry: read again before each takeover
         :param source: draws the delays before takeovers
         """
         self._directory = routes
         self._promoter = promoter
+        self._registry = registry
         self._options = relay_options
         self._clock = boot_clock
         self._random = source
@@ -318,26 +322,11 @@
             if lease is None:
                 await asyncio.sleep(self._options.primary_timeout / 2)
                 return
-            # Another daemon may have replaced the primary meanwhile.
-            await group.refresh(REFRESH_TIMEOUT_SECONDS)
-            now = time.monotonic()
-            unpaused = self._pauses.exclude_pauses(60.0, self._clock.now())
-            reason_now = self._find_reason(group, now, unpaused)
-            primary = group.find_primary()
-            log.info(
-                "primary suspected",
-                group=group.name,
-                reason=reason,
-                still=reason_now,
-                primary=primary.name if primary else None,
-                silence=primary.measure_unanswered(now) if primary else None,
-                token=lease.token,
-            )
-            if reason_now is not None:
-                replacement = takeover.Takeover(
-                    group, self._promoter, lease, self._clock
-                )
-                await self._replace(group, replacement, reason_now, primary)
+            # Another daemon may have replaced the primary meanwhile, also by
+            # an endpoint that is not known here yet.
+            if await self._registry.refresh():
+                await group.refresh(REFRESH_TIMEOUT_SECONDS)
+                await self._take_over(group, reason, lease)
             await self._promoter.release(lease)
         except Exception:
             log.exception(
@@ -346,6 +335,32 @@
         finally:
             self._takeovers.pop(group.name, None)
 
+    async def _take_over(
+        self, group: groups.Group, reason: Reason, lease: promotion.Lease
+    ) -> None:
+        """Replace the primary if there still is a reason.
+
+        :param reason: reason before the lease was acquired
+        """
+        now = time.monotonic()
+        unpaused = self._pauses.exclude_pauses(60.0, self._clock.now())
+        reason_now = self._find_reason(group, now, unpaused)
+        primary = group.find_primary()
+        log.info(
+            "primary suspected",
+            group=group.name,
+            reason=reason,
+            still=reason_now,
+            primary=primary.name if primary else None,
+            silence=primary.measure_unanswered(now) if primary else None,
+            token=lease.token,
+        )
+        if reason_now is not None:
+            replacement = takeover.Takeover(
+                group, self._promoter, lease, self._clock
+            )
+            await self._replace(group, replacement, reason_now, primary)
+
     async def _replace(
         self,
         group: groups.Group,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -43,6 +43,7 @@
         self,
         dialer: ports.Dialer,
         promoter: ports.Promoter,
+        registry: ports.Registry,
         relay_options: options.RelayOptions,
         zone: str,
     ) -> None:
@@ -62,6 +63,7 @@
         self._monitor = monitor.Monitor(
             self.directory,
             promoter,
+            registry,
             relay_options,
             boot_clock,
             random.Random(),
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -98,6 +98,17 @@
         """
 
 
+class Registry(abc.ABC):
+    """The registry of endpoints, of which each daemon keeps a copy."""
+
+    @abc.abstractmethod
+    async def refresh(self) -> bool:
+        """Read the registry again and apply it.
+
+        :returns: False when the registry did not answer
+        """
+
+
 class Listener(typing.Protocol):
     """Receives the statements of one caller."""
 
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -134,6 +134,13 @@
         for endpoint in self.endpoints.values():
             await endpoint.server.close()
 
+    async def add_endpoint(self, name: str, zone: str) -> Endpoint:
+        """Start a further replica, which holds the primary's log."""
+        added = self.endpoints[name] = Endpoint(self, name, zone)
+        await added.server.start()
+        self.follow(added)
+        return added
+
     def commit(self, endpoint: Endpoint, entry: Entry) -> bool:
         """Replicate a commit; return whether a replica has received it."""
         endpoint.received.append(entry)
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -81,14 +81,19 @@
             await self.start_daemon(f"daemon-{number}")
         await self.wait_ready()
 
-    async def start_daemon(self, name: str) -> daemon.Daemon:
-        """Start a daemon on free ports."""
+    async def start_daemon(
+        self, name: str, store_address: str = ""
+    ) -> daemon.Daemon:
+        """Start a daemon on free ports.
+
+        :param store_address: where it reaches the store, by default directly
+        """
         settings = boot.Settings(
             node=name,
             ip="127.0.0.1",
             zone="a",
             listen=boot.Listen(front="127.0.0.1:0", ready="127.0.0.1:0"),
-            platform=boot.Address(address=self.store.address),
+            platform=boot.Address(address=store_address or self.store.address),
             cloud=boot.Address(address=self.store.address),
             bounds=self._bounds,
             metrics_port=0,
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -8,6 +8,7 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
+from fescuestile import promotion
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
@@ -37,6 +38,18 @@
         return None
 
 
+class CurrentRegistry(ports.Registry):
+    """Answers that nothing has changed.
+
+    :ivar available: whether it answers
+    """
+
+    available = True
+
+    async def refresh(self):
+        return self.available
+
+
 def make_entry(name, leaving=False):
     return messages.EndpointEntry(
         name, "g", "127.0.0.1:1", "a", 2, leaving, name == "p", 0
@@ -60,6 +73,7 @@
     return monitor.Monitor(
         directory.Directory(NoDialer(), relay_options, boot_clock),
         NoPromoter(),
+        CurrentRegistry(),
         relay_options,
         boot_clock,
         random.Random(1),
@@ -199,13 +213,18 @@
         await asyncio.sleep(3600)
 
 
-def make_monitor(group, promoter):
+def make_monitor(group, promoter, registry=None):
     relay_options = options.RelayOptions()
     boot_clock = clock.BootClock()
     routes = directory.Directory(NoDialer(), relay_options, boot_clock)
     routes.groups[group.name] = group
     return monitor.Monitor(
-        routes, promoter, relay_options, boot_clock, random.Random(1)
+        routes,
+        promoter,
+        registry or CurrentRegistry(),
+        relay_options,
+        boot_clock,
+        random.Random(1),
     )
 
 
@@ -231,6 +250,41 @@
     assert time.monotonic() - started_at < 0.5
 
 
+class FreePromoter(NoPromoter):
+    """Grants the lease.
+
+    :ivar held: leases that were granted and not released
+    """
+
+    def __init__(self):
+        self.held = 0
+
+    async def acquire(self):
+        self.held += 1
+        return promotion.Lease("d", 1, clock.BootClock().now() + 60)
+
+    async def release(self, lease):
+        self.held -= 1
+
+
+async def test_no_takeover_starts_without_an_answer_of_the_registry(
+    group, monkeypatch
+):
+    """Guards against takeovers from an outdated copy of the registry."""
+    started = []
+    registry = CurrentRegistry()
+    registry.available = False
+    promoter = FreePromoter()
+    group_monitor = make_monitor(group, promoter, registry)
+    monkeypatch.setattr(
+        group_monitor, "_take_over", lambda *args: started.append(args)
+    )
+    await fail_primary(group, group_monitor)
+    assert started == []
+    assert promoter.held == 0
+    await group_monitor.close(0.0)
+
+
 async def test_a_stopping_daemon_starts_no_takeover(group):
     promoter = SlowPromoter()
     group_monitor = make_monitor(group, promoter)
