Take no fresh position from replicas that follow an unknown primary

A read with a staleness bound could be older than the bound at a daemon whose copy of the registry was outdated: 'old' two seconds after 'new' was acknowledged, with a bound of 1.5 s (test_outdated_registry.py, failed before).

Cause: the longest log of all replicas counts as fresh, since one of them has each acknowledged write. A daemon that does not hear from the registry while endpoints are replaced does not know the replica that acknowledges. The same class as the takeovers from an outdated registry.

Change: a round whose replicas follow a term of which no endpoint known here has reported to be the leader gives no position. That is the case after each switch to an unknown successor; after a failover to a known one until its first report.

What remains: a known primary beside an unknown replica, while all known replicas receive nothing; the copy shows no trace of that.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -30,6 +30,7 @@
     :ivar leadership: checks that its primary still leads
     :ivar connections: connections that each endpoint accepts
     :ivar expected: largest recent number of endpoints
+    :ivar led_term: highest term that an endpoint reported to lead
     :ivar stalled_since: monotonic seconds since which no replica has reached
         the primary's position, None when one has
     """
@@ -50,7 +51,7 @@
         self.expected = 0
         self._expected_at = 0.0
         self._awaited_position = positions.START
-        self._awaited_term = 0
+        self.led_term = 0
         self._dialer = dialer
         self._clock = boot_clock
         self._known_since = boot_clock.now()
@@ -293,10 +294,10 @@
     def _record_replication(self, report: messages.Report) -> None:
         """Record whether some replica receives what the primary writes."""
         if report.role is Role.PRIMARY:
-            if report.term > self._awaited_term:
+            if report.term > self.led_term:
                 # A new primary: its replicas get the full timeout to follow.
                 self.stalled_since = None
-                self._awaited_term = report.term
+                self.led_term = report.term
             if self.stalled_since is None and len(self.endpoints) > 1:
                 self._awaited_position = report.last
                 self.stalled_since = time.monotonic()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -34,6 +34,7 @@
 
     :ivar started_at: boot-time seconds before the first request
     :ivar log_ends: last position of each endpoint that has responded
+    :ivar followed: highest term that one of them follows or leads
     """
 
     number: int
@@ -41,6 +42,7 @@
     log_ends: dict[str, positions.Position] = dataclasses.field(
         default_factory=dict
     )
+    followed: int = 0
 
 
 class LeadershipChecks:
@@ -126,8 +128,12 @@
 
         A write is acknowledged once one replica has it, so the longest of
         all replicas' logs holds every write that was acknowledged before
-        the round. This works without the primary.
+        the round. This works without the primary, but not if there are
+        replicas that this daemon does not know, as when the registry has
+        changed unseen and they follow a primary that never reported here.
         """
+        if round_.followed > self._group.led_term:
+            return
         primary = self._group.find_primary()
         replicas = {
             endpoint.name
@@ -150,6 +156,7 @@
         if report is None:
             return
         round_.log_ends[endpoint.name] = report.last
+        round_.followed = max(round_.followed, report.followed)
         self._sample_replicas(round_)
         self._rounds.observe(round_.number, report)
         ticket = read_confirmation.ReadTicket(round_.number)
