--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -9,9 +9,9 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile import failover
 from fescuestile import failure_detection
 from fescuestile import promotion
+from fescuestile import promotion_order
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import groups
@@ -284,7 +284,7 @@
         return max(
             candidates,
             key=lambda e: (
-                failover.make_log_key(e.report) if e.report else (0, 0)
+                promotion_order.make_log_key(e.report) if e.report else (0, 0)
             ),
             default=None,
         )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -7,8 +7,8 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile import failover
 from fescuestile import promotion
+from fescuestile import promotion_order
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
@@ -217,9 +217,9 @@
             if report is not None and report.term > final.term:
                 # A later term has begun, so the fenced primary was outdated.
                 return False
-            if report is not None and failover.make_log_key(
+            if report is not None and promotion_order.make_log_key(
                 report
-            ) >= failover.make_log_key(final):
+            ) >= promotion_order.make_log_key(final):
                 return True
             await asyncio.sleep(POLL_SECONDS)
         return False
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -10,8 +10,8 @@
 import typing
 
 from fescuestile import endpoint_messages
-from fescuestile import failover
 from fescuestile import plans
+from fescuestile import promotion_order
 
 Report = endpoint_messages.Report
 Role = endpoint_messages.Role
@@ -93,7 +93,9 @@
     has_all_replicas = len(replicas) >= size - 1
     best = max(
         replicas,
-        key=lambda name: failover.make_promotion_key(replicas[name], leaving),
+        key=lambda name: promotion_order.make_promotion_key(
+            replicas[name], leaving
+        ),
         default=None,
     )
     fenced_primary = known.get(failed_primary)
@@ -106,9 +108,9 @@
     ):
         # Its term had ended before: a later primary may still serve writes.
         return None
-    if best is not None and failover.make_log_key(
+    if best is not None and promotion_order.make_log_key(
         replicas[best]
-    ) >= failover.make_log_key(fenced_primary):
+    ) >= promotion_order.make_log_key(fenced_primary):
         return best
     return failed_primary
 
--- a/tests/model_check/test_failover_rules.py
+++ b/tests/model_check/test_failover_rules.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fescuestile import endpoint_messages
-from fescuestile import failover
+from fescuestile import promotion_order
 from fescuestile_standins import endpoint_commands
 from fescuestile_standins import endpoint_state
 from tests.model_check import explorer
@@ -109,7 +109,7 @@
     [injected_bugs.sort_by_fenced_term, injected_bugs.sort_by_length],
 )
 def test_a_wrong_comparison_of_logs_is_found(sort_key, monkeypatch):
-    monkeypatch.setattr(failover, "make_log_key", sort_key)
+    monkeypatch.setattr(promotion_order, "make_log_key", sort_key)
     result = explore("divergent", Scope(writes=0, attempts=1))
     assert result.violation is not None
 
