--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -4,6 +4,8 @@
 import time
 import typing
 
+import structlog
+
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import plans
@@ -15,6 +17,8 @@
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
 
+log = structlog.get_logger()
+
 Role = endpoint_messages.Role
 # Longest age of a report from which the primary is determined.
 REPORT_VALID_SECONDS = 3.0
@@ -289,6 +293,15 @@
             or known.role is not report.role
             or known.term != report.term
         ):
+            log.info(
+                "endpoint follows another term",
+                endpoint=endpoint.name,
+                group=self.name,
+                role=report.role,
+                term=report.term,
+                followed=report.followed,
+                position=str(report.last),
+            )
             self.notify()
 
     def _record_replication(self, report: messages.Report) -> None:
