Confirm a primary by all endpoints of its group but one

Cause: a promotion lifts all fences before the fenced replicas learn of the new term. While a release makes a group of four to six, such a replica and the old primary are the two that confirm the old term, and a new primary with another replica acknowledges writes. The same two were enough to switch a leaving primary over, and a majority of five with the primary to fail over.

A later primary and the replica that holds its writes are two endpoints, so the old term is confirmed by all endpoints but one. For three endpoints nothing changes. Endpoints that left after their notice do not count.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -131,6 +131,15 @@
             or self.measure_leaving() < self._options.leaving_limit
         )
 
+    @property
+    def has_left(self) -> bool:
+        """Whether it ended after its notice, as its registry entry did."""
+        return (
+            self.leaving_since is not None
+            and self.dropped_at is not None
+            and self.refused_since is not None
+        )
+
     def refuse_late_work(self) -> None:
         """Refuse the work that waits for it once it accepts none."""
         accepted_work = self.pool.accepts_work
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -178,7 +178,7 @@
             and endpoint.measure_unanswered(now) < self.options.isolated_after
             for endpoint in self.endpoints.values()
         )
-        return answering < min(leadership.QUORUM, len(self.endpoints))
+        return answering < min(self.count_confirming(), len(self.endpoints))
 
     def has_unresponsive_endpoint(self, now: float) -> bool:
         """Return whether an endpoint has been unresponsive for a while.
@@ -195,6 +195,16 @@
         waiters, self._waiters = self._waiters, set()
         for waiter in waiters:
             if not waiter.done():
+    def count_confirming(self) -> int:
+        """Return how many endpoints must follow a term to confirm it.
+
+        See ``promotion.count_confirming``. An endpoint that has left does not
+        count: its log is gone.
+        """
+        return promotion.count_confirming(
+            sum(not endpoint.has_left for endpoint in self.endpoints.values())
+        )
+
                 waiter.set_result(None)
 
     async def wait_change(self, seconds: float) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -18,9 +18,6 @@
     from fescuestile_daemon.relay import groups
 
 Role = endpoint_messages.Role
-# A promotion fences the primary or all its replicas, so responses of the
-# primary and of one replica show that none has been requested.
-QUORUM = 2
 # Fresh positions are sampled for this long after the last read that needed
 # one.
 SAMPLE_AFTER_READ_SECONDS = 2.0
@@ -121,7 +118,8 @@
             (e for e in self._group.endpoints.values() if e is not primary),
             key=lambda endpoint: endpoint.estimate_failures(),
         )
-        return [primary, *replicas[:1]], replicas[1:]
+        first = self._group.count_confirming() - 1
+        return [primary, *replicas[:first]], replicas[first:]
 
     def _sample_replicas(self, round_: Round) -> None:
         """Add a fresh position once all replicas have responded.
@@ -184,7 +182,7 @@
             primary.report.term,
             primary.name,
             endpoints_check_term=False,
-            quorum=QUORUM,
+            quorum=self._group.count_confirming(),
         )
 
     def is_superseded(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -114,6 +114,9 @@
             role = before.role if before else None
             self._log_no_switchover(primary, target, "target", role)
             return False
+        if not await self._confirm(primary):
+            self._log_no_switchover(primary, target, "confirm", before.role)
+            return False
         final = await self._fence(primary, term, as_primary=True)
         if final is None:
             self._log_no_switchover(primary, target, "fence", None)
@@ -134,6 +137,15 @@
         await self._finish(chosen, primary)
         return True
 
+    async def _confirm(self, primary: endpoint_states.EndpointState) -> bool:
+        """Return whether no later primary has acknowledged a write."""
+        checks = self._group.leadership
+        return await checks.wait_confirmed(
+            checks.begin_check(),
+            primary,
+            time.monotonic() + FENCE_TIMEOUT_SECONDS,
+        )
+
     def _log_no_switchover(
         self,
         primary: endpoint_states.EndpointState,
@@ -144,7 +156,8 @@
         """Log why a switchover changed nothing.
 
         :param step: "target" if the target did not report as a replica,
-            "fence" if the primary did not step down
+            "confirm" if a later primary may lead, "fence" if the primary did
+            not step down
         :param role: role that the target reported, None for no report
         """
         log.warning(
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -59,6 +59,19 @@
     return report.role is Role.REPLICA and report.term == led_term
 
 
+def count_confirming(size: int) -> int:
+    """Return how many endpoints must follow a term to show that it goes on.
+
+    A promotion lifts all fences, also those of replicas that do not learn of
+    the new term and follow the old one again. But a later primary and the
+    replica that holds its writes are not among them, so a later term has
+    acknowledged nothing if all endpoints but one follow the old one.
+
+    :param size: number of endpoints of the group
+    """
+    return max(2, size - 1)
+
+
 def choose_promotion(
     plan: plans.Plan,
     fenced: typing.Mapping[str, Report],
@@ -68,8 +81,8 @@
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
 
-    A fenced primary counts only together with a majority: if there was a
-    later term, one of that majority took part in it.
+    A fenced primary counts only together with so many others that one of
+    them took part in a later term, if there was one.
 
     :param plan: names the group's endpoints
     :param fenced: replies of endpoints that no longer take part in the old
@@ -101,7 +114,7 @@
     fenced_primary = known.get(failed_primary)
     if best is not None and has_all_replicas:
         return best
-    if fenced_primary is None or len(known) <= size // 2:
+    if fenced_primary is None or len(known) < count_confirming(size):
         return None
     if any(
         report.followed > fenced_primary.followed for report in known.values()
--- /dev/null
+++ b/tests/changing_group.py
@@ -0,0 +1,311 @@
+"""Simulated group that grows and shrinks while its primary is replaced.
+
+Endpoints stand on two sides of a link that fails at times. A promotion lifts
+all fences, but only replicas that reach the new primary learn its term: the
+others report the old one again. Time is virtual.
+"""
+
+import asyncio
+import random
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import promotion
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import takeover
+from tests import fences
+
+Role = endpoint_messages.Role
+INITIAL_SIZE = 3
+MAX_SIZE = 6
+DAEMONS = 3
+ROUNDS = 14
+PROMOTION_SECONDS = 0.6
+# After a driver died, the next takeover waits for its lease to expire, which
+# takes longer than a promotion.
+LEASE_GAP_SECONDS = 0.8
+READ_TIMEOUT_SECONDS = 0.25
+
+
+class BrokenPromise(AssertionError):
+    """A promotion lost a write, or a read missed one."""
+
+
+class LoopClock(clock.Clock):
+    """Time of the running loop."""
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+
+class Vantage(fences.Dialer):
+    """One daemon's connections; some endpoints are out of its reach."""
+
+    def __init__(self, world):
+        self.endpoints = world.endpoints
+        self.unreachable = set()
+        self._random = world.random
+
+    async def delay(self, endpoint):
+        await asyncio.sleep(self._random.uniform(0.001, 0.02))
+        if endpoint.name in self.unreachable:
+            await asyncio.sleep(3600)
+
+
+class World(ports.Promoter):
+    """A group, its replication, its promoter and its daemons.
+
+    :ivar acknowledged: writes that callers rely on
+    :ivar promotions: how many took effect
+    :ivar reads: how many were answered
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.endpoints: dict[str, fences.Endpoint] = {}
+        self.side: dict[str, int] = {}
+        self.linked = True
+        self.acknowledged = set()
+        self.promotions = self.reads = 0
+        for _ in range(INITIAL_SIZE):
+            self.add_endpoint()
+        self.endpoints["e0"].role = Role.PRIMARY
+        self.daemons = [self._make_daemon() for _ in range(DAEMONS)]
+
+    def _make_daemon(self):
+        vantage = Vantage(self)
+        group = groups.Group("g", vantage, options.RelayOptions(), LoopClock())
+        self.apply_registry(group)
+        return vantage, group
+
+    # Members
+
+    def add_endpoint(self):
+        """Start a replica with the log of the newest primary."""
+        name = f"e{len(self.side)}"
+        added = self.endpoints[name] = fences.Endpoint(name)
+        self.side[name] = self.random.randrange(2)
+        newest = max(self.endpoints.values(), key=lambda e: e.term)
+        added.term, added.log = newest.term, list(newest.log)
+
+    def remove_endpoint(self):
+        """End a replica whose log the others hold; its log is gone."""
+        newest = max(e.term for e in self.endpoints.values())
+        for name, each in list(self.endpoints.items()):
+            others = [e for e in self.endpoints.values() if e is not each]
+            up_to_date = all(
+                e.log == each.log and not e.fence_term and e.term == newest
+                for e in others
+            )
+            if each.role is Role.REPLICA and up_to_date:
+                del self.endpoints[name]
+                return
+
+    def apply_registry(self, group):
+        """Make a daemon know exactly the present members."""
+        for name in set(group.endpoints) - set(self.endpoints):
+            group.remove_endpoint(name)
+        for name, each in self.endpoints.items():
+            entry = messages.EndpointEntry(
+                name,
+                "g",
+                "127.0.0.1:1",
+                "a",
+                2,
+                False,
+                each.role is Role.PRIMARY,
+                0,
+            )
+            group.put_endpoint(entry, 4)
+
+    def change(self):
+        """Change members, the link and what daemons reach."""
+        if len(self.endpoints) < MAX_SIZE and self.random.random() < 0.5:
+            self.add_endpoint()
+        elif len(self.endpoints) > INITIAL_SIZE and self.random.random() < 0.5:
+            self.remove_endpoint()
+        self.linked = self.random.random() < 0.3
+        for vantage, group in self.daemons:
+            self.apply_registry(group)
+            vantage.unreachable = {
+                name
+                for name, each in self.endpoints.items()
+                if self.random.random()
+                < (0.4 if each.role is Role.PRIMARY else 0.1)
+            }
+
+    # Replication
+
+    def reach(self, one, other):
+        """Return whether two endpoints reach each other."""
+        return self.linked or self.side[one.name] == self.side[other.name]
+
+    def write(self):
+        """Each primary writes; what the newest one replicates counts."""
+        newest = max(e.term for e in self.endpoints.values())
+        for leader in list(self.endpoints.values()):
+            if leader.role is not Role.PRIMARY:
+                continue
+            if self._steps_down(leader):
+                leader.role = Role.REPLICA
+                continue
+            number = leader.log[-1][1] + 1 if leader.log else 1
+            leader.log.append((leader.term, number))
+            replicated = [
+                self._replicate(leader, e) for e in self.endpoints.values()
+            ]
+            if any(replicated) and leader.term == newest:
+                self.acknowledged.add(leader.log[-1])
+
+    def _steps_down(self, leader):
+        return any(
+            e.role is Role.PRIMARY
+            and e.term > leader.term
+            and self.reach(leader, e)
+            for e in self.endpoints.values()
+        )
+
+    def _replicate(self, leader, replica):
+        if replica is leader or replica.role is not Role.REPLICA:
+            return False
+        if replica.fence_term or replica.term > leader.term:
+            return False
+        if not self.reach(leader, replica):
+            return False
+        replica.log = list(leader.log)
+        replica.term = leader.term
+        return True
+
+    # Promoter
+
+    async def acquire(self):
+        return promotion.Lease("d", 1, LoopClock().now() + 3600)
+
+    async def release(self, lease):
+        pass
+
+    async def promote(self, group, endpoint, lease):
+        asyncio.get_running_loop().call_later(
+            self.random.uniform(0.1, PROMOTION_SECONDS),
+            self._make_primary,
+            endpoint,
+        )
+        return True if self.random.random() < 0.8 else None
+
+    def _make_primary(self, name):
+        chosen = self.endpoints.get(name)
+        if chosen is None or chosen.role is Role.PRIMARY:
+            return
+        missing = self.acknowledged - set(chosen.log)
+        if missing:
+            raise BrokenPromise(f"{name} lacks {sorted(missing)}")
+        self.promotions += 1
+        chosen.term = max(e.term for e in self.endpoints.values()) + 1
+        chosen.role = Role.PRIMARY
+        for each in self.endpoints.values():
+            each.fence_term = 0
+            if each.role is Role.REPLICA and self.reach(each, chosen):
+                each.term = chosen.term
+
+    # Work of the daemons
+
+    async def read(self, group):
+        """Read at the primary that a daemon knows, if it is confirmed."""
+        endpoint = group.find_primary()
+        if endpoint is None or endpoint.name not in self.endpoints:
+            return
+        wanted = set(self.acknowledged)
+        ticket = group.leadership.begin_check()
+        log = set(self.endpoints[endpoint.name].log)
+        loop = asyncio.get_running_loop()
+        confirmed = await group.leadership.wait_confirmed(
+            ticket, endpoint, loop.time() + READ_TIMEOUT_SECONDS
+        )
+        if not confirmed:
+            return
+        self.reads += 1
+        if not wanted <= log:
+            raise BrokenPromise(
+                f"a read at {endpoint.name} missed {sorted(wanted - log)}"
+            )
+
+    async def read_bounded(self, group):
+        """Find a fresh position and compare it with what it must hold."""
+        arrived = LoopClock().now()
+        wanted = max(self.acknowledged, default=(0, 0))
+        loop = asyncio.get_running_loop()
+        minimum = await group.leadership.find_minimum(
+            arrived, 0.0, loop.time() + READ_TIMEOUT_SECONDS
+        )
+        if minimum is None:
+            return
+        self.reads += 1
+        if (minimum.term, minimum.index) < wanted:
+            raise BrokenPromise(f"{minimum} taken for fresh before {wanted}")
+
+    async def replace(self, group):
+        """Replace the primary that a daemon knows, or die while doing so."""
+        if self.random.random() < 0.7:
+            await group.refresh(0.2)
+        lease = await self.acquire()
+        replacement = takeover.Takeover(group, self, lease, LoopClock())
+        primary = group.find_primary()
+        replicas = [e for e in group.endpoints.values() if e is not primary]
+        if primary is not None and self.random.random() < 0.3:
+            target = self.random.choice(replicas)
+            attempt = replacement.switch_over(primary, target)
+        else:
+            attempt = replacement.replace_failed(primary)
+        task = asyncio.create_task(attempt)
+        lifetime = self.random.choice((0.05, 0.2, 5.0))
+        await asyncio.wait([task], timeout=lifetime)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def run_rounds(seed):
+    """Return the world after some rounds.
+
+    :raises BrokenPromise: a write was lost or a read was stale
+    """
+    world = World(seed)
+    failures = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: failures.append(context.get("exception"))
+    )
+    for _, group in world.daemons:
+        await group.refresh(0.2)
+    background = [asyncio.create_task(_write_forever(world))]
+    for _, group in world.daemons:
+        for read in (world.read, world.read_bounded):
+            background.append(asyncio.create_task(_repeat(read, group)))
+    for _ in range(ROUNDS):
+        world.change()
+        _, group = world.random.choice(world.daemons)
+        await world.replace(group)
+        await asyncio.sleep(LEASE_GAP_SECONDS)
+    for task in background:
+        task.cancel()
+    results = await asyncio.gather(*background, return_exceptions=True)
+    for failure in [*failures, *results]:
+        if isinstance(failure, BrokenPromise):
+            raise failure
+    for _, group in world.daemons:
+        group.close()
+    await asyncio.sleep(1.0)
+    return world
+
+
+async def _write_forever(world):
+    while True:
+        world.write()
+        await asyncio.sleep(0.02)
+
+
+async def _repeat(read, group):
+    while True:
+        await read(group)
+        await asyncio.sleep(0.03)
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -92,6 +92,27 @@
     assert promotion.choose_promotion(plan, fenced, "p") == "r4"
 
 
+def test_a_majority_with_the_primary_is_too_few_of_five():
+    """Guards against losing writes of a primary that a partition hides.
+
+    The two that are not fenced may be a later primary and its replica.
+    """
+    fenced = {
+        name: builders.build_log_report(name, 5) for name in ("p", "r1", "r2")
+    }
+    plan = make_plan(5)
+    assert promotion.choose_promotion(plan, fenced, "p") is None
+    fenced["r3"] = builders.build_log_report("r3", 5)
+    assert promotion.choose_promotion(plan, fenced, "p") is not None
+
+
+@pytest.mark.parametrize(
+    ("size", "needed"), [(1, 2), (2, 2), (3, 2), (4, 3), (5, 4), (6, 5)]
+)
+def test_all_endpoints_but_one_confirm_a_term(size, needed):
+    assert promotion.count_confirming(size) == needed
+
+
 def test_an_endpoint_that_left_the_plan_still_counts():
     plan = make_plan(2)
     fenced = {"r1": builders.build_log_report("r1", 3)}
