Wait for no endpoint that has left and whose log others hold

A group without a primary was not served for up to 15 s after its primary and a replica had left, as each removed endpoint counted towards the group's size: it may hold writes and come back. One that ended after its notice does not come back with its log. It counts until a replica holds what the primary held after the removal, or until the primary has left as well.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -1,6 +1,7 @@
 """A database group: its endpoints and its primary."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -55,6 +56,14 @@
         self.expected = 0
         self._expected_at = 0.0
         self._awaited_position = positions.START
+        self._awaited_at = -math.inf
+        # Time of the latest position of the primary that a replica has
+        # reached, of the latest removal, and of the latest one of an endpoint
+        # that may come back.
+        self._replicated_at = -math.inf
+        self._removed_at = -math.inf
+        self._vanished_at = -math.inf
+        self._leader = ""
         self.led_term = 0
         self._dialer = dialer
         self._clock = boot_clock
@@ -123,15 +132,31 @@
         if endpoint is not None:
             endpoint.close()
             self.leadership.set_plan(self.make_plan())
+            now = time.monotonic()
             self._expected_at = max(
-                self._expected_at, time.monotonic() - EXPECTED_SECONDS / 2
+                self._expected_at, now - EXPECTED_SECONDS / 2
             )
+            self._removed_at = now
+            if not endpoint.has_left:
+                self._vanished_at = now
+            elif name == self._leader:
+                self._leader = ""
             self.notify()
 
     def expire_expected(self) -> None:
-        """Lower ``expected`` once a removed endpoint no longer counts."""
+        """Lower ``expected`` once the removed endpoints no longer count.
+
+        Those that have left do not come back with their logs. They count
+        until another replica holds what they may have held, or until the
+        primary, which holds it too, has left as well.
+        """
+        if len(self.endpoints) >= self.expected:
+            return
         oldest = time.monotonic() - EXPECTED_SECONDS
-        if len(self.endpoints) < self.expected and self._expected_at < oldest:
+        have_left = self._vanished_at < oldest and (
+            not self._leader or self._replicated_at > self._removed_at
+        )
+        if have_left or self._expected_at < oldest:
             self.expected = len(self.endpoints)
 
     def list_reports(self) -> list[messages.Report]:
@@ -170,6 +195,16 @@
             default=None,
         )
 
+    def count_confirming(self) -> int:
+        """Return how many endpoints must follow a term to confirm it.
+
+        See ``promotion.count_confirming``. An endpoint that has left does not
+        count: its log is gone.
+        """
+        return promotion.count_confirming(
+            sum(not endpoint.has_left for endpoint in self.endpoints.values())
+        )
+
     def is_unreachable(self) -> bool:
         """Return whether too few endpoints answer for a check or a write."""
         now = time.monotonic()
@@ -195,16 +230,6 @@
         waiters, self._waiters = self._waiters, set()
         for waiter in waiters:
             if not waiter.done():
-    def count_confirming(self) -> int:
-        """Return how many endpoints must follow a term to confirm it.
-
-        See ``promotion.count_confirming``. An endpoint that has left does not
-        count: its log is gone.
-        """
-        return promotion.count_confirming(
-            sum(not endpoint.has_left for endpoint in self.endpoints.values())
-        )
-
                 waiter.set_result(None)
 
     async def wait_change(self, seconds: float) -> None:
@@ -297,7 +322,7 @@
         endpoint.record_connection_usage(
             report.connections / max(1, self.connections)
         )
-        self._record_replication(report)
+        self._record_replication(report, requested_at)
         if (
             known is None
             or known.role is not report.role
@@ -314,18 +339,23 @@
             )
             self.notify()
 
-    def _record_replication(self, report: messages.Report) -> None:
+    def _record_replication(
+        self, report: messages.Report, requested_at: float
+    ) -> None:
         """Record whether some replica receives what the primary writes."""
         if report.role is Role.PRIMARY:
             if report.term > self.led_term:
                 # A new primary: its replicas get the full timeout to follow.
                 self.stalled_since = None
                 self.led_term = report.term
+                self._leader = report.endpoint
             if self.stalled_since is None and len(self.endpoints) > 1:
                 self._awaited_position = report.last
+                self._awaited_at = requested_at
                 self.stalled_since = time.monotonic()
         elif report.last >= self._awaited_position:
             self.stalled_since = None
+            self._replicated_at = self._awaited_at
 
     def is_stalled(self, now: float, unpaused: float) -> bool:
         """Return whether no replica follows the primary.
--- /dev/null
+++ b/tests/unit/test_group_size.py
@@ -0,0 +1,125 @@
+"""How many endpoints of a group count when some of them have gone."""
+
+import dataclasses
+import time
+
+import pytest
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import options
+from tests import builders
+from tests import fences
+
+Role = endpoint_messages.Role
+NAMES = ("p", "r1", "r2")
+
+
+def build_entry(name):
+    return messages.EndpointEntry(
+        name, "g", "127.0.0.1:1", "a", 2, False, name == "p", 0
+    )
+
+
+class Dialer(fences.Dialer):
+    """Opens no connections in these tests."""
+
+    endpoints: dict[str, fences.Endpoint] = {}
+
+    async def delay(self, endpoint):
+        raise NotImplementedError
+
+
+class Group(groups.Group):
+    """A group of three whose reports the test makes."""
+
+    def __init__(self):
+        super().__init__(
+            "g", Dialer(), options.RelayOptions(), clock.BootClock()
+        )
+        for name in NAMES:
+            self.put_endpoint(build_entry(name), 4)
+
+    def receive(self, name, end):
+        """Apply a report of an endpoint whose log ends at a number."""
+        role = Role.PRIMARY if name == "p" else Role.REPLICA
+        report = builders.build_log_report(name, end, role)
+        self._apply_report(self.endpoints[name], report, time.monotonic())
+
+    def leave(self, name):
+        """Remove an endpoint after its notice and its end."""
+        endpoint = self.endpoints[name]
+        endpoint.put_entry(dataclasses.replace(endpoint.entry, leaving=True))
+        endpoint.refused_since = time.monotonic()
+        self.vanish(name)
+
+    def vanish(self, name):
+        """Remove an endpoint whose entry has been missing for too long."""
+        self.endpoints[name].dropped_at = time.monotonic()
+        self.remove_endpoint(name)
+
+    def count(self):
+        """Return how many endpoints count."""
+        self.expire_expected()
+        return self.expected
+
+
+@pytest.fixture
+async def group():
+    return Group()
+
+
+async def test_an_endpoint_that_left_counts_until_others_hold_its_log(group):
+    """Guards against a group that waits for endpoints that have exited.
+
+    The write that it may have held reaches the other replica.
+    """
+    group.receive("p", 5)
+    group.receive("r2", 4)
+    group.leave("r1")
+    assert group.count() == 3
+    group.receive("p", 6)
+    group.receive("r2", 5)
+    assert group.count() == 3
+    group.receive("r2", 6)
+    group.receive("p", 7)
+    group.receive("r2", 7)
+    assert group.count() == 2
+
+
+async def test_a_position_from_before_the_end_shows_nothing(group):
+    group.receive("p", 5)
+    group.leave("r1")
+    group.receive("r2", 5)
+    assert group.count() == 3
+
+
+async def test_a_group_whose_primary_has_left_waits_for_nobody(group):
+    group.receive("p", 5)
+    group.leave("r1")
+    group.leave("p")
+    assert group.count() == 1
+
+
+async def test_an_endpoint_that_may_come_back_counts_on(group):
+    """Guards against losing writes of an endpoint that a cut hides."""
+    group.receive("p", 5)
+    group.vanish("r1")
+    group.receive("p", 6)
+    group.receive("r2", 6)
+    assert group.count() == 3
+
+
+async def test_an_endpoint_that_has_left_is_not_asked_to_confirm(group):
+    assert group.count_confirming() == 2
+    for name in ("r3", "r4"):
+        group.put_endpoint(build_entry(name), 4)
+    assert group.count_confirming() == 4
+    leaving = group.endpoints["r1"]
+    leaving.put_entry(dataclasses.replace(leaving.entry, leaving=True))
+    leaving.dropped_at = time.monotonic()
+    assert group.count_confirming() == 4
+    leaving.refused_since = time.monotonic()
+    assert group.count_confirming() == 3
