Leave takeovers to daemons that reach the promotion service

A request that found no connection was not sent, so the fences are lifted at once, that of the chosen endpoint too.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -318,6 +318,19 @@
     async def _run_takeover(self, group: groups.Group, reason: Reason) -> None:
         try:
             await asyncio.sleep(self._random.uniform(0, START_JITTER_SECONDS))
+            if (
+                reason is not Reason.LEFT_FENCED
+                and not await self._promoter.is_reachable()
+            ):
+                # Fences without a promotion only stop the group, and another
+                # daemon may be able to request one.
+                log.info(
+                    "takeover left to other daemons",
+                    group=group.name,
+                    reason=reason,
+                )
+                await asyncio.sleep(self._options.primary_timeout / 2)
+                return
             lease = await self._promoter.acquire()
             if lease is None:
                 await asyncio.sleep(self._options.primary_timeout / 2)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -76,6 +76,10 @@
 class Promoter(abc.ABC):
     """Requests promotions under a lease of one daemon at a time."""
 
+    async def is_reachable(self) -> bool:
+        """Return whether a request for a promotion could be sent now."""
+        return True
+
     @abc.abstractmethod
     async def acquire(self) -> promotion.Lease | None:
         """Acquire or renew the lease.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -255,7 +255,6 @@
             accepted=accepted,
         )
         if accepted is False:
-            self._fenced.pop(chosen, None)
             return False
         while time.monotonic() < until:
             if await self._is_primary(chosen):
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -253,14 +253,16 @@
 class FreePromoter(NoPromoter):
     """Grants the lease.
 
-    :ivar held: leases that were granted and not released
+    :ivar granted: leases that were granted
+    :ivar held: those of them that were not released
     """
 
     def __init__(self):
-        self.held = 0
+        self.held = self.granted = 0
 
     async def acquire(self):
         self.held += 1
+        self.granted += 1
         return promotion.Lease("d", 1, clock.BootClock().now() + 60)
 
     async def release(self, lease):
@@ -285,6 +287,20 @@
     await group_monitor.close(0.0)
 
 
+class UnreachablePromoter(FreePromoter):
+    async def is_reachable(self):
+        return False
+
+
+async def test_no_takeover_starts_without_a_way_to_request_promotions(group):
+    """Guards against a group that a daemon fences and can't promote in."""
+    promoter = UnreachablePromoter()
+    group_monitor = make_monitor(group, promoter)
+    await fail_primary(group, group_monitor)
+    assert promoter.granted == 0
+    await group_monitor.close(0.0)
+
+
 async def test_a_stopping_daemon_starts_no_takeover(group):
     promoter = SlowPromoter()
     group_monitor = make_monitor(group, promoter)
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -42,6 +42,14 @@
         self.make_primary(endpoint)
         return True
 
+    def refuse_promotions(self):
+        """Answer that requests for promotions are not sent."""
+
+        async def refuse(group, endpoint, lease):
+            return False
+
+        self.promote = refuse
+
     def make_primary(self, name):
         """Make an endpoint the primary of the next term with its own log."""
         term = max(e.term for e in self.endpoints.values()) + 1
@@ -132,3 +140,12 @@
     world.endpoints["r2"].reachable = False
     assert not await world.replace()
     assert world.promoted == []
+
+
+async def test_no_fence_is_left_when_no_promotion_could_be_requested(world):
+    """Guards against a chosen endpoint that stays fenced."""
+    await world.inspect_all()
+    world.endpoints["p"].reachable = False
+    world.refuse_promotions()
+    assert not await world.replace()
+    assert not any(each.fence_term for each in world.endpoints.values())
