--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -26,6 +26,7 @@
         }
         self.endpoints["p"].role = Role.PRIMARY
         self.promoted: list[str] = []
+        self.sends_requests = True
         self.group = fences.make_group(self)
 
     async def delay(self, endpoint):
@@ -38,18 +39,12 @@
         pass
 
     async def promote(self, group, endpoint, lease):
+        if not self.sends_requests:
+            return False
         self.promoted.append(endpoint)
         self.make_primary(endpoint)
         return True
 
-    def refuse_promotions(self):
-        """Answer that requests for promotions are not sent."""
-
-        async def refuse(group, endpoint, lease):
-            return False
-
-        self.promote = refuse
-
     def make_primary(self, name):
         """Make an endpoint the primary of the next term with its own log."""
         term = max(e.term for e in self.endpoints.values()) + 1
@@ -146,6 +141,6 @@
     """Guards against a chosen endpoint that stays fenced."""
     await world.inspect_all()
     world.endpoints["p"].reachable = False
-    world.refuse_promotions()
+    world.sends_requests = False
     assert not await world.replace()
     assert not any(each.fence_term for each in world.endpoints.values())
