--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -11,6 +11,7 @@
 from websockets.asyncio import client
 import websockets.exceptions
 
+from fescuestile import endpoint_codec
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile import ports
@@ -161,7 +162,7 @@
         if self._closed:
             return False
         try:
-            await self._socket.send(endpoint_messages.CODEC.encode(command))
+            await self._socket.send(endpoint_codec.CODEC.encode(command))
         except websockets.exceptions.ConnectionClosed:
             self._mark_closed()
             return False
@@ -205,7 +206,7 @@
             async for frame in self._socket:
                 if isinstance(frame, str):
                     break
-                decoded = endpoint_messages.CODEC.decode(frame, self._address)
+                decoded = endpoint_codec.CODEC.decode(frame, self._address)
                 if decoded.is_error():
                     log.warning(
                         "malformed frame from endpoint",
@@ -280,7 +281,7 @@
         ) as error:
             return expression.Error(_make_refusal(address, str(error)))
         hello = endpoint_messages.Hello(self._daemon, control)
-        await connection.send(endpoint_messages.CODEC.encode(hello))
+        await connection.send(endpoint_codec.CODEC.encode(hello))
         opened = WebsocketConnection(
             connection, address, next(self._generations)
         )
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_replication.py
@@ -16,6 +16,7 @@
 import websockets.exceptions
 
 from fescuestile import codec
+from fescuestile import endpoint_codec
 from fescuestile import endpoint_messages
 from fescuestile import positions
 from fescuestile_standins import endpoint_log
@@ -94,7 +95,7 @@
 async def _inspect(
     address: str, connect_options: ConnectOptions
 ) -> endpoint_messages.Report:
-    encode = endpoint_messages.CODEC.encode
+    encode = endpoint_codec.CODEC.encode
     async with (
         asyncio.timeout(OPEN_TIMEOUT_SECONDS),
         _open(address, connect_options) as peer,
@@ -102,7 +103,7 @@
         await peer.send(encode(endpoint_messages.Hello("endpoint", True)))
         await peer.send(encode(endpoint_messages.Inspect(1)))
         frame = await peer.recv(decode=False)
-        report: endpoint_messages.Report = endpoint_messages.CODEC.decode(
+        report: endpoint_messages.Report = endpoint_codec.CODEC.decode(
             frame
         ).ok
         return report
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
@@ -10,6 +10,7 @@
 from websockets.asyncio import server
 import websockets.exceptions
 
+from fescuestile import endpoint_codec
 from fescuestile import endpoint_messages
 from fescuestile_standins import endpoint_commands
 from fescuestile_standins import endpoint_replication
@@ -200,7 +201,7 @@
     async def _handle_daemon(
         self, connection: server.ServerConnection, first: bytes
     ) -> None:
-        hello = endpoint_messages.CODEC.decode(first)
+        hello = endpoint_codec.CODEC.decode(first)
         if hello.is_error() or not isinstance(
             hello.ok, endpoint_messages.Hello
         ):
@@ -244,7 +245,7 @@
         try:
             async for frame in self._connection:
                 assert isinstance(frame, bytes)
-                decoded = endpoint_messages.CODEC.decode(frame)
+                decoded = endpoint_codec.CODEC.decode(frame)
                 if decoded.is_error():
                     reason = str(decoded.error)[:100]
                     await self._connection.close(CLOSE_INVALID, reason)
@@ -330,9 +331,7 @@
         self, message: endpoint_messages.Answered | endpoint_messages.Report
     ) -> None:
         try:
-            await self._connection.send(
-                endpoint_messages.CODEC.encode(message)
-            )
+            await self._connection.send(endpoint_codec.CODEC.encode(message))
         except websockets.exceptions.ConnectionClosed:
             log.debug("connection closed before reply was sent", id=message.id)
 
--- a/packages/fescuestile/src/fescuestile/endpoint_messages.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_messages.py
@@ -8,7 +8,6 @@
 import dataclasses
 import enum
 
-from fescuestile import codec
 from fescuestile import positions
 
 
@@ -230,24 +229,3 @@
     def history(self) -> positions.TermHistory:
         """Terms of the endpoint's log with its last position."""
         return positions.TermHistory(self.starts, self.last)
-
-
-CODEC = codec.Codec(
-    (
-        Hello,
-        Execute,
-        Begin,
-        Commit,
-        Rollback,
-        Resolve,
-        Answered,
-        Heartbeat,
-        Inspect,
-        Subscribe,
-        AwaitPosition,
-        Fence,
-        Promote,
-        Follow,
-        Report,
-    )
-)
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -1,10 +1,11 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from fescuestile import endpoint_codec
 from fescuestile import endpoint_messages
 from fescuestile import positions
 
-CODEC = endpoint_messages.CODEC
+CODEC = endpoint_codec.CODEC
 
 
 def test_nested_messages_survive_a_round_trip():
--- a/tests/unit/test_endpoint_adapter.py
+++ b/tests/unit/test_endpoint_adapter.py
@@ -3,6 +3,7 @@
 
 from websockets.asyncio import server
 
+from fescuestile import endpoint_codec
 from fescuestile import endpoint_messages
 from fescuestile import errors
 from fescuestile_daemon import endpoint_adapter
@@ -117,7 +118,7 @@
 async def test_replies_are_matched_by_id_in_any_order():
     async def answer_backwards(connection):
         await connection.recv()
-        decode = endpoint_messages.CODEC.decode
+        decode = endpoint_codec.CODEC.decode
         ids = [decode(await connection.recv()).ok.id for _ in range(1)]
         for id_ in ids:
             await connection.send(_encode(id_, b""))
@@ -153,6 +154,6 @@
 
 
 def _encode(id_, payload):
-    return endpoint_messages.CODEC.encode(
+    return endpoint_codec.CODEC.encode(
         endpoint_messages.Answered(id_, Verdict.DONE, payload)
     )
