Remember for longer that a replica lags, each time that it does

That an endpoint lacks a position was remembered for 50 ms. The time now doubles with each try that misses, up to 0.8 s, and a replica that lags for so long counts as tried, so that a read which the primary can't serve in time is refused at once.

What binds is the primary: it alone may serve the group's reads then.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -303,6 +303,8 @@
         match outcome.kind:
             case Kind.DONE:
                 endpoint.record_answer(time.monotonic() - started)
+                if minimum is not None:
+                    endpoint.record_held_position(minimum)
             case Kind.BEHIND:
                 endpoint.record_answer()
                 endpoint.record_missing_position(minimum or positions.START)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -31,9 +31,9 @@
     ) -> endpoint_states.EndpointState | None:
         """Return the endpoint of least cost for a read, None without one.
 
-        Endpoints that are not expected to serve it by its deadline are added
-        to the endpoints already tried. Among the rest, one not tried yet is
-        preferred.
+        Endpoints that are not expected to serve it by its deadline, or that
+        lag persistently, are added to the endpoints already tried. Among the
+        rest, one not tried yet is preferred.
 
         :param minimum: position that the endpoint's log must hold
         """
@@ -50,6 +50,11 @@
         ]
         in_time = [c for c in able if c.in_time]
         pending.tried.update(c.name for c in able if not c.in_time)
+        pending.tried.update(
+            c.name
+            for c in able
+            if group.endpoints[c.name].lags_persistently(minimum)
+        )
         fresh = [c for c in in_time if c.name not in pending.tried]
         name = endpoint_choice.choose(fresh or in_time)
         return group.endpoints[name] if name else None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -37,9 +37,13 @@
 QUEUE_TIMEOUT_FACTOR = 8.0
 # Half-life of the count of recent failures.
 FAILURE_HALF_LIFE_SECONDS = 1.0
-# An endpoint that lacked a position is tried for it again after this time;
-# replicas lag by some ten milliseconds.
+# An endpoint that lacked a position is tried for it again after the first of
+# these times, as replicas usually lag by some ten milliseconds, and after
+# twice the last one, up to the second, each time that it still lacks it.
 MISSING_POSITION_SECONDS = 0.05
+MISSING_POSITION_MAX_SECONDS = 0.8
+# An endpoint that is not tried for so long gets no reads while it lags.
+PERSISTENT_LAG_SECONDS = 0.2
 
 
 class EndpointState:
@@ -108,6 +112,7 @@
         self._failures = 0.0
         self._failed_at = 0.0
         self._missing_until = 0.0
+        self._missing_seconds = 0.0
         self._missing_position = positions.START
 
     @property
@@ -250,8 +255,26 @@
 
     def record_missing_position(self, wanted: positions.Position) -> None:
         """Record that its log lacked a position."""
+        now = time.monotonic()
+        if now >= self._missing_until:
+            self._missing_seconds = min(
+                max(MISSING_POSITION_SECONDS, 2 * self._missing_seconds),
+                MISSING_POSITION_MAX_SECONDS,
+            )
         self._missing_position = wanted
-        self._missing_until = time.monotonic() + MISSING_POSITION_SECONDS
+        self._missing_until = now + self._missing_seconds
+
+    def record_held_position(self, wanted: positions.Position) -> None:
+        """Record that its log held a position."""
+        if wanted >= self._missing_position:
+            self._missing_seconds = 0.0
+
+    def lags_persistently(self, wanted: positions.Position | None) -> bool:
+        """Return whether it has lacked positions for longer than usual."""
+        return (
+            self._missing_seconds >= PERSISTENT_LAG_SECONDS
+            and self.lacks_position(wanted)
+        )
 
     def lacks_position(self, wanted: positions.Position | None) -> bool:
         """Return whether its log is known to lack a position."""
