--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -335,6 +335,7 @@
             is_primary=is_primary,
             is_same_zone=self.entry.zone == zone,
             lags=self.lacks_position(wanted),
+            is_connected=self.pool.has_idle,
         )
 
     def estimate_failures(self) -> float:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -116,7 +116,10 @@
             return list(self._group.endpoints.values()), []
         replicas = sorted(
             (e for e in self._group.endpoints.values() if e is not primary),
-            key=lambda endpoint: endpoint.estimate_failures(),
+            key=lambda endpoint: (
+                endpoint.estimate_failures(),
+                not endpoint.pool.has_idle,
+            ),
         )
         first = self._group.count_confirming() - 1
         return [primary, *replicas[:first]], replicas[first:]
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -14,7 +14,8 @@
     :ivar plenty_below: below this share of an endpoint's connections in
         use, idle ones are kept for ``idle_connection``
     :ivar scarce_above: from this share on, none stays idle for longer than
-        ``scarce_idle``; between the two shares, one idle one is kept
+        ``scarce_idle``; between the two shares, one idle one is kept, for
+        the less time the fewer are left
     :ivar idle_connection: idle time after which a connection is closed
     :ivar scarce_idle: the same while connections are scarce
     :ivar free_connection_timeout: longest wait of a read for a free
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -66,6 +66,11 @@
         """Connections that are open or being opened."""
         return self._open
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is open and not in use."""
+        return bool(self._idle)
+
     @property
     def is_scarce(self) -> bool:
         """Whether the endpoint has few connections left for all daemons."""
@@ -173,16 +178,26 @@
 
     def trim(self) -> None:
         """Close connections that have been idle for too long."""
-        oldest = time.monotonic() - (
-            self._options.scarce_idle
-            if self.is_scarce
-            else self._options.idle_connection
-        )
+        oldest = time.monotonic() - self._find_idle_limit()
         for connection in list(self._idle):
             if connection.closed or connection.used_at < oldest:
                 self._idle.remove(connection)
                 self.discard(connection)
 
+    def _find_idle_limit(self) -> float:
+        """Return for how many seconds a connection may be idle.
+
+        The limit falls steadily with the connections that are left, so that
+        daemons do not all give theirs up and open them again in turn.
+        """
+        limits = self._options
+        span = limits.scarce_above - limits.plenty_below
+        scarcity = (self.usage - limits.plenty_below) / span
+        ratio = limits.scarce_idle / limits.idle_connection
+        return float(
+            limits.idle_connection * ratio ** min(max(scarcity, 0.0), 1.0)
+        )
+
     def drop_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/packages/fescuestile/src/fescuestile/endpoint_choice.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_choice.py
@@ -12,6 +12,8 @@
 # A request that stays unanswered for longer than this adds its age to the
 # cost of its endpoint. Statements that wait for a slot take less.
 USUAL_RESPONSE_SECONDS = 0.06
+# Time for which a new connection occupies a slot of its endpoint.
+CONNECT_SECONDS = 0.012
 # Round-trip time to another availability zone.
 ZONE_ROUND_TRIP_SECONDS = 0.003
 
@@ -32,6 +34,7 @@
     :ivar in_time: whether the read is expected to end by its deadline
     :ivar lags: whether it is known to lack the position that the read must
         see
+    :ivar is_connected: whether a connection to it is free at this daemon
     """
 
     name: str
@@ -43,11 +46,14 @@
     is_same_zone: bool = False
     in_time: bool = True
     lags: bool = False
+    is_connected: bool = True
 
 
 def estimate_cost(candidate: Candidate) -> float:
     """Return the expected cost of a read at an endpoint, in seconds."""
     cost = candidate.service + candidate.wait
+    if not candidate.is_connected:
+        cost += CONNECT_SECONDS
     if candidate.unanswered_seconds > USUAL_RESPONSE_SECONDS:
         cost += candidate.unanswered_seconds
     if candidate.is_primary:
--- a/tests/unit/test_endpoint_choice.py
+++ b/tests/unit/test_endpoint_choice.py
@@ -81,3 +81,15 @@
         "r1", 0.01, 0.0, unanswered_seconds=0.03, is_same_zone=True
     )
     assert endpoint_choice.choose([usual, other]) == "r1"
+
+
+def test_a_free_connection_is_worth_its_handshake():
+    """Answers more daemons than an endpoint takes connections.
+
+    Reads stay at the replica to which a connection is open.
+    """
+    connected = Candidate("r1", 0.014, 0.0)
+    quicker = Candidate("r2", 0.01, 0.0, is_connected=False)
+    assert endpoint_choice.choose([quicker, connected]) == "r1"
+    busy = Candidate("r1", 0.014, 0.02)
+    assert endpoint_choice.choose([quicker, busy]) == "r2"
