Ask for reports as the reads need them and as connections allow

Positions are sampled at 0.7 of the staleness that the reads of the last seconds may have; an endpoint with many connections, which many daemons watch, is asked less often by each, and where they are scarce only a quarter as often if one would have to be opened; pauses that outlast the work ask for no more reports.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/admission_controller.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/admission_controller.py
@@ -52,6 +52,13 @@
         self._waiting: dict[Ticket, asyncio.Future[Ticket]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_pacing_work(self) -> bool:
+        """Whether work waits or runs that the pacer spaces out."""
+        return bool(self.pacer.mean_pause) and bool(
+            self._waiting or self.queue.running
+        )
+
     async def acquire(self, work: Work) -> Ticket:
         """Wait for a slot.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 import typing
 
@@ -21,6 +22,9 @@
 # Fresh positions are sampled for this long after the last read that needed
 # one.
 SAMPLE_AFTER_READ_SECONDS = 2.0
+# Interval of the samples, as a share of the staleness that reads may have: a
+# replica needs the rest of it to receive what the sample shows.
+SAMPLE_STALENESS_SHARE = 0.7
 # Longest wait for a change before a pending check is evaluated again.
 POLL_SECONDS = 0.1
 
@@ -57,6 +61,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._failed_rounds_since: float | None = None
         self._last_read_at = 0.0
+        self._staleness = math.inf
 
     def set_plan(self, plan: plans.Plan) -> None:
         """Query the endpoints of another plan from now on."""
@@ -251,7 +256,7 @@
         :param deadline: monotonic seconds
         :returns: None when none was found in time
         """
-        self._last_read_at = time.monotonic()
+        self._record_staleness(staleness)
         while True:
             minimum = self._freshness.find_minimum(arrived, staleness)
             if minimum is not None:
@@ -263,13 +268,25 @@
                 self.begin_check()
             await self._group.wait_change(min(deadline - now, POLL_SECONDS))
 
+    def _record_staleness(self, staleness: float) -> None:
+        """Record the staleness of a read; the least of recent ones counts."""
+        now = time.monotonic()
+        if now - self._last_read_at > SAMPLE_AFTER_READ_SECONDS:
+            self._staleness = math.inf
+        self._last_read_at = now
+        self._staleness = min(self._staleness, staleness)
+
     def sample(self) -> None:
         """Begin a round if reads will soon need a fresh position."""
         now = time.monotonic()
         latest = self._freshness.latest
         age = self._clock.now() - latest.requested_at if latest else now
         recently_read = now - self._last_read_at < SAMPLE_AFTER_READ_SECONDS
-        if recently_read and age > self._group.options.sample_interval:
+        interval = max(
+            self._group.options.sample_interval,
+            self._staleness * SAMPLE_STALENESS_SHARE,
+        )
+        if recently_read and age > interval:
             self.begin_check()
 
     def close(self) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -34,6 +34,10 @@
 # Longest wait for the reports on which a decision rests: several round trips
 # and the queue of a saturated endpoint.
 REFRESH_TIMEOUT_SECONDS = 0.15
+# Longest intervals between reports, in multiples of those of few daemons;
+# reports must not become too old for decisions.
+MAX_WATCHERS_FACTOR = 1.8
+SCARCE_FACTOR = 4.0
 # An endpoint that leaves a request unanswered for this time counts as
 # unreachable; slow statements take a part of it.
 UNREACHABLE_SECONDS = 0.6
@@ -171,10 +175,12 @@
         relay_options = self._options
         report_age = now - endpoint.reported_at
         if (
-            endpoint.admission.pacer.mean_pause
+            endpoint.admission.is_pacing_work
             or group.has_unresponsive_endpoint(now)
         ):
             return report_age > relay_options.saturated_inspect_interval
+        if not group.list_leaving():
+            report_age /= self._compare_watchers(endpoint)
         if group.find_primary() is endpoint:
             idle = now - max(endpoint.answered_at, endpoint.reported_at)
             return (
@@ -189,6 +195,22 @@
             return report_age > relay_options.replication_timeout / 4
         return report_age > relay_options.replica_inspect_interval
 
+    def _compare_watchers(
+        self, endpoint: endpoint_states.EndpointState
+    ) -> float:
+        """Return how many times more daemons than a few watch an endpoint.
+
+        Each has some connections to it and asks for reports; the more do so,
+        the less often each needs to. Where connections are scarce, one that
+        is opened for a report only is one less for work.
+        """
+        if endpoint.pool.is_scarce and not endpoint.pool.has_idle:
+            return SCARCE_FACTOR
+        report = endpoint.report
+        connections = report.connections if report is not None else 0
+        few = self._options.few_connections
+        return min(max(1.0, connections / few), MAX_WATCHERS_FACTOR)
+
     async def _inspect(
         self, group: groups.Group, endpoint: endpoint_states.EndpointState
     ) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/options.py
@@ -46,6 +46,8 @@
     :ivar idle_inspect_interval: interval of report requests to a primary
         without traffic
     :ivar replica_inspect_interval: interval of report requests to a replica
+    :ivar few_connections: from this number of connections of an endpoint on,
+        which come from many daemons, each requests reports less often
     :ivar saturated_inspect_interval: interval of report requests to an
         endpoint whose queue is long, so that pacing follows the queue, and
         to the endpoints of a group of which one is unresponsive
@@ -97,6 +99,7 @@
     monitor_interval: float = 0.2
     idle_inspect_interval: float = 0.7
     replica_inspect_interval: float = 1.5
+    few_connections: int = 20
     saturated_inspect_interval: float = 0.35
     second_replica_delay: float = 0.04
     primary_timeout: float = 1.0
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -1,6 +1,7 @@
 """Tests of the conditions under which a primary is replaced."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -8,6 +9,8 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
+from fescuestile import freshness
+from fescuestile import positions
 from fescuestile import promotion
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
@@ -308,3 +311,68 @@
     await fail_primary(group, group_monitor)
     assert promoter.attempts == 0
     await group_monitor.close(0.0)
+
+
+def is_probe_due(group_monitor, group, name):
+    return group_monitor._is_probe_due(
+        group, group.endpoints[name], time.monotonic()
+    )
+
+
+def set_connections(group, name, connections):
+    """Make the latest report of an endpoint show so many connections."""
+    endpoint = group.endpoints[name]
+    endpoint.report = dataclasses.replace(
+        endpoint.report, connections=connections
+    )
+
+
+async def test_one_of_many_daemons_asks_for_fewer_reports(
+    group, group_monitor
+):
+    """Answers reports that grow with daemons times endpoints."""
+    add_report(group, "r1", 7, ago=1.7)
+    assert is_probe_due(group_monitor, group, "r1")
+    set_connections(group, "r1", 58)
+    assert not is_probe_due(group_monitor, group, "r1")
+    add_report(group, "r2", 7, ago=2.9)
+    set_connections(group, "r2", 580)
+    assert is_probe_due(group_monitor, group, "r2")
+
+
+async def test_a_group_with_a_leaving_endpoint_is_watched_closely(
+    group, group_monitor
+):
+    add_report(group, "r1", 7, ago=1.7)
+    set_connections(group, "r1", 58)
+    group.put_endpoint(make_entry("p", leaving=True), 4)
+    assert is_probe_due(group_monitor, group, "r1")
+
+
+async def test_an_endpoint_without_work_is_not_asked_for_its_queue(
+    group, group_monitor
+):
+    """Answers pauses that outlast the work that they spaced out."""
+    add_report(group, "r1", 7, ago=0.5)
+    group.endpoints["r1"].admission.record_refusal()
+    assert group.endpoints["r1"].admission.pacer.mean_pause
+    assert not is_probe_due(group_monitor, group, "r1")
+
+
+@pytest.mark.parametrize(
+    ("staleness", "age", "begun"),
+    [(1.5, 0.9, False), (1.5, 1.1, True), (2.5, 1.6, False), (0.5, 0.9, True)],
+)
+async def test_positions_are_sampled_as_the_reads_need_them(
+    group, monkeypatch, staleness, age, begun
+):
+    """Answers rounds of reports that no read needs."""
+    checks = group.leadership
+    now = clock.BootClock().now()
+    position = positions.Position(1, 7)
+    checks._freshness.add(freshness.Sample(now - age, position))
+    await checks.find_minimum(now, staleness, time.monotonic())
+    rounds = []
+    monkeypatch.setattr(checks, "begin_check", lambda: rounds.append(1))
+    checks.sample()
+    assert bool(rounds) is begun
