--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -139,3 +139,27 @@
     fake_store.available = False
     assert not await watch.refresh()
     assert seen == []
+
+
+async def test_changes_soon_after_each_other_share_a_watch(fake_store, seen):
+    """Answers endpoints that change with each heartbeat while they start.
+
+    A watch is a call of each daemon to the store.
+    """
+    watch = store.ObjectWatch(
+        fake_store,
+        "servers",
+        lambda objects: seen.append(sorted(objects)),
+        random.Random(1),
+        3.0,
+        batch_seconds=0.2,
+    )
+    await watch.start()
+    await wait_seen(seen, ["a"])
+    for name in "bcde":
+        fake_store.put(name)
+        await asyncio.sleep(0.03)
+    await wait_seen(seen, ["a", "b", "c", "d", "e"])
+    assert len(seen) == 3
+    assert fake_store.calls == ["list", 1, 2]
+    await watch.close()
