--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -94,6 +94,7 @@
     arrival: sessions.Arrival,
 ) -> PendingStatement:
     """Return a statement that is about to be attempted."""
+    group.used_at = time.monotonic()
     statement = arrival.statement
     writes = statement.writes
     if statement.verb is messages.Verb.EXECUTE:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -35,6 +35,7 @@
     :ivar leadership: checks that its primary still leads
     :ivar connections: connections that each endpoint accepts
     :ivar expected: largest recent number of endpoints
+    :ivar used_at: monotonic seconds of the latest statement for it
     :ivar led_term: highest term that an endpoint reported to lead
     :ivar stalled_since: monotonic seconds since which no replica has reached
         the primary's position, None when one has
@@ -53,6 +54,7 @@
         self.connections = 1
         self.options = relay_options
         self.stalled_since: float | None = None
+        self.used_at = -math.inf
         self.expected = 0
         self._expected_at = 0.0
         self._awaited_position = positions.START
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -38,6 +38,8 @@
 # reports must not become too old for decisions.
 MAX_WATCHERS_FACTOR = 1.8
 SCARCE_FACTOR = 4.0
+# A group without a statement for this time has no work here.
+UNUSED_SECONDS = 3.0
 # An endpoint that leaves a request unanswered for this time counts as
 # unreachable; slow statements take a part of it.
 UNREACHABLE_SECONDS = 0.6
@@ -180,7 +182,7 @@
         ):
             return report_age > relay_options.saturated_inspect_interval
         if not group.list_leaving():
-            report_age /= self._compare_watchers(endpoint)
+            report_age /= self._compare_watchers(group, endpoint, now)
         if group.find_primary() is endpoint:
             idle = now - max(endpoint.answered_at, endpoint.reported_at)
             return (
@@ -196,20 +198,28 @@
         return report_age > relay_options.replica_inspect_interval
 
     def _compare_watchers(
-        self, endpoint: endpoint_states.EndpointState
+        self,
+        group: groups.Group,
+        endpoint: endpoint_states.EndpointState,
+        now: float,
     ) -> float:
         """Return how many times more daemons than a few watch an endpoint.
 
         Each has some connections to it and asks for reports; the more do so,
-        the less often each needs to. Where connections are scarce, one that
-        is opened for a report only is one less for work.
+        the less often each needs to, least of all one without work there.
+        Where connections are scarce, one that is opened for a report only is
+        one less for work.
         """
-        if endpoint.pool.is_scarce and not endpoint.pool.has_idle:
-            return SCARCE_FACTOR
         report = endpoint.report
         connections = report.connections if report is not None else 0
-        few = self._options.few_connections
-        return min(max(1.0, connections / few), MAX_WATCHERS_FACTOR)
+        factor = connections / self._options.few_connections
+        is_unused = now - group.used_at > UNUSED_SECONDS
+        if factor > 1 and (
+            is_unused
+            or (endpoint.pool.is_scarce and not endpoint.pool.has_idle)
+        ):
+            return SCARCE_FACTOR
+        return min(max(1.0, factor), MAX_WATCHERS_FACTOR)
 
     async def _inspect(
         self, group: groups.Group, endpoint: endpoint_states.EndpointState
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -331,6 +331,7 @@
     group, group_monitor
 ):
     """Answers reports that grow with daemons times endpoints."""
+    group.used_at = time.monotonic()
     add_report(group, "r1", 7, ago=1.7)
     assert is_probe_due(group_monitor, group, "r1")
     set_connections(group, "r1", 58)
@@ -340,6 +341,21 @@
     assert is_probe_due(group_monitor, group, "r2")
 
 
+async def test_a_daemon_without_work_in_a_group_asks_seldom(
+    group, group_monitor
+):
+    """Answers many daemons that watch each group before traffic starts."""
+    add_report(group, "r1", 7, ago=2.9)
+    set_connections(group, "r1", 58)
+    assert not is_probe_due(group_monitor, group, "r1")
+    group.used_at = time.monotonic()
+    assert is_probe_due(group_monitor, group, "r1")
+    group.used_at -= 5.0
+    add_report(group, "r2", 7, ago=6.5)
+    set_connections(group, "r2", 58)
+    assert is_probe_due(group_monitor, group, "r2")
+
+
 async def test_a_group_with_a_leaving_endpoint_is_watched_closely(
     group, group_monitor
 ):
