Ask idle primaries as seldom as their replicas

Before traffic each daemon of the large site still asked ten idle primaries 1.2 times a second, and each of these reports made it ask the replicas whether they hold the position (counted in one daemon: 13 and 13 reports a second).

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -186,21 +186,24 @@
             or group.has_unresponsive_endpoint(now)
         ):
             return report_age > relay_options.saturated_inspect_interval
-        if not group.list_leaving():
-            report_age /= self._compare_watchers(group, endpoint, now)
+        factor = (
+            1.0
+            if group.list_leaving()
+            else self._compare_watchers(group, endpoint, now)
+        )
         if group.find_primary() is endpoint:
             idle = now - max(endpoint.answered_at, endpoint.reported_at)
             return (
-                idle > relay_options.idle_inspect_interval
-                or report_age > relay_options.replica_inspect_interval
+                idle > factor * relay_options.idle_inspect_interval
+                or report_age > factor * relay_options.replica_inspect_interval
             )
         stalled = group.stalled_since
         if (
             stalled is not None
-            and now - stalled > relay_options.idle_inspect_interval
+            and now - stalled > factor * relay_options.idle_inspect_interval
         ):
             return report_age > relay_options.replication_timeout / 4
-        return report_age > relay_options.replica_inspect_interval
+        return report_age > factor * relay_options.replica_inspect_interval
 
     def _compare_watchers(
         self,
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -364,6 +364,24 @@
     assert is_probe_due(group_monitor, group, "r2")
 
 
+async def test_an_idle_primary_is_asked_as_seldom_as_its_replicas(
+    group, group_monitor
+):
+    """Answers reports of replicas that each report of the primary causes.
+
+    They show that its position was received.
+    """
+    add_report(group, "p", 7, ago=1.0, role=Role.PRIMARY)
+    add_report(group, "r1", 7, ago=1.2)
+    group.endpoints["p"].answered_at -= 1.0
+    group.stalled_since = time.monotonic() - 1.0
+    assert is_probe_due(group_monitor, group, "p")
+    assert is_probe_due(group_monitor, group, "r1")
+    for name in ("p", "r1"):
+        set_connections(group, name, 58)
+        assert not is_probe_due(group_monitor, group, name)
+
+
 async def test_a_group_with_a_leaving_endpoint_is_watched_closely(
     group, group_monitor
 ):
