--- a/soak/processes.py
+++ b/soak/processes.py
@@ -13,6 +13,7 @@
 from soak import leaving
 
 START_TIMEOUT_SECONDS = 15.0
+INTERNAL_PORT = 7440
 
 
 def choose_addresses(number: int, count: int) -> list[str]:
@@ -83,6 +84,8 @@
                         "config_apply_ms": leaving.KNOWN_SECONDS * 1000,
                     },
                     "metrics_port": int(metrics_port),
+                    # The port is free: each daemon has an IP of its own.
+                    "internal_ports": [INTERNAL_PORT],
                 }
             ),
             encoding="utf-8",
