--- a/tests/monitored_groups.py
+++ b/tests/monitored_groups.py
@@ -72,16 +72,20 @@
     return sampling.PositionSampler("d", "a", lambda name: None, boot_clock)
 
 
-def make_monitor(promoter, registry, watched=()):
-    """Return a monitor of some groups."""
+def make_monitor(promoter=None, registry=None, watched=()):
+    """Return a monitor of some groups.
+
+    :param promoter: by default one that grants no lease
+    :param registry: by default one in which nothing has changed
+    """
     relay_options = options.RelayOptions()
     boot_clock = clock.BootClock()
     routes = directory.Directory(NoDialer(), relay_options, boot_clock)
     routes.groups.update({group.name: group for group in watched})
     return monitor.Monitor(
         routes,
-        promoter,
-        registry,
+        promoter or NoPromoter(),
+        registry or CurrentRegistry(),
         relay_options,
         boot_clock,
         random.Random(1),
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -25,9 +25,7 @@
 
 @pytest.fixture
 def group_monitor():
-    return monitored_groups.make_monitor(
-        monitored_groups.NoPromoter(), monitored_groups.CurrentRegistry()
-    )
+    return monitored_groups.make_monitor()
 
 
 def stall_replication(group, seconds):
@@ -155,9 +153,7 @@
 
 
 def make_monitor(group, promoter, registry=None):
-    return monitored_groups.make_monitor(
-        promoter, registry or monitored_groups.CurrentRegistry(), [group]
-    )
+    return monitored_groups.make_monitor(promoter, registry, [group])
 
 
 async def fail_primary(group, group_monitor):
--- a/tests/unit/test_report_intervals.py
+++ b/tests/unit/test_report_intervals.py
@@ -23,9 +23,7 @@
 
 @pytest.fixture
 def group_monitor():
-    return monitored_groups.make_monitor(
-        monitored_groups.NoPromoter(), monitored_groups.CurrentRegistry()
-    )
+    return monitored_groups.make_monitor()
 
 
 def is_probe_due(group_monitor, group, name):
