--- a/review/rig/backends.py
+++ b/review/rig/backends.py
@@ -37,8 +37,7 @@
     def receive_again(self) -> None:
         """Receive what the primary of the group sends."""
         self.faults.deaf = False
-        primary = self.group.primary
-        if isinstance(primary, Backend) and primary.is_alive:
+        if self.role == "replica":
             self.group.follow(self)
 
     def crash_dark(self) -> None:
@@ -70,23 +69,28 @@
         self.pause_term = 0
         self.term = 0
         self.started_at_ms = int(time.time() * 1000)
-        primary = self.group.primary
-        if isinstance(primary, Backend) and primary.is_alive:
-            self.group.follow(self)
+        self.group.follow(self)
         await self.server.start()
 
 
 class Group(wire_group.Group):
-    """A group in which a replica that receives nothing learns nothing."""
+    """A group in which nobody receives from where nothing comes."""
 
     def follow(self, endpoint: wire_group.Endpoint) -> None:
         """Make an endpoint a replica with the primary's log.
 
-        One that receives nothing stays as it is, without a pause.
+        It stays as it is, without a pause, if it receives nothing, and if
+        the primary is dead or of an earlier term.
         """
-        if endpoint.faults.deaf:
-            endpoint.pause_term = 0
-        else:
+        primary = self.primary
+        endpoint.role = "replica"
+        endpoint.pause_term = 0
+        if (
+            isinstance(primary, Backend)
+            and primary.is_alive
+            and primary.term >= endpoint.term
+            and not endpoint.faults.deaf
+        ):
             super().follow(endpoint)
 
 
