--- a/review/rig/backends.py
+++ b/review/backends.py
@@ -4,6 +4,7 @@
 import time
 
 from rig import record
+
 from tests.platform.standins import group as wire_group
 from tests.platform.standins import store as wire_store
 
--- a/review/rig/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers of the review's scripts."""
--- a/review/rig/scene.py
+++ b/review/scene.py
@@ -13,6 +13,7 @@
 from rig import backends
 from rig import daemons
 from rig import record
+
 from tests.platform.standins import group as wire_group
 from tests.platform.standins import line_server
 from tests.platform.standins import store as wire_store
