Don't promote a replica that never followed the primary's term

Daemons that started after the entry of the former primary had gone knew the new primary and a replica that had received nothing. The primary had no replica that follows, so it was fenced, and the replica passed for "all replicas".

Cause: choose_promotion takes the longest log of all replicas for complete. This holds for writes of the primary's own term, which a replica must have received. Writes of earlier terms are only certain to be in the log with which the primary was promoted.

Change: beside a fenced primary, a replica is chosen only if it followed the primary's term or its log is as long; else the fenced primary is promoted again.

The stand-in of a group copied logs to replicas that receive nothing, which hid the fault; it no longer does, and replicas learn a later term by receiving.

--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -3,7 +3,9 @@
 A write is acknowledged once the primary and one replica hold it. So no more
 writes are acknowledged in a term once its primary has stopped or none of
 its replicas receives entries any more. From then on, every acknowledged
-write is in the primary's log and in the longest of all replicas' logs.
+write is in the primary's log and in the longest of all replicas' logs. A
+replica that has not followed the primary's term may lack writes of earlier
+terms, which the primary held when it was promoted.
 """
 
 import dataclasses
@@ -112,7 +114,14 @@
         default=None,
     )
     fenced_primary = known.get(failed_primary)
-    if best is not None and has_all_replicas:
+    if (
+        best is not None
+        and has_all_replicas
+        and (
+            fenced_primary is None
+            or _may_replace(replicas[best], fenced_primary)
+        )
+    ):
         return best
     if fenced_primary is None or len(known) < count_confirming(size):
         return None
@@ -128,6 +137,18 @@
     return failed_primary
 
 
+def _may_replace(replica: Report, fenced_primary: Report) -> bool:
+    """Return whether the best replica holds all that its primary must hold.
+
+    It does if it followed the primary's term, or has as long a log.
+    """
+    return (
+        replica.followed >= fenced_primary.followed
+        or promotion_order.make_log_key(replica)
+        >= promotion_order.make_log_key(fenced_primary)
+    )
+
+
 def find_next_term(reports: typing.Iterable[Report]) -> int:
     """Return a term above all terms that the endpoints reported."""
     return max((report.term for report in reports), default=0) + 1
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -66,9 +66,11 @@
         """Copy the primary's log; return whether it was received.
 
         A log has no gaps: the endpoint receives what it missed earlier, too.
+        It learns a later term in the same way.
         """
         if self.pause_term or self.faults.deaf or not self.server.running:
             return False
+        self.term = primary.term
         self.received = list(primary.received)
         loop = asyncio.get_running_loop()
         loop.call_later(self.group.lag_seconds, self.apply, len(self.received))
@@ -150,10 +152,15 @@
         received = [
             other.receive(endpoint)
             for other in self.endpoints.values()
-            if other is not endpoint and other.term == endpoint.term
+            if other is not endpoint
+            and (other.term == endpoint.term or self._lags(other, endpoint))
         ]
         return any(received)
 
+    def _lags(self, other: Endpoint, primary: Endpoint) -> bool:
+        """Return whether a replica has not learned the primary's term."""
+        return other.role == "replica" and other.term < primary.term
+
     def promote(self, name: str, holder: str, token: int) -> bool:
         """Accept a promotion, which takes effect after a delay."""
         endpoint = self.endpoints.get(name)
@@ -184,12 +191,18 @@
                 self.follow(other)
 
     def follow(self, endpoint: Endpoint) -> None:
-        """Make an endpoint a replica with the primary's log."""
+        """Make an endpoint a replica with the primary's log.
+
+        One that receives nothing, or whose primary is dark, keeps its term
+        and its log.
+        """
         primary = self.primary
         endpoint.role = "replica"
         endpoint.pause_term = 0
         if primary is None or primary is endpoint:
             return
+        if endpoint.faults.deaf or primary.faults.dark:
+            return
         endpoint.term = primary.term
         endpoint.received = list(primary.received)
         endpoint.applied = len(endpoint.received)
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -138,6 +138,23 @@
     assert promotion.choose_promotion(make_plan(3), fenced, "p") == "r1"
 
 
+def test_a_replica_of_an_earlier_term_does_not_replace_a_fenced_primary():
+    """Guards against losing what the primary held when it was promoted.
+
+    The replica that held it too is not known, so one seems to be all.
+    """
+    fenced = {
+        "p": builders.build_log_report("p", 9, followed=2),
+        "r1": builders.build_log_report("r1", 3, followed=1),
+    }
+    plan = make_plan(2)
+    assert promotion.choose_promotion(plan, fenced, "p") == "p"
+    fenced["r1"] = builders.build_log_report("r1", 3, followed=2)
+    assert promotion.choose_promotion(plan, fenced, "p") == "r1"
+    fenced["r1"] = builders.build_log_report("r1", 9, followed=1)
+    assert promotion.choose_promotion(plan, fenced, "p") == "r1"
+
+
 def test_next_term_is_above_promises():
     reports = [
         builders.build_log_report("p", 1, Role.PRIMARY, 4),
