Record the members of each group in the platform's store

Cause: who counts as a member was what this process had seen (Group.expected): it started anew with each process, shrank after 15 s whether or not others held the log, and took an endpoint that started again empty for the former one. With one replica known of two, that one is "all replicas".

Change: an endpoint under one start is a member (fescuestile.group_members) until others hold what it may have held. The members of each group stand in an object of kind "members", written on condition when one joins or is gone for good, read when a daemon starts and under the lease before each takeover. A daemon that has not read it promotes nothing and takes no position of replicas for fresh. A member that has ended can't confirm a later term, but may have held writes, so the two are counted apart. A primary that works and has no safe successor is not made to step down any more. A primary that never reported here no longer passes for one that has left.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -9,6 +9,7 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
+from fescuestile import group_members
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import promotion
@@ -23,9 +24,6 @@
 Role = endpoint_messages.Role
 # Longest age of a report from which the primary is determined.
 REPORT_VALID_SECONDS = 3.0
-# A removed endpoint counts towards the size of the group for this time: it may
-# hold writes that no other replica has, until those have caught up.
-EXPECTED_SECONDS = 15.0
 
 
 class Group:
@@ -34,7 +32,7 @@
     :ivar endpoints: endpoints by id
     :ivar leadership: checks that its primary still leads
     :ivar connections: connections that each endpoint accepts
-    :ivar expected: largest recent number of endpoints
+    :ivar members: endpoints that may hold acknowledged writes
     :ivar used_at: monotonic seconds of the latest statement for it
     :ivar led_term: highest term that an endpoint reported to lead
     :ivar stalled_since: monotonic seconds since which no replica has reached
@@ -55,17 +53,14 @@
         self.options = relay_options
         self.stalled_since: float | None = None
         self.used_at = -math.inf
-        self.expected = 0
-        self._expected_at = 0.0
+        self.members = group_members.GroupMembers()
         self._awaited_position = positions.START
         self._awaited_at = -math.inf
         # Time of the latest position of the primary that a replica has
-        # reached, of the latest removal, and of the latest one of an endpoint
-        # that may come back.
+        # reached.
         self._replicated_at = -math.inf
-        self._removed_at = -math.inf
-        self._vanished_at = -math.inf
         self._leader = ""
+        self._leader_has_left = False
         self.led_term = 0
         self._dialer = dialer
         self._clock = boot_clock
@@ -122,9 +117,9 @@
         known.put_entry(entry)
         known.dropped_at = None
         known.pool.cap = cap
-        if len(self.endpoints) >= self.expected:
-            self.expected = len(self.endpoints)
-            self._expected_at = time.monotonic()
+        self.members.add(
+            group_members.Member(entry.id, entry.started_at), time.monotonic()
+        )
         self.notify()
         return known
 
@@ -134,32 +129,20 @@
         if endpoint is not None:
             endpoint.close()
             self.leadership.set_plan(self.make_plan())
-            now = time.monotonic()
-            self._expected_at = max(
-                self._expected_at, now - EXPECTED_SECONDS / 2
-            )
-            self._removed_at = now
-            if not endpoint.has_left:
-                self._vanished_at = now
-            elif name == self._leader:
-                self._leader = ""
+            self.members.remove(name, time.monotonic(), endpoint.has_left)
+            if endpoint.has_left and name == self._leader:
+                self._leader_has_left = True
             self.notify()
 
-    def expire_expected(self) -> None:
-        """Lower ``expected`` once the removed endpoints no longer count.
-
-        Those that have left do not come back with their logs. They count
-        until another replica holds what they may have held, or until the
-        primary, which holds it too, has left as well.
-        """
-        if len(self.endpoints) >= self.expected:
-            return
-        oldest = time.monotonic() - EXPECTED_SECONDS
-        have_left = self._vanished_at < oldest and (
-            not self._leader or self._replicated_at > self._removed_at
-        )
-        if have_left or self._expected_at < oldest:
-            self.expected = len(self.endpoints)
+    def release_members(self) -> None:
+        """Release members that are gone and of which nothing is needed."""
+        if self.members.absent:
+            self.members.release(
+                time.monotonic(),
+                self._replicated_at,
+                self.find_primary() is not None,
+                self._leader_has_left,
+            )
 
     def list_reports(self) -> list[messages.Report]:
         """Return the reports that are not too old."""
@@ -351,6 +334,7 @@
                 self.stalled_since = None
                 self.led_term = report.term
                 self._leader = report.endpoint
+                self._leader_has_left = False
             if self.stalled_since is None and len(self.endpoints) > 1:
                 self._awaited_position = report.last
                 self._awaited_at = requested_at
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -136,7 +136,8 @@
         all replicas' logs holds every write that was acknowledged before
         the round. This works without the primary, but not if there are
         replicas that this daemon does not know, as when the registry has
-        changed unseen and they follow a primary that never reported here.
+        changed unseen and they follow a primary that never reported here, or
+        as long as the members have not been read.
         """
         if round_.followed > self._group.led_term:
             return
@@ -146,7 +147,10 @@
             for endpoint in self._group.endpoints.values()
             if endpoint is not primary
         }
-        if len(replicas) < max(1, self._group.expected - 1):
+        members = self._group.members
+        if not members.is_loaded or len(replicas) < max(
+            1, members.count() - 1
+        ):
             return
         if replicas <= round_.log_ends.keys():
             longest = max(round_.log_ends[name] for name in replicas)
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -0,0 +1,267 @@
+"""Records of the groups' members in the platform's store.
+
+There is one object a group. Daemons write it on condition of its revision
+when members join or are gone for good, and read it when they start and before
+each takeover, so that a daemon that has just started knows the members that
+the registry does not name at the time.
+"""
+
+import abc
+import asyncio
+import collections.abc
+import dataclasses
+import math
+import random
+import time
+
+import structlog
+
+from fescuestile import errors
+from fescuestile import group_members
+from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import ports
+
+log = structlog.get_logger()
+
+# Range of the delay before a change is recorded: the first daemon to do so
+# spares the others the write.
+RECORD_DELAY_SECONDS = (1.0, 8.0)
+CHECK_SECONDS = 1.0
+# While its record has not been read, a group's primary is not replaced.
+LOAD_CHECK_SECONDS = 0.2
+# Pause before records that were missing or malformed are read again.
+LOAD_DELAY_SECONDS = group_members.SETTLE_SECONDS
+# A malformed record is replaced after this time, in which the registry names
+# all endpoints that can reach it.
+MALFORMED_SECONDS = group_members.MISSING_SECONDS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredMembers:
+    """A record and its revision, on which a later write is conditional.
+
+    :ivar members: None if the record is malformed
+    :ivar revision: None when there is no record yet
+    """
+
+    members: frozenset[group_members.Member] | None
+    revision: int | None
+
+
+NO_RECORD = StoredMembers(frozenset(), None)
+
+
+class MemberStore(abc.ABC):
+    """Store of the records."""
+
+    @abc.abstractmethod
+    async def read(self, group: str) -> StoredMembers:
+        """Return the record of a group.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+
+    @abc.abstractmethod
+    async def list_all(
+        self, allow_stale: bool = False
+    ) -> collections.abc.Mapping[str, StoredMembers]:
+        """Return the records of all groups that have one, by group.
+
+        :param allow_stale: whether they may be seconds old
+        :raises PlatformUnavailable: the store did not answer
+        """
+
+    @abc.abstractmethod
+    async def write(
+        self,
+        group: str,
+        members: collections.abc.Set[group_members.Member],
+        revision: int | None,
+    ) -> bool:
+        """Write a record if its revision is still this one.
+
+        :param revision: None to create the record
+        :returns: False when the revision has changed
+        :raises PlatformUnavailable: no answer; it may have been written
+        """
+
+
+class MemberRecords:
+    """Reads the records for this daemon and keeps them up to date."""
+
+    def __init__(
+        self,
+        store: MemberStore,
+        routes: directory.Directory,
+        registry: ports.Registry,
+        source: random.Random,
+    ) -> None:
+        """Initialize; ``start`` begins to read.
+
+        :param routes: holds the groups
+        :param registry: read again before a member is taken off a record
+        :param source: randomness of the delay before a change is recorded
+        """
+        self._store = store
+        self._directory = routes
+        self._registry = registry
+        self._random = source
+        self._record_at = math.inf
+        self._load_at = -math.inf
+        self._malformed_since: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the task that reads and writes."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Cancel the task."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def load(self, group: groups.Group) -> bool:
+        """Read the record of a group again and apply it.
+
+        A missing record is written, so that a decision on what this daemon
+        knows binds those that start later.
+
+        :returns: False when the store did not answer, while the record is
+            malformed, or while there is none and this daemon may not know
+            all members yet
+        """
+        try:
+            stored = await self._store.read(group.name)
+            if not self._apply(group, stored):
+                log.warning("members not known", group=group.name)
+                return False
+            if stored.members is None or stored.revision is None:
+                return await self._write(group, stored)
+            return True
+        except errors.PlatformUnavailable as error:
+            log.warning(
+                "members not read", group=group.name, detail=str(error)
+            )
+            return False
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(
+                CHECK_SECONDS if self._is_loaded() else LOAD_CHECK_SECONDS
+            )
+            try:
+                await self.update()
+            except errors.PlatformUnavailable as error:
+                log.info("members not recorded", detail=str(error))
+                self._record_at = math.inf
+            except Exception:
+                # A malformed answer must not end the task.
+                log.exception("update of the members' records failed")
+
+    def _list(self) -> list[groups.Group]:
+        """Return the groups with endpoints."""
+        return [g for g in self._directory.groups.values() if g.endpoints]
+
+    def _is_loaded(self) -> bool:
+        """Return whether all records have been read."""
+        return self._directory.endpoints_loaded and all(
+            group.members.is_loaded for group in self._list()
+        )
+
+    async def update(self) -> None:
+        """Read records that have not been read, and record changes.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+        now = time.monotonic()
+        if (
+            self._directory.endpoints_loaded
+            and now >= self._load_at
+            and not self._is_loaded()
+        ):
+            stored = await self._store.list_all()
+            self._load_at = now + LOAD_DELAY_SECONDS
+            for group in self._list():
+                if not group.members.is_loaded:
+                    self._apply(group, stored.get(group.name, NO_RECORD))
+        if not self._list_changed():
+            self._record_at = math.inf
+            return
+        if self._record_at == math.inf:
+            self._record_at = now + self._random.uniform(*RECORD_DELAY_SECONDS)
+        if now < self._record_at:
+            return
+        self._record_at = math.inf
+        await self._skip_recorded()
+        for group in self._list_changed():
+            await self._record(group)
+
+    def _list_changed(self) -> list[groups.Group]:
+        """Return the groups whose records lack a change."""
+        return [
+            group
+            for group in self._list()
+            if group.members.is_loaded
+            and group.members.make_record() != group.members.recorded
+        ]
+
+    async def _skip_recorded(self) -> None:
+        """Leave out changes that other daemons have recorded.
+
+        A listing that may be stale is cheaper than a reading of each record.
+        """
+        stored = await self._store.list_all(allow_stale=True)
+        for group in self._list_changed():
+            found = stored.get(group.name)
+            if found is not None and (
+                found.members == group.members.make_record()
+            ):
+                group.members.recorded = found.members
+
+    async def _record(self, group: groups.Group) -> None:
+        """Write what this daemon knows into the record of a group."""
+        members = group.members
+        stored = await self._store.read(group.name)
+        if not self._apply(group, stored):
+            return
+        wanted = members.make_record()
+        if stored.members is not None and stored.members - wanted:
+            # One that has come back must not be taken off.
+            if not await self._registry.refresh():
+                return
+            wanted = members.make_record()
+        if wanted != stored.members:
+            await self._write(group, stored)
+
+    async def _write(self, group: groups.Group, stored: StoredMembers) -> bool:
+        """Write a record; return False if it has changed meanwhile."""
+        wanted = group.members.make_record()
+        if not await self._store.write(group.name, wanted, stored.revision):
+            return False
+        log.info(
+            "members recorded",
+            group=group.name,
+            members=[f"{m.name} {m.started_at}" for m in sorted(wanted)],
+        )
+        group.members.recorded = wanted
+        return True
+
+    def _apply(self, group: groups.Group, stored: StoredMembers) -> bool:
+        """Apply a record; return whether it could be used."""
+        now = time.monotonic()
+        if stored.members is None:
+            since = self._malformed_since.setdefault(group.name, now)
+            if now - since < MALFORMED_SECONDS:
+                return False
+        else:
+            self._malformed_since.pop(group.name, None)
+        if stored.members is None or stored.revision is None:
+            # Nothing is known but what this daemon has seen.
+            if not group.members.is_settled(now):
+                return False
+            if not group.members.is_loaded:
+                group.members.apply_record((), now)
+            return True
+        group.members.apply_record(stored.members, now)
+        return True
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -15,6 +15,7 @@
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import member_records
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
@@ -64,6 +65,7 @@
         routes: directory.Directory,
         promoter: ports.Promoter,
         registry: ports.Registry,
+        records: member_records.MemberRecords,
         relay_options: options.RelayOptions,
         boot_clock: clock.Clock,
         source: random.Random,
@@ -74,11 +76,13 @@
         :param promoter: requests promotions for takeovers
         :param sampler: finds the fresh positions that reads need
         :param registry: read again before each takeover
+        :param records: likewise
         :param source: draws the delays before takeovers
         """
         self._directory = routes
         self._promoter = promoter
         self._registry = registry
+        self._records = records
         self._options = relay_options
         self._clock = boot_clock
         self._random = source
@@ -139,7 +143,7 @@
                 self._probe(group, endpoint, now)
             if group.leadership.needs_sample():
                 self._sampler.sample(group)
-            group.expire_expected()
+            group.release_members()
             reason = self._find_reason(group, now, unpaused)
             if reason is None or self._stopping:
                 continue
@@ -260,7 +264,9 @@
             return (
                 Reason.SILENT if self._reaches_majority(group, now) else None
             )
-        if group.is_stalled(now, unpaused):
+        if group.is_stalled(now, unpaused) and self._has_successor(
+            group, primary
+        ):
             return Reason.NO_COMMITS
         if primary.entry.leaving:
             target = self._find_target(group, primary)
@@ -308,6 +314,23 @@
         )
         return answering >= group.make_plan().majority
 
+    def _has_successor(
+        self, group: groups.Group, primary: endpoint_states.EndpointState
+    ) -> bool:
+        """Return whether a replica could safely replace a primary that works.
+
+        Otherwise a takeover only makes it step down for a while.
+        """
+        chosen = promotion.choose_promotion(
+            group.make_plan(),
+            {report.endpoint: report for report in group.list_reports()},
+            primary.name,
+            absent=group.members.absent,
+            ended=group.members.ended,
+            leaving=group.list_leaving(),
+        )
+        return chosen not in (None, primary.name)
+
     def _find_target(
         self, group: groups.Group, primary: endpoint_states.EndpointState
     ) -> endpoint_states.EndpointState | None:
@@ -377,7 +400,11 @@
                 return
             # Another daemon may have replaced the primary meanwhile, also by
             # an endpoint that is not known here yet.
-            if await self._registry.refresh():
+            if all(
+                await asyncio.gather(
+                    self._registry.refresh(), self._records.load(group)
+                )
+            ):
                 await group.refresh(REFRESH_TIMEOUT_SECONDS)
                 await self._take_over(group, reason, lease)
             await self._promoter.release(lease)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -10,6 +10,7 @@
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import events
 from fescuestile_daemon.relay import execution
+from fescuestile_daemon.relay import member_records
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
@@ -45,6 +46,7 @@
         dialer: ports.Dialer,
         promoter: ports.Promoter,
         registry: ports.Registry,
+        member_store: member_records.MemberStore,
         relay_options: options.RelayOptions,
         zone: str,
         name: str = "",
@@ -66,10 +68,14 @@
         self.sampler = sampling.PositionSampler(
             name, zone, self.directory.groups.get, boot_clock
         )
+        self._records = member_records.MemberRecords(
+            member_store, self.directory, registry, random.Random()
+        )
         self._monitor = monitor.Monitor(
             self.directory,
             promoter,
             registry,
+            self._records,
             relay_options,
             boot_clock,
             random.Random(),
@@ -83,6 +89,7 @@
     async def start(self) -> None:
         """Start to monitor the endpoints."""
         await self._monitor.start()
+        await self._records.start()
         self._isolation = asyncio.create_task(self._watch_isolation())
 
     async def _watch_isolation(self) -> None:
@@ -197,6 +204,7 @@
             self._isolation.cancel()
         left = grace * TAKEOVER_SHARE - (time.monotonic() - started)
         await self._monitor.close(left)
+        await self._records.close()
         self.sampler.close()
         self.directory.close()
         log.info("daemon stopped", seconds=round(loop.time() - started, 3))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -69,7 +69,12 @@
         for _ in range(FENCE_ATTEMPTS):
             await self._fence_all(term, name)
             chosen = promotion.choose_promotion(
-                plan, self._fenced, name, group.expected, leaving
+                plan,
+                self._fenced,
+                name,
+                absent=group.members.absent,
+                ended=group.members.ended,
+                leaving=leaving,
             )
             if chosen is not None or not self._holds_lease():
                 break
@@ -83,6 +88,8 @@
                 for n, r in self._fenced.items()
             },
             members=sorted(plan.endpoint_by_name),
+            absent=group.members.absent,
+            ended=group.members.ended,
             leaving=leaving,
             chosen=chosen,
         )
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -78,7 +78,8 @@
     plan: plans.Plan,
     fenced: typing.Mapping[str, Report],
     failed_primary: str = "",
-    expected_size: int = 0,
+    absent: int = 0,
+    ended: int = 0,
     leaving: typing.Collection[str] = (),
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
@@ -91,8 +92,10 @@
         term, each with the end of its log, read under the fence
     :param failed_primary: primary of the old term, promoted again only when no
         replica qualifies
-    :param expected_size: number of endpoints that the group had until
-        recently, when some of them are not in the plan any more
+    :param absent: members of the group that are not in the plan, but may
+        hold acknowledged writes
+    :param ended: how many of those have ended, so that they can neither lead
+        nor confirm a later term
     :param leaving: endpoints that accept no new work; one of them is chosen
         only when no other replica has as long a log
     """
@@ -102,7 +105,7 @@
         if name in plan.endpoint_by_name
     }
     replicas = {name: known[name] for name in known if name != failed_primary}
-    size = max(expected_size, len(plan.endpoints))
+    size = len(plan.endpoints) + absent
     if size < 2:
         return None
     has_all_replicas = len(replicas) >= size - 1
@@ -123,7 +126,7 @@
         )
     ):
         return best
-    if fenced_primary is None or len(known) < count_confirming(size):
+    if fenced_primary is None or len(known) < count_confirming(size - ended):
         return None
     if any(
         report.followed > fenced_primary.followed for report in known.values()
--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -79,6 +79,7 @@
         vantage = Vantage(self)
         group = groups.Group("g", vantage, options.RelayOptions(), LoopClock())
         self.apply_registry(group)
+        group.members.apply_record((), 0.0)
         return vantage, group
 
     # Members
--- a/tests/fences.py
+++ b/tests/fences.py
@@ -120,4 +120,6 @@
             name, "g", "127.0.0.1:1", "a", 2, False, name == first, 0
         )
         group.put_endpoint(entry, 4)
+    # Its record names no others.
+    group.members.apply_record((), 0.0)
     return group
--- /dev/null
+++ b/tests/member_stores.py
@@ -0,0 +1,78 @@
+"""Builders of records of members, and a store that holds them in memory."""
+
+import asyncio
+
+from fescuestile import errors
+from fescuestile import group_members
+from fescuestile_daemon.relay import member_records
+
+
+def make_members(*names):
+    """Return members; a start other than 0 follows the name after an @."""
+    parts = [name.partition("@") for name in names]
+    return frozenset(
+        group_members.Member(name, int(start or 0)) for name, _, start in parts
+    )
+
+
+class MemoryStore(member_records.MemberStore):
+    """Holds records; a group has none at first.
+
+    :ivar records: by group
+    :ivar calls: names of the calls so far
+    :ivar fault: "refuses", "lost" (executed without an answer), "late"
+        (executed by ``execute_late``) or empty for none
+    """
+
+    def __init__(self):
+        self.records = {}
+        self.calls = []
+        self.fault = ""
+        self._late = []
+
+    def put(self, group, members):
+        """Write a record unconditionally; None for a malformed one."""
+        revision = self.find(group).revision or 0
+        self.records[group] = member_records.StoredMembers(
+            members, revision + 1
+        )
+
+    def find(self, group):
+        """Return the record of a group."""
+        return self.records.get(group, member_records.NO_RECORD)
+
+    async def read(self, group):
+        await self._call("read")
+        return self.find(group)
+
+    async def list_all(self, allow_stale=False):
+        await self._call("list stale" if allow_stale else "list")
+        return dict(self.records)
+
+    async def write(self, group, members, revision):
+        await self._call("write")
+        if self.fault == "late":
+            self._late.append((group, members, revision))
+            raise errors.PlatformUnavailable("no answer", step="write")
+        is_written = self._execute(group, members, revision)
+        if self.fault == "lost":
+            raise errors.PlatformUnavailable("no answer", step="write")
+        return is_written
+
+    async def _call(self, name):
+        await asyncio.sleep(0)
+        self.calls.append(name)
+        if self.fault == "refuses":
+            raise errors.PlatformRefused("503", step=name)
+
+    def _execute(self, group, members, revision):
+        if self.find(group).revision != revision:
+            return False
+        self.put(group, frozenset(members))
+        return True
+
+    def execute_late(self):
+        """Execute the writes that got no answer."""
+        for write in self._late:
+            self._execute(*write)
+        self._late.clear()
--- a/tests/model_check/test_takeovers.py
+++ b/tests/model_check/test_takeovers.py
@@ -199,7 +199,7 @@
         search()
 
 
-def choose_any(plan, fenced, failed="", expected=0, leaving=()):
+def choose_any(plan, fenced, failed="", absent=0, ended=0, leaving=()):
     return max(fenced, key=lambda name: fenced[name].last, default=None)
 
 
--- a/tests/monitored_groups.py
+++ b/tests/monitored_groups.py
@@ -7,12 +7,14 @@
 from fescuestile import endpoint_messages
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import member_records
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
 from fescuestile_daemon.relay import sampling
 from tests import builders
+from tests import member_stores
 
 Role = endpoint_messages.Role
 NAMES = ("p", "r1", "r2")
@@ -72,20 +74,33 @@
     return sampling.PositionSampler("d", "a", lambda name: None, boot_clock)
 
 
-def make_monitor(promoter=None, registry=None, watched=()):
+def make_records(routes, registry, member_store=None):
+    """Return the records of the members of the groups in a directory."""
+    return member_records.MemberRecords(
+        member_store or member_stores.MemoryStore(),
+        routes,
+        registry,
+        random.Random(1),
+    )
+
+
+def make_monitor(promoter=None, registry=None, watched=(), member_store=None):
     """Return a monitor of some groups.
 
     :param promoter: by default one that grants no lease
     :param registry: by default one in which nothing has changed
+    :param member_store: by default one that holds no record
     """
     relay_options = options.RelayOptions()
     boot_clock = clock.BootClock()
     routes = directory.Directory(NoDialer(), relay_options, boot_clock)
     routes.groups.update({group.name: group for group in watched})
+    registry = registry or CurrentRegistry()
     return monitor.Monitor(
         routes,
         promoter or NoPromoter(),
-        registry or CurrentRegistry(),
+        registry,
+        make_records(routes, registry, member_store),
         relay_options,
         boot_clock,
         random.Random(1),
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -76,6 +76,15 @@
         loop.call_later(self.group.lag_seconds, self.apply, len(self.received))
         return True
 
+    async def restart_empty(self) -> None:
+        """End and start again under the same name, without the log."""
+        await self.server.close()
+        self.role = "replica"
+        self.received = []
+        self.applied = self.pause_term = 0
+        self.started_at_ms += 1
+        await self.server.start()
+
     def apply(self, count: int) -> None:
         self.applied = max(self.applied, min(count, len(self.received)))
 
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -76,11 +76,20 @@
             self.store.groups[each.name] = each
             for endpoint in each.endpoints.values():
                 self.store.register(endpoint)
+            self.record_members(each)
         self.store.put("config", "main", make_configuration(self.groups))
         for number in range(self._daemon_count):
             await self.start_daemon(f"daemon-{number}")
         await self.wait_ready()
 
+    def record_members(self, group: wire_group.Group) -> None:
+        """Write the record of a group that has been served for a while."""
+        members = [
+            {"id": endpoint.name, "born": endpoint.started_at_ms}
+            for endpoint in group.endpoints.values()
+        ]
+        self.store.put("members", group.name, {"members": members})
+
     async def start_daemon(
         self, name: str, store_address: str = ""
     ) -> daemon.Daemon:
@@ -108,11 +117,11 @@
         return started
 
     async def wait_ready(self) -> None:
-        """Wait until every daemon is ready and knows all primaries."""
+        """Wait until every daemon is ready and knows all groups."""
         async with asyncio.timeout(10):
             for each in self.daemons:
                 while not each.node.is_ready() or not all(
-                    g.find_primary()
+                    g.find_primary() and g.members.is_loaded
                     for g in each.node.directory.groups.values()
                 ):
                     await asyncio.sleep(0.01)
--- a/tests/unit/test_group_size.py
+++ b/tests/unit/test_group_size.py
@@ -62,8 +62,8 @@
 
     def count(self):
         """Return how many endpoints count."""
-        self.expire_expected()
-        return self.expected
+        self.release_members()
+        return self.members.count()
 
 
 @pytest.fixture
@@ -103,6 +103,12 @@
     assert group.count() == 1
 
 
+async def test_a_primary_that_never_reported_here_has_not_left(group):
+    """Guards against an endpoint whose log nobody is known to hold."""
+    group.leave("r1")
+    assert group.count() == 3
+
+
 async def test_an_endpoint_that_may_come_back_counts_on(group):
     """Guards against losing writes of an endpoint that a cut hides."""
     group.receive("p", 5)
--- a/tests/unit/test_monitor.py
+++ b/tests/unit/test_monitor.py
@@ -1,6 +1,7 @@
 """Tests of the conditions under which a primary is replaced."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -10,6 +11,7 @@
 from fescuestile import promotion
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
+from tests import member_stores
 from tests import monitored_groups
 
 Role = endpoint_messages.Role
@@ -55,6 +57,27 @@
     assert find_reason(group_monitor, group) is Reason.NO_COMMITS
 
 
+@pytest.mark.parametrize("term", [1, 2])
+async def test_a_primary_without_a_successor_is_kept(
+    group, group_monitor, term
+):
+    """Guards against fences that only stop a working group.
+
+    A member is missing, or the replicas never followed the primary's term.
+    """
+    stall_replication(group, 1.5)
+    add_report(group, "p", 7, role=Role.PRIMARY, term=term)
+    group.endpoints["p"].report = dataclasses.replace(
+        group.endpoints["p"].report, followed=term
+    )
+    add_report(group, "r1", 5)
+    add_report(group, "r2", 5)
+    if term == 1:
+        missing = member_stores.make_members("r3")
+        group.members.apply_record(missing, time.monotonic())
+    assert find_reason(group_monitor, group) is None
+
+
 async def test_old_reports_of_replicas_show_no_stall(group, group_monitor):
     stall_replication(group, 1.5)
     assert find_reason(group_monitor, group) is None
@@ -215,6 +238,31 @@
     await group_monitor.close(0.0)
 
 
+async def test_no_takeover_starts_while_the_members_are_not_known(
+    group, monkeypatch
+):
+    """Guards against promotions by a daemon that knows a part of a group."""
+    started = []
+
+    async def start(*args):
+        started.append(args)
+
+    member_store = member_stores.MemoryStore()
+    member_store.fault = "refuses"
+    group_monitor = monitored_groups.make_monitor(
+        FreePromoter(), None, [group], member_store
+    )
+    monkeypatch.setattr(group_monitor, "_take_over", start)
+    await fail_primary(group, group_monitor)
+    assert started == []
+    member_store.fault = ""
+    members = member_stores.make_members(*monitored_groups.NAMES)
+    member_store.put("g", members)
+    await fail_primary(group, group_monitor)
+    assert started
+    await group_monitor.close(0.0)
+
+
 class UnreachablePromoter(FreePromoter):
     async def is_reachable(self):
         return False
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -116,9 +116,7 @@
 def test_an_endpoint_that_left_the_plan_still_counts():
     plan = make_plan(2)
     fenced = {"r1": builders.build_log_report("r1", 3)}
-    assert (
-        promotion.choose_promotion(plan, fenced, "p", expected_size=3) is None
-    )
+    assert promotion.choose_promotion(plan, fenced, "p", absent=1) is None
     assert promotion.choose_promotion(plan, fenced, "p") == "r1"
 
 
