--- a/tests/platform/standins/store.py
+++ b/tests/platform/standins/store.py
@@ -40,6 +40,7 @@
         self.calls: list[tuple[str, str]] = []
         self.groups: dict[str, group.Group] = {}
         self.promotion_requests: list[tuple[str, str, str, int]] = []
+        self._raw_texts: dict[str, str] = {}
         self._change_event = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._transports: set[typing.Any] = set()
@@ -74,6 +75,26 @@
         self.objects[kind, name] = stored
         self._record(kind, {"object": stored, "deleted": False})
 
+    def put_raw(
+        self,
+        kind: str,
+        name: str,
+        spec: dict[str, typing.Any],
+        field: str,
+        text: str,
+    ) -> None:
+        """Write an object with a field that is sent as this JSON text."""
+        mark = f"raw-{len(self._raw_texts)}"
+        self._raw_texts[mark] = text
+        self.put(kind, name, {**spec, field: mark})
+
+    def encode(self, content: typing.Any) -> bytes:
+        """Return the body of a response."""
+        body = json.dumps(content)
+        for mark, text in self._raw_texts.items():
+            body = body.replace(f'"{mark}"', text)
+        return body.encode()
+
     def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         stored = self.objects.pop((kind, name))
@@ -261,7 +282,7 @@
         if response is None or self._transport.is_closing():
             return
         status, content = response
-        data = json.dumps(content).encode()
+        data = self._store.encode(content)
         head = (
             f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
