Leave unknown services out of a daemon's isolation

What callers would see: three entries that name services which the configuration doesn't have, at addresses where nothing answers, made every daemon of a deployment with one group report itself as not ready.

Cause: a daemon is isolated when most groups are unreachable, and each service of an entry was a group. Change: only groups that the configuration names count. The new test failed before and passes now.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -139,8 +139,16 @@
         return not self.is_isolated()
 
     def is_isolated(self) -> bool:
-        """Return whether most groups' primaries are unreachable."""
-        groups = [g for g in self.directory.groups.values() if g.endpoints]
+        """Return whether most groups' primaries are unreachable.
+
+        Groups that the configuration does not name are left out: their
+        entries may be another writer's.
+        """
+        groups = [
+            group
+            for name, group in self.directory.groups.items()
+            if group.endpoints and name in self.directory.table.groups
+        ]
         unreachable = sum(group.is_unreachable() for group in groups)
         return bool(groups) and unreachable * 2 > len(groups)
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -14,5 +14,5 @@
     """Guards against a reload that ends in an unexpected error."""
     path = tmp_path / "settings.yaml"
     path.write_text(text)
-    with pytest.raises(ValueError, match="expected YAML|error|limit"):
+    with pytest.raises(ValueError, match=r"expected YAML|error|limit"):
         boot.read_settings(str(path))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -72,6 +72,18 @@
     await made.close()
 
 
+async def test_entries_of_unknown_services_isolate_no_daemon(world):
+    """Guards against a daemon that refuses callers for others' entries."""
+    for number in range(3):
+        spec = make_spec(service=f"other-{number}")
+        world.store.put("servers", f"odd-{number}", spec)
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 2.0
+    while loop.time() < until:
+        assert world.daemons[0].node.is_ready()
+        await asyncio.sleep(0.05)
+
+
 async def put_odd_entry(world, field, text):
     world.store.put_raw("servers", "a-odd", make_spec(), field, text)
     world.store.put_raw("servers", "z-odd", make_spec(), field, text)
