Check groups whose daemons start while entries are missing

The model check of growing groups now restarts daemons while the entries of recorded members are missing.

--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -1,5 +1,7 @@
 """Simulated group that grows and shrinks while its primary is replaced.
 
+Daemons start anew while some entries are missing from the registry.
+
 Endpoints stand on two sides of a link that fails at times. A promotion lifts
 all fences, but only replicas that reach the new primary learn its term: the
 others report the old one again. Time is virtual.
@@ -28,6 +30,8 @@
 # takes longer than a promotion.
 LEASE_GAP_SECONDS = 0.8
 READ_TIMEOUT_SECONDS = 0.25
+RESTART_SHARE = 0.2
+HIDDEN_SHARE = 0.2
 
 
 class BrokenPromise(AssertionError):
@@ -58,6 +62,8 @@
 class World(ports.Promoter):
     """A group, its replication, its promoter and its daemons.
 
+    :ivar hidden: members whose registry entries are missing
+    :ivar record: members in the platform's store
     :ivar acknowledged: writes that callers rely on
     :ivar promotions: how many took effect
     :ivar reads: how many were answered
@@ -68,6 +74,9 @@
         self.endpoints: dict[str, fences.Endpoint] = {}
         self.side: dict[str, int] = {}
         self.linked = True
+        self.hidden = set()
+        self.record = frozenset()
+        self._stopped = []
         self.acknowledged = set()
         self.promotions = self.reads = 0
         for _ in range(INITIAL_SIZE):
@@ -79,7 +88,7 @@
         vantage = Vantage(self)
         group = groups.Group("g", vantage, options.RelayOptions(), LoopClock())
         self.apply_registry(group)
-        group.members.apply_record((), 0.0)
+        self.apply_record(group)
         return vantage, group
 
     # Members
@@ -106,10 +115,15 @@
                 return
 
     def apply_registry(self, group):
-        """Make a daemon know exactly the present members."""
-        for name in set(group.endpoints) - set(self.endpoints):
+        """Make a daemon know the members whose entries are there."""
+        listed = {
+            name: each
+            for name, each in self.endpoints.items()
+            if name not in self.hidden
+        }
+        for name in set(group.endpoints) - set(listed):
             group.remove_endpoint(name)
-        for name, each in self.endpoints.items():
+        for name, each in listed.items():
             entry = messages.EndpointEntry(
                 name,
                 "g",
@@ -122,6 +136,27 @@
             )
             group.put_endpoint(entry, 4)
 
+    def apply_record(self, group):
+        """Make a daemon read the record and write what it knows."""
+        loop = asyncio.get_running_loop()
+        group.members.apply_record(self.record, loop.time())
+        group.release_members()
+        self.record = group.members.make_record()
+
+    def restart_daemons(self):
+        """Restart some daemons while entries of members are missing."""
+        recorded = {member.name for member in self.record}
+        self.hidden = {
+            name
+            for name in list(self.endpoints)[1:]
+            if name in recorded and self.random.random() < HIDDEN_SHARE
+        }
+        for number, (_, group) in enumerate(self.daemons):
+            if self.random.random() < RESTART_SHARE:
+                # Reads under way end by themselves.
+                self._stopped.append(group)
+                self.daemons[number] = self._make_daemon()
+
     def change(self):
         """Change members, the link and what daemons reach."""
         if len(self.endpoints) < MAX_SIZE and self.random.random() < 0.5:
@@ -129,8 +164,10 @@
         elif len(self.endpoints) > INITIAL_SIZE and self.random.random() < 0.5:
             self.remove_endpoint()
         self.linked = self.random.random() < 0.3
+        self.restart_daemons()
         for vantage, group in self.daemons:
             self.apply_registry(group)
+            self.apply_record(group)
             vantage.unreachable = {
                 name
                 for name, each in self.endpoints.items()
@@ -138,6 +175,11 @@
                 < (0.4 if each.role is Role.PRIMARY else 0.1)
             }
 
+    def close(self):
+        """Close the groups of all daemons."""
+        for group in [*self._stopped, *(group for _, group in self.daemons)]:
+            group.close()
+
     # Replication
 
     def reach(self, one, other):
@@ -255,7 +297,7 @@
         replacement = takeover.Takeover(group, self, lease, LoopClock())
         primary = group.find_primary()
         replicas = [e for e in group.endpoints.values() if e is not primary]
-        if primary is not None and self.random.random() < 0.3:
+        if primary is not None and replicas and self.random.random() < 0.3:
             target = self.random.choice(replicas)
             attempt = replacement.switch_over(primary, target)
         else:
@@ -280,12 +322,15 @@
     for _, group in world.daemons:
         await group.refresh(0.2)
     background = [asyncio.create_task(_write_forever(world))]
-    for _, group in world.daemons:
+    for number in range(DAEMONS):
         for read in (world.read, world.read_bounded):
-            background.append(asyncio.create_task(_repeat(read, group)))
+            background.append(
+                asyncio.create_task(_repeat(world, read, number))
+            )
     for _ in range(ROUNDS):
         world.change()
         _, group = world.random.choice(world.daemons)
+        world.apply_record(group)
         await world.replace(group)
         await asyncio.sleep(LEASE_GAP_SECONDS)
     for task in background:
@@ -294,8 +339,7 @@
     for failure in [*failures, *results]:
         if isinstance(failure, BrokenPromise):
             raise failure
-    for _, group in world.daemons:
-        group.close()
+    world.close()
     await asyncio.sleep(1.0)
     return world
 
@@ -306,7 +350,8 @@
         await asyncio.sleep(0.02)
 
 
-async def _repeat(read, group):
+async def _repeat(world, read, number):
     while True:
+        _, group = world.daemons[number]
         await read(group)
         await asyncio.sleep(0.03)
--- a/tests/model_check/test_changing_groups.py
+++ b/tests/model_check/test_changing_groups.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from fescuestile import group_members
 from tests import changing_group
 from tests import virtual_time
 
-# The last three broke a promise while two endpoints confirmed a term.
-SEEDS = (*range(6), 19, 254, 257)
+# Broke a promise: 19, 254, 257 while two endpoints confirmed a term, 21 and 24
+# while daemons did not read the record of the members.
+SEEDS = (*range(6), 19, 21, 24, 254, 257)
 
 
 def play(seed):
@@ -24,3 +26,17 @@
     worlds = [play(seed) for seed in SEEDS]
     assert sum(world.promotions for world in worlds) > len(SEEDS)
     assert sum(world.reads for world in worlds) > 20 * len(SEEDS)
+
+
+def forget_record(members, recorded, now):
+    members.recorded = frozenset()
+
+
+def test_daemons_that_know_only_what_they_see_are_detected(monkeypatch):
+    """Shows that the search fails without the record of the members."""
+    monkeypatch.setattr(
+        group_members.GroupMembers, "apply_record", forget_record
+    )
+    with pytest.raises(changing_group.BrokenPromise):
+        for seed in (21, 24):
+            play(seed)
