--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -70,8 +70,9 @@
     :ivar reads: how many were answered
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, hides_unrecorded=False):
         self.random = random.Random(seed)
+        self.hides_unrecorded = hides_unrecorded
         self.endpoints: dict[str, fences.Endpoint] = {}
         self.side: dict[str, int] = {}
         self.linked = True
@@ -122,7 +123,7 @@
             for name, each in self.endpoints.items()
             if name not in self.hidden
         }
-        for name in set(group.endpoints) - set(listed):
+        for name in sorted(set(group.endpoints) - set(listed)):
             group.remove_endpoint(name)
         for name, each in listed.items():
             entry = messages.EndpointEntry(
@@ -145,12 +146,13 @@
         self.record = group.members.make_record()
 
     def restart_daemons(self):
-        """Restart some daemons while entries of members are missing."""
+        """Restart some daemons while entries are missing."""
         recorded = {member.name for member in self.record}
         self.hidden = {
             name
             for name in list(self.endpoints)[1:]
-            if name in recorded and self.random.random() < HIDDEN_SHARE
+            if (self.hides_unrecorded or name in recorded)
+            and self.random.random() < HIDDEN_SHARE
         }
         for number, (_, group) in enumerate(self.daemons):
             if self.random.random() < RESTART_SHARE:
@@ -310,12 +312,14 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-async def run_rounds(seed):
+async def run_rounds(seed, hides_unrecorded=False):
     """Return the world after some rounds.
 
+    :param hides_unrecorded: whether entries may be missing from the start,
+        so that a member confirms writes before anybody knows it
     :raises BrokenPromise: a write was lost or a read was stale
     """
-    world = World(seed)
+    world = World(seed, hides_unrecorded)
     failures = []
     asyncio.get_running_loop().set_exception_handler(
         lambda loop, context: failures.append(context.get("exception"))
--- a/tests/model_check/test_changing_groups.py
+++ b/tests/model_check/test_changing_groups.py
@@ -11,10 +11,16 @@
 SEEDS = (*range(6), 19, 21, 24, 254, 257)
 
 
-def play(seed):
+# Broke a promise while a member confirmed writes that nobody knew.
+UNRECORDED_SEEDS = (2, 11, 245, 276, 287, 299)
+
+
+def play(seed, hides_unrecorded=False):
     """Return the world after the rounds of a seed."""
     with pytest.MonkeyPatch.context() as patch:
-        return virtual_time.run(changing_group.run_rounds(seed), patch)
+        return virtual_time.run(
+            changing_group.run_rounds(seed, hides_unrecorded), patch
+        )
 
 
 def test_no_write_is_lost_and_no_read_is_stale():
@@ -28,6 +34,12 @@
     assert sum(world.reads for world in worlds) > 20 * len(SEEDS)
 
 
+@pytest.mark.parametrize("seed", UNRECORDED_SEEDS)
+def test_members_that_nobody_recorded_break_no_promise(seed):
+    """Guards against promotions and reads that don't know a new replica."""
+    play(seed, hides_unrecorded=True)
+
+
 def forget_record(members, recorded, now):
     members.recorded = frozenset()
 
--- a/tests/platform/test_partial_views.py
+++ b/tests/platform/test_partial_views.py
@@ -205,3 +205,29 @@
         answer = await reader.query("READ item-4")
         assert line_server.get_row(answer) in ("kept", None)
         await asyncio.sleep(0.05)
+
+
+async def test_no_read_is_stale_beside_a_replica_that_can_not_register(
+    world, group, replicas
+):
+    """Guards against STALE: the replica that confirms a write is unknown.
+
+    It starts while the store is down; the primary fails after the write.
+    """
+    for replica in replicas:
+        replica.faults.deaf = True
+    world.store.faults.status = 503
+    await group.add_endpoint("i-g0-3", "a")
+    client = await world.connect("primary")
+    answer = await client.query("WRITE item new")
+    assert line_server.get_error(answer) is None
+    loop = asyncio.get_running_loop()
+    written_at = loop.time()
+    group.primary.faults.dark = True
+    while loop.time() < written_at + 3.5:
+        began_at = loop.time()
+        reader = await world.connect("bounded_staleness")
+        row = line_server.get_row(await reader.query("READ item"))
+        if began_at > written_at + 1.5:
+            assert row in ("new", None)
+        await asyncio.sleep(0.05)
