--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -40,5 +40,18 @@
     try:
         return loop.run_until_complete(main)
     finally:
+        loop.run_until_complete(_cancel_tasks())
         monkeypatch.undo()
         loop.close()
+
+
+async def _cancel_tasks():
+    """Cancel the tasks that are left.
+
+    The garbage collector would end them at any later time, such as while a
+    failure is reported.
+    """
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
