Share the set-up of small worlds and of records between tests

The tests of partial views and odd entries repeated the fixture of a world, with other sizes, and a test of members built records by hand beside the builder. Assertions unchanged.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,11 +3,9 @@
 import asyncio
 
 import pytest
-import pytest_asyncio
 
 from fescuestile_platform import documents
 from tests.platform.standins import line_server
-from tests.platform.standins import world as worlds
 
 LARGE = 10**30
 DEEP = "[" * 5000 + "]" * 5000
@@ -64,12 +62,9 @@
         documents.decode_endpoint("odd", make_spec(**fields))
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = worlds.World(groups=1, daemons=1)
-    await made.start()
-    yield made
-    await made.close()
+@pytest.fixture
+def world_size():
+    return 1, 1
 
 
 async def test_entries_of_unknown_services_isolate_no_daemon(world):
@@ -84,7 +79,7 @@
         await asyncio.sleep(0.05)
 
 
-async def put_odd_entry(world, field, text):
+def put_odd_entry(world, field, text):
     world.store.put_raw("servers", "a-odd", make_spec(), field, text)
     world.store.put_raw("servers", "z-odd", make_spec(), field, text)
 
@@ -112,7 +107,7 @@
 )
 async def test_a_daemon_serves_beside_an_odd_entry(world, field, text, starts):
     """Guards against a daemon that follows the registry no more."""
-    await put_odd_entry(world, field, text)
+    put_odd_entry(world, field, text)
     if starts:
         await world.start_daemon("late")
         await world.wait_ready()
--- a/tests/platform/test_partial_views.py
+++ b/tests/platform/test_partial_views.py
@@ -3,10 +3,8 @@
 import asyncio
 
 import pytest
-import pytest_asyncio
 
 from tests.platform.standins import line_server
-from tests.platform.standins import world as worlds
 
 # A primary without a replica that follows it is suspected after a second.
 SUSPICION_SECONDS = 2.5
@@ -14,12 +12,9 @@
 LAST_ENTRY_SECONDS = 1.9
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = worlds.World(groups=1, daemons=1)
-    await made.start()
-    yield made
-    await made.close()
+@pytest.fixture
+def world_size():
+    return 1, 1
 
 
 @pytest.fixture
--- a/tests/unit/test_group_members.py
+++ b/tests/unit/test_group_members.py
@@ -1,7 +1,6 @@
 """Which endpoints count as members, and what is recorded of them."""
 
 import itertools
-import random
 import time
 
 import pytest
@@ -10,7 +9,6 @@
 from fescuestile import errors
 from fescuestile import group_members
 from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import member_records
 from fescuestile_daemon.relay import options
 from tests import member_stores
 from tests import monitored_groups
@@ -106,11 +104,8 @@
         routes.put_endpoints(
             {name: monitored_groups.make_entry(name) for name in names}, True
         )
-        records = member_records.MemberRecords(
-            self.store,
-            routes,
-            monitored_groups.CurrentRegistry(),
-            random.Random(1),
+        records = monitored_groups.make_records(
+            routes, monitored_groups.CurrentRegistry(), self.store
         )
         return routes.groups["g"], records
 
