--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -28,12 +28,13 @@
 # spares the others the write.
 RECORD_DELAY_SECONDS = (1.0, 8.0)
 CHECK_SECONDS = 1.0
-# While its record has not been read, a group's primary is not replaced.
+# Shorter than CHECK_SECONDS: a group's primary is not replaced before its
+# record has been read.
 LOAD_CHECK_SECONDS = 0.2
 # Pause before records that were missing or malformed are read again.
 LOAD_DELAY_SECONDS = group_members.SETTLE_SECONDS
-# A malformed record is replaced after this time, in which the registry names
-# all endpoints that can reach it.
+# A malformed record is replaced after this time: an endpoint that the
+# registry has not named by then is gone.
 MALFORMED_SECONDS = group_members.MISSING_SECONDS
 
 
