Log what tells apart the ways in which a takeover loses writes

New log events, no decision changes: "promotion has not taken effect", "fences lifted" and "fences left in place", "endpoint leads a new term", "endpoint joined a fenced group", "replica is ahead of fenced endpoints". "endpoint follows another term" also names the role and term before.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
@@ -1,14 +1,20 @@
 """Records requests of the relay: log lines, counters and latencies."""
 
 import collections
+import time
+import typing
 
 import structlog
 
+from fescuestile import endpoint_messages
 from fescuestile import routes
 from fescuestile_daemon.relay import messages
 
 log = structlog.get_logger()
 
+Role = endpoint_messages.Role
+Reports = typing.Iterable[messages.Report]
+
 # Upper bounds of the latency histogram, in seconds; the latency targets of
 # the routes in use (0.1 to 0.8) are among them.
 LATENCY_BOUNDS = (
@@ -143,3 +149,91 @@
             endpoint=endpoint,
             detail=detail,
         )
+
+
+class GroupEvents:
+    """Logs what endpoints of one group report around a takeover."""
+
+    def __init__(self, group: str) -> None:
+        """Start without requested promotions."""
+        self._group = group
+        self._requested_at: dict[str, float] = {}
+
+    def record_request(self, endpoint: str) -> None:
+        """Note that this daemon requests the promotion of an endpoint."""
+        self._requested_at[endpoint] = time.monotonic()
+
+    def record_join(self, endpoint: str, reports: Reports) -> None:
+        """Log an endpoint that is first seen while others are fenced."""
+        fenced = [r for r in reports if r.role is Role.FENCED]
+        if fenced:
+            log.info(
+                "endpoint joined a fenced group",
+                endpoint=endpoint,
+                group=self._group,
+                fenced=describe_reports(fenced),
+            )
+
+    def record_term(
+        self, report: messages.Report, known: messages.Report | None
+    ) -> None:
+        """Log an endpoint whose role or term has changed.
+
+        :param known: its earlier report
+        """
+        log.info(
+            "endpoint follows another term",
+            endpoint=report.endpoint,
+            group=self._group,
+            role=report.role,
+            term=report.term,
+            followed=report.followed,
+            position=str(report.last),
+            before=known and f"{known.role} in term {known.term}",
+        )
+
+    def record_report(
+        self,
+        report: messages.Report,
+        known: messages.Report | None,
+        reports: Reports,
+        led_term: int,
+    ) -> None:
+        """Log a new primary, or a replica that received past the fences.
+
+        :param known: earlier report of the same endpoint
+        :param reports: present reports of the group
+        :param led_term: highest term in which an endpoint was seen to lead
+        """
+        if report.role is Role.PRIMARY and report.term > led_term > 0:
+            since = self._requested_at.pop(report.endpoint, None)
+            log.info(
+                "endpoint leads a new term",
+                endpoint=report.endpoint,
+                group=self._group,
+                term=report.term,
+                led_term=led_term,
+                position=str(report.last),
+                requested_seconds=since and round(time.monotonic() - since, 3),
+            )
+        elif report.role is Role.REPLICA:
+            fenced = [
+                r
+                for r in reports
+                if r.role is Role.FENCED and r.term > report.term
+            ]
+            newest = max((r.last for r in fenced), default=report.last)
+            if report.last > newest and (not known or known.last <= newest):
+                log.warning(
+                    "replica is ahead of fenced endpoints",
+                    endpoint=report.endpoint,
+                    group=self._group,
+                    term=report.term,
+                    position=str(report.last),
+                    fenced=describe_reports(fenced),
+                )
+
+
+def describe_reports(reports: Reports) -> dict[str, str]:
+    """Return the end of the log and the term of each endpoint."""
+    return {r.endpoint: f"{r.last} in term {r.term}" for r in reports}
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -5,8 +5,6 @@
 import time
 import typing
 
-import structlog
-
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import group_members
@@ -14,13 +12,12 @@
 from fescuestile import positions
 from fescuestile import promotion
 from fescuestile_daemon.relay import endpoint_states
+from fescuestile_daemon.relay import events
 from fescuestile_daemon.relay import leadership
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
 
-log = structlog.get_logger()
-
 Role = endpoint_messages.Role
 # Longest age of a report from which the primary is determined.
 REPORT_VALID_SECONDS = 3.0
@@ -54,6 +51,7 @@
         self.stalled_since: float | None = None
         self.used_at = -math.inf
         self.members = group_members.GroupMembers()
+        self.events = events.GroupEvents(name)
         self._awaited_position = positions.START
         self._awaited_at = -math.inf
         # Time of the latest position of the primary that a replica has
@@ -103,6 +101,7 @@
             self.remove_endpoint(entry.id)
             known = None
         if known is None:
+            self.events.record_join(entry.id, self.list_reports())
             known = endpoint_states.EndpointState(
                 entry, self._dialer, self.options, cap, self._clock
             )
@@ -307,21 +306,16 @@
         endpoint.record_connection_usage(
             report.connections / max(1, self.connections)
         )
+        self.events.record_report(
+            report, known, self.list_reports(), self.led_term
+        )
         self._record_replication(report, requested_at)
         if (
             known is None
             or known.role is not report.role
             or known.term != report.term
         ):
-            log.info(
-                "endpoint follows another term",
-                endpoint=endpoint.name,
-                group=self.name,
-                role=report.role,
-                term=report.term,
-                followed=report.followed,
-                position=str(report.last),
-            )
+            self.events.record_term(report, known)
             self.notify()
 
     def _record_replication(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -10,6 +10,7 @@
 from fescuestile import promotion
 from fescuestile import promotion_order
 from fescuestile_daemon.relay import endpoint_states
+from fescuestile_daemon.relay import events
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
@@ -247,7 +248,9 @@
     async def _promote(self, chosen: str) -> bool:
         """Request the promotion and wait until it has taken effect."""
         accepted: bool | None = None
-        until = time.monotonic() + PROMOTION_TIMEOUT_SECONDS
+        started_at = time.monotonic()
+        until = started_at + PROMOTION_TIMEOUT_SECONDS
+        self._group.events.record_request(chosen)
         while time.monotonic() < until and accepted is None:
             accepted = await self._promoter.promote(
                 self._group.name, chosen, self._lease
@@ -267,6 +270,16 @@
             if await self._is_primary(chosen):
                 return True
             await asyncio.sleep(POLL_SECONDS)
+        log.warning(
+            "promotion has not taken effect",
+            group=self._group.name,
+            endpoint=chosen,
+            term=self._group.term,
+            token=self._lease.token,
+            accepted=accepted,
+            seconds=round(time.monotonic() - started_at, 3),
+            fenced=events.describe_reports(self._fenced.values()),
+        )
         return False
 
     async def _is_primary(self, name: str) -> bool:
@@ -301,7 +314,15 @@
 
         Without the lease, that is left to the next driver.
         """
-        if not self._holds_lease():
+        is_lifted = self._holds_lease()
+        log.info(
+            "fences lifted" if is_lifted else "fences left in place",
+            group=self._group.name,
+            term=self._group.term,
+            token=self._lease.token,
+            fenced=events.describe_reports(self._fenced.values()),
+        )
+        if not is_lifted:
             return
         fenced = [
             endpoint
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import pytest
+import structlog
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
@@ -27,13 +28,17 @@
         self.endpoints["p"].role = Role.PRIMARY
         self.promoted: list[str] = []
         self.sends_requests = True
+        self.accepts_requests: bool | None = True
+        self.takes_effect = True
+        self.lease_seconds = 60.0
         self.group = fences.make_group(self)
 
     async def delay(self, endpoint):
         await asyncio.sleep(0 if endpoint.reachable else 3600)
 
     async def acquire(self):
-        return promotion.Lease("d", 1, clock.BootClock().now() + 60)
+        until = clock.BootClock().now() + self.lease_seconds
+        return promotion.Lease("d", 1, until)
 
     async def release(self, lease):
         pass
@@ -42,8 +47,9 @@
         if not self.sends_requests:
             return False
         self.promoted.append(endpoint)
-        self.make_primary(endpoint)
-        return True
+        if self.takes_effect:
+            self.make_primary(endpoint)
+        return self.accepts_requests
 
     def make_primary(self, name):
         """Make an endpoint the primary of the next term with its own log."""
@@ -144,3 +150,58 @@
     world.sends_requests = False
     assert not await world.replace()
     assert not any(each.fence_term for each in world.endpoints.values())
+
+
+@pytest.fixture
+def brief_timeout(monkeypatch):
+    monkeypatch.setattr(takeover, "PROMOTION_TIMEOUT_SECONDS", 0.1)
+
+
+async def replace_logged(world):
+    """Replace the primary by r2 and return the log lines."""
+    await world.inspect_all()
+    world.endpoints["r2"].log.append((1, 6))
+    world.endpoints["p"].reachable = False
+    with structlog.testing.capture_logs() as lines:
+        await world.replace()
+    return {line["event"]: line for line in lines}
+
+
+@pytest.mark.parametrize("accepted", [True, None])
+@pytest.mark.usefixtures("brief_timeout")
+async def test_a_promotion_that_takes_no_effect_is_logged(world, accepted):
+    world.takes_effect = False
+    world.accepts_requests = accepted
+    lines = await replace_logged(world)
+    line = lines["promotion has not taken effect"]
+    assert (line["group"], line["endpoint"]) == ("g", "r2")
+    assert (line["term"], line["token"]) == (2, 1)
+    assert line["accepted"] is accepted
+    assert line["seconds"] >= 0.1
+    assert line["fenced"].keys() == {"r1", "r2"}
+    assert lines["fences lifted"]["fenced"] == line["fenced"]
+
+
+async def test_a_refused_promotion_can_not_take_effect_later(world):
+    world.sends_requests = False
+    lines = await replace_logged(world)
+    assert "promotion has not taken effect" not in lines
+    assert lines["fences lifted"]["fenced"].keys() == {"r1", "r2"}
+
+
+async def test_a_promotion_is_logged_with_the_fences_that_it_ends(world):
+    lines = await replace_logged(world)
+    line = lines["endpoint leads a new term"]
+    assert (line["endpoint"], line["term"], line["led_term"]) == ("r2", 2, 1)
+    assert 0 <= line["requested_seconds"] < 60
+    assert lines["fences lifted"]["fenced"].keys() == {"r1"}
+    assert "promotion has not taken effect" not in lines
+
+
+@pytest.mark.usefixtures("brief_timeout")
+async def test_fences_that_outlive_the_lease_are_logged(world):
+    world.takes_effect = False
+    world.lease_seconds = takeover.FENCE_TIMEOUT_SECONDS + 0.05
+    line = (await replace_logged(world))["fences left in place"]
+    assert (line["group"], line["term"], line["token"]) == ("g", 2, 1)
+    assert line["fenced"].keys() == {"r1", "r2"}
