Reproduce writes lost to promotions that take effect late

What callers saw: writes that were acknowledged are missing at the endpoint that was promoted. The promotion was accepted at once and took effect 4 s or 6 s later. The driver had stopped waiting, the fences were lifted, and the former primary, which was reachable again, acknowledged writes with the replica that was not chosen.

The stand-ins can delay a promotion, leave it unanswered or refuse it, and keep what the log of each promoted endpoint held. A promotion that takes effect at the endpoint that leads already changes nothing.

--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -100,6 +100,12 @@
                     return value
         return "none"
 
+    def list_items(self) -> frozenset[str]:
+        """Return the items that the received log writes."""
+        return frozenset(
+            name for entry in self.received for name, _ in entry.writes
+        )
+
     def status(self) -> str:
         term, number = self.position
         busy = self.group.slots - self.slots._value
@@ -110,7 +116,11 @@
 
 
 class Group:
-    """The endpoints of a group and the replication between them."""
+    """The endpoints of a group and the replication between them.
+
+    :ivar promotion_delay_seconds: time until a promotion takes effect
+    :ivar successions: promotions that have taken effect
+    """
 
     def __init__(
         self,
@@ -130,6 +140,8 @@
             f"i-{name}-{index}": Endpoint(self, f"i-{name}-{index}", zone)
             for index, zone in enumerate(zones)
         }
+        self.promotion_delay_seconds = PROMOTION_DELAY_SECONDS
+        self.successions: list[records.Succession] = []
         self.acknowledged: list[Entry] = []
         self.promotions: list[tuple[str, str, int]] = []
         self.lost: list[Entry] = []
@@ -175,25 +187,36 @@
         """Return whether a replica has not learned the primary's term."""
         return other.role == "replica" and other.term < primary.term
 
-    def promote(self, name: str, holder: str, token: int) -> bool:
-        """Accept a promotion, which takes effect after a delay."""
+    def promote(
+        self, name: str, holder: str, token: int, delay: float | None = None
+    ) -> bool:
+        """Accept a promotion, which takes effect after a delay.
+
+        :param delay: seconds, by default ``promotion_delay_seconds``
+        """
         endpoint = self.endpoints.get(name)
         if endpoint is None or not endpoint.server.running:
             return False
         self.promotions.append((name, holder, token))
-        if endpoint.role != "primary":
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                PROMOTION_DELAY_SECONDS, self._apply_promotion, endpoint
-            )
+        loop = asyncio.get_running_loop()
+        if delay is None:
+            delay = self.promotion_delay_seconds
+        if endpoint is not self.primary:
+            loop.call_later(delay, self._apply_promotion, endpoint)
         return True
 
     def _apply_promotion(self, chosen: Endpoint) -> None:
+        if chosen is self.primary:
+            return
         term = max(e.term for e in self.endpoints.values()) + 1
         chosen.role = "primary"
         chosen.term = term
         chosen.pause_term = 0
         chosen.applied = len(chosen.received)
+        now = asyncio.get_running_loop().time()
+        self.successions.append(
+            records.Succession(now, chosen.name, chosen.list_items())
+        )
         held = {(e.term, e.number) for e in chosen.received}
         self.lost.extend(
             entry
--- a/tests/platform/standins/records.py
+++ b/tests/platform/standins/records.py
@@ -18,6 +18,20 @@
     ids: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Succession:
+    """A promotion that has taken effect.
+
+    :ivar at: loop time
+    :ivar endpoint: name of the promoted endpoint
+    :ivar items: items whose writes its log held
+    """
+
+    at: float
+    endpoint: str
+    items: frozenset[str]
+
+
 @dataclasses.dataclass
 class Faults:
     """Injected faults of an endpoint.
--- a/tests/platform/standins/store.py
+++ b/tests/platform/standins/store.py
@@ -20,12 +20,19 @@
     :ivar lose_writes: writes are executed but get no response
     :ivar late_writes: writes are executed after this many seconds and get no
         response; 0 for no delay
+    :ivar promotion_delays: seconds after which the next promotions take
+        effect, one for each; later ones take the group's usual time
+    :ivar lose_promotions: promotions are executed but get no response
+    :ivar promotion_status: HTTP status of all promotions, 0 to serve them
     """
 
     status: int = 0
     silent: bool = False
     lose_writes: bool = False
     late_writes: float = 0.0
+    promotion_delays: list[float] = dataclasses.field(default_factory=list)
+    lose_promotions: bool = False
+    promotion_status: int = 0
 
 
 class Store:
@@ -222,15 +229,21 @@
 
     def _promote(
         self, headers: dict[str, str], body: typing.Any
-    ) -> tuple[int, typing.Any]:
+    ) -> tuple[int, typing.Any] | None:
         token = int(headers["x-fencing-token"])
         holder = headers["x-lease-holder"]
         self.promotion_requests.append(
             (body["service"], body["id"], holder, token)
         )
+        faults = self.faults
+        if faults.promotion_status:
+            return faults.promotion_status, {"error": "refused"}
+        delays = faults.promotion_delays
         promoted = self.groups[body["service"]].promote(
-            body["id"], holder, token
+            body["id"], holder, token, delays.pop(0) if delays else None
         )
+        if faults.lose_promotions:
+            return None
         return (200, {}) if promoted else (409, {"error": "not running"})
 
 
