Reproduce writes lost to replicas that join during a takeover

What callers saw: writes that were acknowledged are missing at the endpoint that was promoted. The driver did not reach the primary, fenced all replicas that it knew and requested the promotion. A replica that had just started followed the primary, which another daemon reached, and let it acknowledge what that daemon sent until the promotion took effect. It makes no difference whether the new replica registers, or is recorded before the request is accepted: it is neither fenced nor part of the choice.

A world can give its daemons dialers that cut them off from single endpoints.

--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import typing
+from unittest import mock
 
 from fescuestile_platform import boot
 from fescuestile_platform import daemon
+from fescuestile_platform import endpoints
 from tests.platform.standins import group as wire_group
 from tests.platform.standins import line_server
 from tests.platform.standins import store
@@ -47,6 +49,7 @@
 class World:
     """Starts and stops stand-ins and daemons.
 
+    :param dialers: how the first daemons reach endpoints
     :ivar caller_addresses: where each daemon accepts callers
     :ivar ready_addresses: where each daemon answers readiness probes
     """
@@ -56,6 +59,7 @@
         groups: int = 1,
         daemons: int = 1,
         bounds: boot.Bounds | None = None,
+        dialers: typing.Sequence[endpoints.WireDialer] = (),
     ) -> None:
         self.groups = {
             f"g{n}": wire_group.Group(f"g{n}") for n in range(groups)
@@ -67,6 +71,7 @@
         self.clients: list[line_server.LineClient] = []
         self._daemon_count = daemons
         self._bounds = bounds or boot.Bounds()
+        self._dialers = dialers
 
     async def start(self) -> None:
         """Start stand-ins and daemons, and wait until these are ready."""
@@ -79,7 +84,8 @@
             self.record_members(each)
         self.store.put("config", "main", make_configuration(self.groups))
         for number in range(self._daemon_count):
-            await self.start_daemon(f"daemon-{number}")
+            dialer = (*self._dialers[number:], None)[0]
+            await self.start_daemon(f"daemon-{number}", dialer=dialer)
         await self.wait_ready()
 
     def record_members(self, group: wire_group.Group) -> None:
@@ -91,11 +97,15 @@
         self.store.put("members", group.name, {"members": members})
 
     async def start_daemon(
-        self, name: str, store_address: str = ""
+        self,
+        name: str,
+        store_address: str = "",
+        dialer: endpoints.WireDialer | None = None,
     ) -> daemon.Daemon:
         """Start a daemon on free ports.
 
         :param store_address: where it reaches the store, by default directly
+        :param dialer: how it reaches endpoints, by default directly
         """
         settings = boot.Settings(
             node=name,
@@ -108,7 +118,9 @@
             metrics_port=0,
             internal_ports=(0,),
         )
-        started = daemon.Daemon(settings)
+        used = dialer or endpoints.WireDialer()
+        with mock.patch.object(endpoints, "WireDialer", return_value=used):
+            started = daemon.Daemon(settings)
         await started.start()
         self.daemons.append(started)
         front, ready = started.list_addresses()[:2]
