Reproduce more ways to lose writes to a late promotion

What callers saw: acknowledged writes are missing at the promoted endpoint - when the driver ended after its request: the other daemon, which knows of no request, lifts the fences about 5 s later; - when a switchover took effect late: the driver gives up after 3 s, another endpoint is promoted and serves writes, then the target replaces it; - when the promotion service answers nothing and executes the requests later; - when the primary had gone on, failed again and been replaced by the replica that held its writes: the former order takes effect after that.

--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -50,6 +50,13 @@
         await asyncio.sleep(0.01)
 
 
+def end_former_primaries(group):
+    """Make former primaries follow, as when they reach the newest one."""
+    for endpoint in group.endpoints.values():
+        if endpoint.role == "primary" and endpoint is not group.primary:
+            group.follow(endpoint)
+
+
 async def check_kept(writers):
     """Check that nothing acknowledged is lost and that writes are served."""
     await writers.wait_served(SERVED_SECONDS)
@@ -77,3 +84,81 @@
     primary.faults.dark = False
     await wait_promoted(group, chosen, delay + 1.0 - back)
     await check_kept(writers)
+
+
+async def test_a_late_promotion_of_a_driver_that_has_ended_loses_no_write(
+    world, group, writers
+):
+    """Guards against LOST: nobody knows that a promotion was requested.
+
+    The driver ends after its request. The other daemon lifts its fences.
+    """
+    primary = group.primary
+    world.store.faults.promotion_delays = [9.0]
+    primary.faults.dark = True
+    chosen = await wait_requested(world)
+    chosen.faults.deaf = True
+    driver = world.store.promotion_requests[-1][2]
+    await world.daemons[int(driver.removeprefix("daemon-"))].abort()
+    primary.faults.dark = False
+    await wait_promoted(group, chosen, 10.0)
+    await check_kept(writers)
+
+
+async def test_a_switchover_that_takes_effect_late_loses_no_write(
+    world, group, writers
+):
+    """Guards against LOST: another endpoint was promoted instead meanwhile.
+
+    The primary is leaving, and the driver stops waiting for its target.
+    """
+    world.store.faults.promotion_delays = [6.0]
+    world.store.register(group.primary, state="draining")
+    target = await wait_requested(world)
+    target.faults.deaf = True
+    await wait_promoted(group, target, 7.0)
+    await check_kept(writers)
+
+
+async def test_unanswered_requests_that_are_executed_late_lose_no_write(
+    world, group, writers
+):
+    """Guards against LOST: requests without an answer count as not executed.
+
+    The primary and the replica that was not chosen go on meanwhile.
+    """
+    primary = group.primary
+    group.promotion_delay_seconds = 6.0
+    world.store.faults.lose_promotions = True
+    primary.faults.dark = True
+    chosen = await wait_requested(world)
+    chosen.faults.deaf = True
+    primary.faults.dark = False
+    await wait_promoted(group, chosen, 7.0)
+    world.store.faults.lose_promotions = False
+    await check_kept(writers)
+
+
+async def test_a_late_promotion_after_a_second_failure_loses_no_write(
+    world, group, writers
+):
+    """Guards against LOST: a former order replaces a sound new primary.
+
+    The primary goes on once its driver has stopped waiting, and fails again.
+    Then the replica that holds its writes is promoted.
+    """
+    primary = group.primary
+    world.store.faults.promotion_delays = [8.0]
+    primary.faults.dark = True
+    chosen = await wait_requested(world)
+    chosen.faults.deaf = True
+    primary.faults.dark = False
+    writing = asyncio.create_task(writers.wait_served(8.0))
+    ordered = asyncio.create_task(wait_promoted(group, chosen, 9.0))
+    await asyncio.wait([writing, ordered], return_when="FIRST_COMPLETED")
+    await asyncio.sleep(0.5)
+    primary.faults.dark = True
+    await ordered
+    await asyncio.gather(writing, return_exceptions=True)
+    end_former_primaries(group)
+    await check_kept(writers)
