Record promotions before they are requested

What callers saw: writes that were acknowledged are missing at the endpoint that was promoted, seconds after other writes had been served again.

Cause: a promotion takes effect seconds after its request at times. Only its driver knew of it, for 3 s: then it lifted all fences, and the former primary went on with a replica that was not chosen, or another endpoint was promoted. The order then landed on an endpoint that lacked what was acknowledged since. A driver that died after its request left no trace of it, and a request without an answer was repeated, so that there were two. Members could also be recorded between the fences and the request, and then confirm writes.

The record of a group's members now holds the promotion that may still take effect. The driver writes it before the request, on condition of the revision that it read before it fenced, so that members that were recorded since are found and fenced, too. Until the effect has been seen, or 12 s have passed, no other endpoint is promoted, no member is added to the record, and only the fence of the chosen endpoint is lifted: whatever is acknowledged, it holds. Any daemon that may act reads the record under the lease first. Of two requests one effect proves nothing, so these end by time alone.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -8,6 +8,7 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import group_members
+from fescuestile import pending_promotions
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import promotion
@@ -33,6 +34,7 @@
     :ivar connections: connections that each endpoint accepts
     :ivar replicated: whether a replica has to hold each acknowledged write
     :ivar members: endpoints that may hold acknowledged writes
+    :ivar promotions: the promotion that may still take effect
     :ivar used_at: monotonic seconds of the latest statement for it
     :ivar led_term: highest term that an endpoint reported to lead
     :ivar stalled_since: monotonic seconds since which no replica has reached
@@ -56,6 +58,7 @@
         self.used_at = -math.inf
         self.members = group_members.GroupMembers()
         self.events = events.GroupEvents(name)
+        self.promotions = pending_promotions.PromotionTracker()
         self._awaited_position = positions.START
         self._awaited_at = -math.inf
         # Time of the latest position of the primary that a replica has
@@ -165,6 +168,29 @@
             default=0,
         )
 
+    @property
+    def followed_term(self) -> int:
+        """Highest term that an endpoint leads or follows.
+
+        The term of a fence does not count: nobody leads it yet.
+        """
+        return max(
+            (
+                e.report.followed
+                if e.report.role is Role.FENCED
+                else e.report.term
+                for e in self.endpoints.values()
+                if e.report
+            ),
+            default=0,
+        )
+
+    @property
+    def pending_promotion(self) -> str:
+        """Endpoint whose promotion may still take effect, empty for none."""
+        pending = self.promotions.find(time.monotonic())
+        return pending.endpoint if pending else ""
+
     def find_primary(self) -> endpoint_states.EndpointState | None:
         """Return the primary by the reports, or else by the registry."""
         report = promotion.find_primary(self.list_reports())
@@ -329,6 +355,7 @@
     ) -> None:
         """Record whether some replica receives what the primary writes."""
         if report.role is Role.PRIMARY:
+            self.promotions.record_primary(report.endpoint, report.term)
             if report.term > self.led_term:
                 # A new primary: its replicas get the full timeout to follow.
                 self.stalled_since = None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -4,6 +4,10 @@
 when members join or are gone for good, and read it when they start and before
 each takeover, so that a daemon that has just started knows the members that
 the registry does not name at the time.
+
+It also holds the promotion that was requested and may still take effect.
+Until that is over no member is added: the driver has stopped those in the
+record only.
 """
 
 import abc
@@ -12,12 +16,14 @@
 import dataclasses
 import math
 import random
+import secrets
 import time
 
 import structlog
 
 from fescuestile import errors
 from fescuestile import group_members
+from fescuestile import pending_promotions
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import ports
@@ -46,10 +52,12 @@
 
     :ivar members: None if the record is malformed
     :ivar revision: None when there is no record yet
+    :ivar pending: promotion that may still take effect
     """
 
     members: frozenset[group_members.Member] | None
     revision: int | None
+    pending: pending_promotions.PendingPromotion | None = None
 
 
 NO_RECORD = StoredMembers(frozenset(), None)
@@ -77,20 +85,19 @@
 
     @abc.abstractmethod
     async def write(
-        self,
-        group: str,
-        members: collections.abc.Set[group_members.Member],
-        revision: int | None,
-    ) -> bool:
-        """Write a record if its revision is still this one.
-
-        :param revision: None to create the record
-        :returns: False when the revision has changed
+        self, group: str, wanted: StoredMembers
+    ) -> StoredMembers | None:
+        """Write a record if its revision is still that of the wanted one.
+
+        :param wanted: with the revision None to create the record
+        :returns: the record as it was written, None when the revision has
+            changed
+        :raises PlatformRefused: nothing was written
         :raises PlatformUnavailable: no answer; it may have been written
         """
 
 
-class MemberRecords:
+class MemberRecords(ports.PromotionLog):
     """Reads the records for this daemon and keeps them up to date."""
 
     def __init__(
@@ -113,6 +120,7 @@
         self._record_at = math.inf
         self._load_at = -math.inf
         self._malformed_since: dict[str, float] = {}
+        self._revisions: dict[str, int | None] = {}
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -209,7 +217,10 @@
             group
             for group in self._list()
             if group.members.is_loaded
-            and group.members.make_record() != group.members.recorded
+            and (
+                group.members.make_record() != group.members.recorded
+                or group.promotions.is_over(time.monotonic())
+            )
         ]
 
     def _list_joining(self) -> list[groups.Group]:
@@ -238,8 +249,10 @@
         stored = await self._store.list_all(allow_stale=True)
         for group in self._list_changed():
             found = stored.get(group.name)
-            if found is not None and (
-                found.members == group.members.make_record()
+            if (
+                found is not None
+                and found.members == group.members.make_record()
+                and not group.promotions.is_over(time.monotonic())
             ):
                 group.members.recorded = found.members
 
@@ -248,7 +261,9 @@
         members = group.members
         stored = await self._store.read(group.name)
         members.is_awaited = False
-        if not self._apply(group, stored):
+        if not self._apply(group, stored) or (
+            group.promotions.find(time.monotonic()) is not None
+        ):
             return
         wanted = members.make_record()
         if stored.members is not None and stored.members - wanted:
@@ -256,14 +271,19 @@
             if not await self._registry.refresh():
                 return
             wanted = members.make_record()
-        if wanted != stored.members:
+        if wanted != stored.members or stored.pending is not None:
             await self._write(group, stored)
 
     async def _write(self, group: groups.Group, stored: StoredMembers) -> bool:
         """Write a record; return False if it has changed meanwhile."""
         wanted = group.members.make_record()
-        if not await self._store.write(group.name, wanted, stored.revision):
+        written = await self._store.write(
+            group.name, StoredMembers(wanted, stored.revision)
+        )
+        if written is None:
             return False
+        self._revisions[group.name] = written.revision
+        group.promotions.put(None, time.monotonic())
         log.info(
             "members recorded",
             group=group.name,
@@ -275,6 +295,7 @@
     def _apply(self, group: groups.Group, stored: StoredMembers) -> bool:
         """Apply a record; return whether it could be used."""
         now = time.monotonic()
+        self._revisions[group.name] = stored.revision
         if stored.members is None:
             since = self._malformed_since.setdefault(group.name, now)
             if now - since < MALFORMED_SECONDS:
@@ -289,4 +310,93 @@
                 group.members.apply_record((), now)
             return True
         group.members.apply_record(stored.members, now)
+        group.promotions.put(stored.pending, now)
         return True
+
+    # Promotions
+
+    async def record_request(self, group: str, endpoint: str) -> bool:
+        """Record a promotion in the record that was read before.
+
+        A member that has been recorded since then may hold writes that the
+        endpoint lacks, so the record must be unchanged.
+
+        :returns: False when it was not recorded
+        """
+        known = self._directory.groups[group]
+        earlier = known.promotions.find(time.monotonic())
+        wanted = StoredMembers(
+            known.members.recorded,
+            self._revisions.get(group),
+            pending_promotions.PendingPromotion(
+                endpoint,
+                known.followed_term,
+                secrets.token_hex(4),
+                repeated=earlier is not None and earlier.endpoint == endpoint,
+            ),
+        )
+        try:
+            written = await self._write_pending(known, wanted)
+        except errors.PlatformUnavailable as error:
+            log.warning(
+                "promotion not recorded",
+                group=group,
+                endpoint=endpoint,
+                detail=str(error),
+            )
+            return False
+        if written:
+            return True
+        log.info("members changed during a takeover", group=group)
+        await self._registry.refresh()
+        await self.load(known)
+        return False
+
+    async def _write_pending(
+        self, group: groups.Group, wanted: StoredMembers
+    ) -> bool:
+        """Write a record with the same members; return whether it is there.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+        written: StoredMembers | None
+        try:
+            written = await self._store.write(group.name, wanted)
+        except errors.PlatformRefused:
+            raise
+        except errors.PlatformUnavailable:
+            # The write may have been executed: read the record to find out.
+            written = await self._store.read(group.name)
+            if written.pending != wanted.pending:
+                written = None
+        if written is None:
+            return False
+        self._revisions[group.name] = written.revision
+        group.promotions.put(wanted.pending, time.monotonic())
+        return True
+
+    async def record_end(self, group: str, is_refused: bool = False) -> None:
+        """Take a promotion that is over off the record.
+
+        If that fails, the next change of the record does it.
+
+        :param is_refused: whether the request was refused or not sent
+        """
+        known = self._directory.groups[group]
+        now = time.monotonic()
+        pending = known.promotions.find(now)
+        if pending is not None:
+            if pending.repeated or not is_refused:
+                return
+            known.promotions.put(None, now)
+        wanted = StoredMembers(
+            known.members.recorded, self._revisions.get(group)
+        )
+        try:
+            await self._write_pending(known, wanted)
+        except errors.PlatformUnavailable as error:
+            log.info(
+                "end of a promotion not recorded",
+                group=group,
+                detail=str(error),
+            )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -274,10 +274,8 @@
             if target is not None:
                 return Reason.LEAVING
         fenced = any(
-            endpoint.report is not None
-            and endpoint.report.role is Role.FENCED
-            and now - endpoint.reported_at < REPORT_VALID_SECONDS
-            for endpoint in group.endpoints.values()
+            now - endpoint.reported_at < REPORT_VALID_SECONDS
+            for endpoint in _list_left_fenced(group)
         )
         return self._debounce(
             group, Reason.LEFT_FENCED, SETTLE_SECONDS, now, fenced
@@ -328,6 +326,7 @@
             absent=group.members.absent,
             ended=group.members.ended,
             leaving=group.list_leaving(),
+            pending=group.pending_promotion,
         )
         return chosen not in (None, primary.name)
 
@@ -336,10 +335,12 @@
     ) -> endpoint_states.EndpointState | None:
         """Return the replica with the longest log, for a switchover."""
         now = time.monotonic()
+        pending = group.pending_promotion
         candidates = [
             endpoint
             for endpoint in group.list_candidates()
             if endpoint is not primary
+            and pending in ("", endpoint.name)
             and endpoint.report is not None
             and endpoint.report.role is Role.REPLICA
             and now - endpoint.reported_at < REPORT_VALID_SECONDS
@@ -437,7 +438,7 @@
         )
         if reason_now is not None:
             replacement = takeover.Takeover(
-                group, self._promoter, lease, self._clock
+                group, self._promoter, self._records, lease, self._clock
             )
             await self._replace(group, replacement, reason_now, primary)
 
@@ -462,11 +463,23 @@
 
     async def _unfence(self, group: groups.Group) -> None:
         """Lift the fences of a driver that died before its promotion."""
-        for endpoint in list(group.endpoints.values()):
-            report = endpoint.report
-            if report is not None and report.role is Role.FENCED:
-                await group.inspect(
-                    endpoint,
-                    messages.Unfence(),
-                    self._options.inspect_timeout,
-                )
+        for endpoint in _list_left_fenced(group):
+            await group.inspect(
+                endpoint, messages.Unfence(), self._options.inspect_timeout
+            )
+
+
+def _list_left_fenced(
+    group: groups.Group,
+) -> list[endpoint_states.EndpointState]:
+    """Return the fenced endpoints that may receive writes again.
+
+    While a promotion may still take effect, that is its endpoint alone.
+    """
+    return [
+        endpoint
+        for endpoint in group.endpoints.values()
+        if endpoint.report is not None
+        and endpoint.report.role is Role.FENCED
+        and group.pending_promotion in ("", endpoint.name)
+    ]
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -102,6 +102,27 @@
         """
 
 
+class PromotionLog(abc.ABC):
+    """Records promotions before they are requested."""
+
+    @abc.abstractmethod
+    async def record_request(self, group: str, endpoint: str) -> bool:
+        """Record that a promotion is about to be requested.
+
+        :returns: False when it was not recorded; the members have been read
+            again then, if they had changed
+        """
+
+    @abc.abstractmethod
+    async def record_end(self, group: str, is_refused: bool = False) -> None:
+        """Record that the promotion took effect, or never will.
+
+        Nothing is recorded while an earlier request may take effect.
+
+        :param is_refused: whether the request was refused or not sent
+        """
+
+
 class Registry(abc.ABC):
     """The registry of endpoints, of which each daemon keeps a copy."""
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -40,16 +40,19 @@
         self,
         group: groups.Group,
         promoter: ports.Promoter,
+        promotion_log: ports.PromotionLog,
         lease: promotion.Lease,
         boot_clock: clock.Clock,
     ) -> None:
         """Prepare a takeover of the group.
 
         :param promoter: requests the promotion
+        :param promotion_log: holds the promotion before it is requested
         :param lease: right to request promotions
         """
         self._group = group
         self._promoter = promoter
+        self._log = promotion_log
         self._lease = lease
         self._clock = boot_clock
         self._fenced: dict[str, messages.Report] = {}
@@ -64,20 +67,16 @@
         """
         group = self._group
         term = promotion.find_next_term(group.list_reports())
-        plan = group.make_plan()
         name = failed.name if failed else ""
-        leaving = group.list_leaving()
+        chosen = recorded = None
         for _ in range(FENCE_ATTEMPTS):
             await self._fence_all(term, name)
-            chosen = promotion.choose_promotion(
-                plan,
-                self._fenced,
-                name,
-                absent=group.members.absent,
-                ended=group.members.ended,
-                leaving=leaving,
-            )
-            if chosen is not None or not self._holds_lease():
+            chosen = self._choose(name)
+            if chosen is not None and await self._log.record_request(
+                group.name, chosen
+            ):
+                recorded = chosen
+            if recorded is not None or not self._holds_lease():
                 break
         log.info(
             "endpoints fenced for failover",
@@ -88,17 +87,51 @@
                 n: f"{r.last} in term {r.term}"
                 for n, r in self._fenced.items()
             },
-            members=sorted(plan.endpoint_by_name),
+            members=sorted(group.endpoints),
             absent=group.members.absent,
             ended=group.members.ended,
-            leaving=leaving,
+            leaving=group.list_leaving(),
+            pending=group.pending_promotion,
             chosen=chosen,
+            recorded=recorded is not None,
         )
-        if chosen is None or not await self._promote(chosen):
+        if recorded is None:
             await self._unfence()
             return False
-        await self._finish(chosen, failed)
-        return True
+        return await self._complete(recorded, failed)
+
+    def _choose(self, failed: str) -> str | None:
+        """Return the endpoint to promote, None while that is not safe."""
+        group = self._group
+        return promotion.choose_promotion(
+            group.make_plan(),
+            self._fenced,
+            failed,
+            absent=group.members.absent,
+            ended=group.members.ended,
+            leaving=group.list_leaving(),
+            pending=group.pending_promotion,
+        )
+
+    async def _complete(
+        self, chosen: str, replaced: endpoint_states.EndpointState | None
+    ) -> bool:
+        """Request the recorded promotion and lift the fences accordingly.
+
+        While the promotion may still take effect, its endpoint alone may
+        receive writes: any other could hold one that it lacks.
+
+        :returns: whether it has taken effect
+        """
+        has_effect = await self._promote(chosen)
+        if has_effect:
+            await self._finish(chosen, replaced)
+        elif has_effect is None:
+            await self._unfence(only=chosen)
+        else:
+            await self._unfence()
+            await self._log.record_end(self._group.name, is_refused=True)
+        return bool(has_effect)
 
     async def switch_over(
         self,
@@ -125,9 +158,16 @@
         if not await self._confirm(primary):
             self._log_no_switchover(primary, target, "confirm", before.role)
             return False
+        if group.pending_promotion not in (
+            "",
+            target.name,
+        ) or not await self._log.record_request(group.name, target.name):
+            self._log_no_switchover(primary, target, "record", before.role)
+            return False
         final = await self._fence(primary, term, as_primary=True)
         if final is None:
             self._log_no_switchover(primary, target, "fence", None)
+            await self._log.record_end(group.name, is_refused=True)
             return False
         caught_up = await self._wait_caught_up(target, final)
         chosen = target.name if caught_up else primary.name
@@ -140,10 +180,16 @@
             position=str(final.last),
             caught_up=caught_up,
         )
-        if not await self._promote(chosen):
-            return await self.replace_failed(primary)
-        await self._finish(chosen, primary)
-        return True
+        is_recorded = caught_up or await self._log.record_request(
+            group.name, chosen
+        )
+        has_effect = await self._promote(chosen) if is_recorded else False
+        if has_effect:
+            await self._finish(chosen, primary)
+            return True
+        if has_effect is False:
+            await self._log.record_end(group.name, is_refused=True)
+        return await self.replace_failed(primary)
 
     async def _confirm(self, primary: endpoint_states.EndpointState) -> bool:
         """Return whether no later primary has acknowledged a write."""
@@ -164,8 +210,9 @@
         """Log why a switchover changed nothing.
 
         :param step: "target" if the target did not report as a replica,
-            "confirm" if a later primary may lead, "fence" if the primary did
-            not step down
+            "confirm" if a later primary may lead, "record" if the promotion
+            could not be recorded or another may still take effect, "fence" if
+            the primary did not step down
         :param role: role that the target reported, None for no report
         """
         log.warning(
@@ -245,18 +292,26 @@
             await asyncio.sleep(POLL_SECONDS)
         return False
 
-    async def _promote(self, chosen: str) -> bool:
-        """Request the promotion and wait until it has taken effect."""
-        accepted: bool | None = None
+    async def _promote(self, chosen: str) -> bool | None:
+        """Request the promotion and wait until it has taken effect.
+
+        A request without an answer is repeated.
+
+        :returns: False when it was refused, None when it may still take
+            effect
+        """
         started_at = time.monotonic()
         until = started_at + PROMOTION_TIMEOUT_SECONDS
         self._group.events.record_request(chosen)
-        while time.monotonic() < until and accepted is None:
-            accepted = await self._promoter.promote(
-                self._group.name, chosen, self._lease
-            )
-            if accepted is None and await self._is_primary(chosen):
+        accepted = await self._request(chosen)
+        is_repeated = False
+        while accepted is None and time.monotonic() < until:
+            if await self._is_primary(chosen):
                 return True
+            if not await self._log.record_request(self._group.name, chosen):
+                break
+            is_repeated = True
+            accepted = await self._request(chosen)
         log.info(
             "promotion requested",
             group=self._group.name,
@@ -265,7 +320,7 @@
             accepted=accepted,
         )
         if accepted is False:
-            return False
+            return None if is_repeated else False
         while time.monotonic() < until:
             if await self._is_primary(chosen):
                 return True
@@ -280,7 +335,12 @@
             seconds=round(time.monotonic() - started_at, 3),
             fenced=events.describe_reports(self._fenced.values()),
         )
-        return False
+        return None
+
+    async def _request(self, chosen: str) -> bool | None:
+        return await self._promoter.promote(
+            self._group.name, chosen, self._lease
+        )
 
     async def _is_primary(self, name: str) -> bool:
         endpoint = self._group.endpoints.get(name)
@@ -308,11 +368,14 @@
             await self._fence(replaced, group.term, as_primary=True)
         self._fenced.pop(chosen, None)
         await self._unfence()
+        await self._log.record_end(group.name)
 
-    async def _unfence(self) -> None:
+    async def _unfence(self, only: str = "") -> None:
         """Lift the fences that this takeover set.
 
         Without the lease, that is left to the next driver.
+
+        :param only: endpoint whose fence alone is lifted, empty for all
         """
         is_lifted = self._holds_lease()
         log.info(
@@ -327,7 +390,7 @@
         fenced = [
             endpoint
             for name, endpoint in self._group.endpoints.items()
-            if name in self._fenced
+            if name in self._fenced and only in ("", name)
         ]
         await asyncio.gather(
             *(
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -81,11 +81,14 @@
     absent: int = 0,
     ended: int = 0,
     leaving: typing.Collection[str] = (),
+    pending: str = "",
 ) -> str | None:
     """Return the endpoint to promote, None while that would not be safe.
 
     A fenced primary counts only together with so many others that one of
-    them took part in a later term, if there was one.
+    them took part in a later term, if there was one. While a promotion may
+    still take effect, no other endpoint is promoted: its writes would be lost
+    then.
 
     :param plan: names the group's endpoints
     :param fenced: replies of endpoints that no longer take part in the old
@@ -98,7 +101,30 @@
         nor confirm a later term
     :param leaving: endpoints that accept no new work; one of them is chosen
         only when no other replica has as long a log
+    :param pending: endpoint of a promotion that may still take effect, empty
+        for none
     """
+    chosen = _choose_longest(
+        plan, fenced, failed_primary, absent, ended, leaving
+    )
+    if chosen is None or not pending or chosen == pending:
+        return chosen
+    if pending in fenced and promotion_order.make_log_key(
+        fenced[pending]
+    ) >= promotion_order.make_log_key(fenced[chosen]):
+        return pending
+    return None
+
+
+def _choose_longest(
+    plan: plans.Plan,
+    fenced: typing.Mapping[str, Report],
+    failed_primary: str,
+    absent: int,
+    ended: int,
+    leaving: typing.Collection[str],
+) -> str | None:
+    """Return the endpoint with the longest log, None while it is not known."""
     known = {
         name: report
         for name, report in fenced.items()
--- a/tests/fences.py
+++ b/tests/fences.py
@@ -2,9 +2,11 @@
 
 import abc
 import dataclasses
+import time
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
+from fescuestile import pending_promotions
 from fescuestile import positions
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
@@ -109,6 +111,23 @@
         """Nothing to close."""
 
 
+class LocalLog(ports.PromotionLog):
+    """Keeps promotions in the group alone."""
+
+    def __init__(self, group):
+        self._group = group
+
+    async def record_request(self, group, endpoint):
+        pending = pending_promotions.PendingPromotion(
+            endpoint, self._group.followed_term, "id"
+        )
+        self._group.promotions.put(pending, time.monotonic())
+        return True
+
+    async def record_end(self, group, is_refused=False):
+        self._group.promotions.put(None, time.monotonic())
+
+
 def make_group(dialer):
     """Return one daemon's view of a group whose first endpoint is primary."""
     group = groups.Group(
