Log a replica ahead of fenced endpoints only if no fence held it

After a takeover lifts its fences, a daemon learns of it one endpoint at a time. A replica that was fenced in its last report doesn't count any more; one that joined does.

Lint and the unit tests of events pass.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
@@ -223,7 +223,11 @@
                 if r.role is Role.FENCED and r.term > report.term
             ]
             newest = max((r.last for r in fenced), default=report.last)
-            if report.last > newest and (not known or known.last <= newest):
+            # Lifted fences are not seen at all endpoints at once.
+            was_behind = not known or (
+                known.role is not Role.FENCED and known.last <= newest
+            )
+            if report.last > newest and was_behind:
                 log.warning(
                     "replica is ahead of fenced endpoints",
                     endpoint=report.endpoint,
--- a/tests/unit/test_group_events.py
+++ b/tests/unit/test_group_events.py
@@ -95,6 +95,14 @@
     assert line["fenced"].keys() == {"r2"}
 
 
+def test_a_replica_that_goes_on_after_its_fence_is_lifted(group):
+    """The lifted fence of r2 has not been seen yet."""
+    lines = record_reports(
+        group, ("r1", 7, Role.REPLICA, 1), ("r1", 8, Role.REPLICA, 1)
+    )
+    assert not find_lines(lines, "replica is ahead of fenced endpoints")
+
+
 @pytest.mark.parametrize(
     ("index", "term"),
     [(5, 1), (6, 2)],
