Choose promotions among the plan's endpoints alone

Callers could lose an acknowledged write when an operator removed an endpoint while its group failed over. A driver counted grants by the plan for the fence, but counted all grants where it leaves the failed primary out and where it compares a switchover's target. A grant of an endpoint that the plan had ceased to name during the fence so stood for one of the plan's majority: with d gone from a, b, c, d and the fence held by a, c, d, the grants of c and d left a out, and c or d was promoted without a write that a and b had confirmed.

Every majority of the plan in force meets those of the plans next to it. With the foreign grants ignored, all three counts are of one plan.

--- a/packages/fescuestile/src/fescuestile/promotion_order.py
+++ b/packages/fescuestile/src/fescuestile/promotion_order.py
@@ -39,7 +39,8 @@
 ) -> str:
     """Return the endpoint to promote among those that granted the term.
 
-    :param grants: reports of at least a majority, by endpoint name
+    :param grants: reports of at least a majority, by endpoint name; those
+        of endpoints outside the plan are ignored
     :param target: endpoint to prefer
     :param failed_primary: endpoint to leave out when the others are a
         majority: entries that only it holds were never confirmed
@@ -48,6 +49,9 @@
         else the endpoint with the most advanced log; among equal logs one
         that stays, then the last by name
     """
+    known = plan.endpoint_by_name
+    # The plan may have changed since the fence.
+    grants = {name: grants[name] for name in grants if name in known}
     others = {name: grants[name] for name in grants if name != failed_primary}
     if len(others) >= plan.majority:
         grants = others
