--- a/tests/model_check/test_plan_changes.py
+++ b/tests/model_check/test_plan_changes.py
@@ -27,3 +27,9 @@
     result = explore(Scope(writes=1, attempts=1, avoids=avoids), *groups)
     assert result.violation is None, result.trace
     assert result.states > 100
+
+
+@pytest.mark.invariant_2
+def test_a_replacement_in_one_change_is_found_to_lose_writes():
+    """Shows why a plan may not name another server in one change."""
+    assert explore(Scope(writes=1, attempts=1), "abc", "abd").violation
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -42,7 +42,13 @@
     [
         PLAN.endpoints[:1],
         (*PLAN.endpoints[:2], builders.build_endpoint(4)),
+        # Another server under the same name.
+        (
+            *PLAN.endpoints[:2],
+            dataclasses.replace(PLAN.endpoints[2], address="127.0.9.11:7003"),
+        ),
     ],
+    ids=("two removed", "one replaced", "one moved"),
 )
 def test_a_change_of_more_than_one_endpoint_is_refused(endpoints):
     # Majorities before and after a change have to overlap.
