Count an endpoint's move as a replacement

Operators could move an endpoint to another address, under its name, in one change of the plan. While both servers ran, a driver with the plan before it fenced and counted the old one, and a daemon with the plan after it confirmed writes by the new one: two majorities, a with new c and b with old c, that do not meet. An acknowledged write was then missing at the promoted endpoint.

The check for changes of more than one endpoint compared names only.

Price: a server that moves together with its log is replaced under a new name and copies the log anew.

--- a/packages/fescuestile/src/fescuestile/configuration.py
+++ b/packages/fescuestile/src/fescuestile/configuration.py
@@ -271,9 +271,16 @@
 def _find_changed_endpoints(
     before: plans.Plan, after: plans.Plan
 ) -> list[str]:
-    """Return the endpoints that were added or removed, sorted by name."""
-    changed = before.endpoint_by_name.keys() ^ after.endpoint_by_name.keys()
-    return sorted(changed)
+    """Return the servers that were added or removed, sorted.
+
+    An endpoint at another address is another server, which may lack the
+    log and the promises of the first one.
+    """
+    servers = [
+        {f"{each.name} at {each.address}" for each in plan.endpoints}
+        for plan in (before, after)
+    ]
+    return sorted(servers[0] ^ servers[1])
 
 
 def _prepare_next(
