Test two changes of the plan in a row

A driver that has learnt both changes and a daemon that has learnt neither count majorities that do not meet: an acknowledged write is lost, also by the documented way of replacing an endpoint. Accepting a second change would have to wait until the first is known to a majority that holds the log; endpoints know no revisions yet.

--- a/tests/model_check/test_plan_changes.py
+++ b/tests/model_check/test_plan_changes.py
@@ -29,6 +29,18 @@
     assert result.states > 100
 
 
+@pytest.mark.invariant_2
+@pytest.mark.parametrize(
+    "groups",
+    [("abc", "abcd", "abcde"), ("abc", "abcd", "abd")],
+    ids="-".join,
+)
+def test_two_changes_lose_no_write(groups):
+    """Guards against a driver that is two changes of the plan behind."""
+    result = explore(Scope(writes=1, attempts=1), *groups)
+    assert result.violation is None, result.trace
+
+
 @pytest.mark.invariant_2
 def test_a_replacement_in_one_change_is_found_to_lose_writes():
     """Shows why a plan may not name another server in one change."""
