Confirm no write beside a later primary

A promotion lifts the fences of all replicas, and those that do not reach the new primary follow the former one again. A daemon that knows of the later term now leaves such a write in doubt. Evidence: the added test failed before.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -140,9 +140,11 @@
     def _is_held(self, primary: str, position: positions.Position) -> bool:
         """Return whether a member was seen to hold a position.
 
-        The log of a later term may lack the end of an earlier one.
+        The log of a later term may lack the end of an earlier one. Once a
+        later primary is known, it may also lack what a replica received from
+        the former one since then.
         """
-        return any(
+        return self._group.followed_term <= position.term and any(
             endpoint.held.term == position.term
             and endpoint.held.index >= position.index
             for endpoint in self.list_members(primary)
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from fescuestile import endpoint_messages
 from fescuestile import positions
 from tests import member_stores
 from tests import monitored_groups
 
+Role = endpoint_messages.Role
 add_report = monitored_groups.add_report
 POSITION = positions.Position(1, 6)
 
@@ -60,6 +62,13 @@
     assert not await wait(group)
 
 
+async def test_no_member_confirms_a_write_beside_a_later_primary(group):
+    """Guards against LOST: its promotion has lifted the member's fence."""
+    add_report(group, "r1", 5, role=Role.PRIMARY, term=2)
+    add_report(group, "r2", 6)
+    assert not await wait(group)
+
+
 @pytest.mark.parametrize("recorded", [("p",), ("p", "r1@7")])
 async def test_an_endpoint_that_is_not_recorded_does_not(group, recorded):
     """Guards against LOST: no takeover knows it, or not this start of it."""
