Split takeovers, members' records and groups

Behaviour is unchanged, except that the log line on lifted fences names the lifted ones: while a promotion may still take effect, that is its endpoint alone.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -12,6 +12,7 @@
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import promotion
+from fescuestile_daemon.relay import changes
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import events
 from fescuestile_daemon.relay import leadership
@@ -25,7 +26,7 @@
 REPORT_VALID_SECONDS = 3.0
 
 
-class Group:
+class Group(changes.Changes):
     """State of one group in this daemon.
 
     :ivar endpoints: endpoints by id
@@ -49,6 +50,7 @@
         boot_clock: clock.Clock,
     ) -> None:
         """Start without endpoints."""
+        super().__init__()
         self.name = name
         self.endpoints: dict[str, endpoint_states.EndpointState] = {}
         self.connections = 1
@@ -61,8 +63,7 @@
         self.promotions = pending_promotions.PromotionTracker()
         self._awaited_position = positions.START
         self._awaited_at = -math.inf
-        # Time of the latest position of the primary that a replica has
-        # reached.
+        # Time of the latest position that a replica has reached.
         self._replicated_at = -math.inf
         self._leader = ""
         self._leader_has_left = False
@@ -72,7 +73,6 @@
         self._known_since = boot_clock.now()
         self.leadership = leadership.LeadershipChecks(self, boot_clock)
         self.replication = replication.ReplicationChecks(self)
-        self._waiters: set[asyncio.Future[None]] = set()
 
     def make_plan(self) -> plans.Plan:
         """Return the group's endpoints as a plan."""
@@ -240,28 +240,6 @@
             for endpoint in self.endpoints.values()
         )
 
-    def notify(self) -> None:
-        """Wake the tasks in ``wait_change``."""
-        waiters, self._waiters = self._waiters, set()
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-
-    async def wait_change(self, seconds: float) -> None:
-        """Wait for a change of the primary, endpoints or leadership checks.
-
-        :param seconds: longest wait
-        """
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
-        try:
-            async with asyncio.timeout(seconds):
-                await waiter
-        except TimeoutError:
-            pass
-        finally:
-            self._waiters.discard(waiter)
-
     async def inspect(
         self,
         endpoint: endpoint_states.EndpointState,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -10,10 +10,7 @@
 record only.
 """
 
-import abc
 import asyncio
-import collections.abc
-import dataclasses
 import math
 import random
 import secrets
@@ -26,6 +23,7 @@
 from fescuestile import pending_promotions
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import member_store
 from fescuestile_daemon.relay import ports
 
 log = structlog.get_logger()
@@ -46,63 +44,12 @@
 MALFORMED_SECONDS = group_members.MISSING_SECONDS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredMembers:
-    """A record and its revision, on which a later write is conditional.
-
-    :ivar members: None if the record is malformed
-    :ivar revision: None when there is no record yet
-    :ivar pending: promotion that may still take effect
-    """
-
-    members: frozenset[group_members.Member] | None
-    revision: int | None
-    pending: pending_promotions.PendingPromotion | None = None
-
-
-NO_RECORD = StoredMembers(frozenset(), None)
-
-
-class MemberStore(abc.ABC):
-    """Store of the records."""
-
-    @abc.abstractmethod
-    async def read(self, group: str) -> StoredMembers:
-        """Return the record of a group.
-
-        :raises PlatformUnavailable: the store did not answer
-        """
-
-    @abc.abstractmethod
-    async def list_all(
-        self, allow_stale: bool = False
-    ) -> collections.abc.Mapping[str, StoredMembers]:
-        """Return the records of all groups that have one, by group.
-
-        :param allow_stale: whether they may be seconds old
-        :raises PlatformUnavailable: the store did not answer
-        """
-
-    @abc.abstractmethod
-    async def write(
-        self, group: str, wanted: StoredMembers
-    ) -> StoredMembers | None:
-        """Write a record if its revision is still that of the wanted one.
-
-        :param wanted: with the revision None to create the record
-        :returns: the record as it was written, None when the revision has
-            changed
-        :raises PlatformRefused: nothing was written
-        :raises PlatformUnavailable: no answer; it may have been written
-        """
-
-
 class MemberRecords(ports.PromotionLog):
     """Reads the records for this daemon and keeps them up to date."""
 
     def __init__(
         self,
-        store: MemberStore,
+        store: member_store.MemberStore,
         routes: directory.Directory,
         registry: ports.Registry,
         source: random.Random,
@@ -199,7 +146,9 @@
             self._load_at = now + LOAD_DELAY_SECONDS
             for group in self._list():
                 if not group.members.is_loaded:
-                    self._apply(group, stored.get(group.name, NO_RECORD))
+                    self._apply(
+                        group, stored.get(group.name, member_store.NO_RECORD)
+                    )
         if not self._list_changed():
             self._record_at = math.inf
             return
@@ -274,11 +223,13 @@
         if wanted != stored.members or stored.pending is not None:
             await self._write(group, stored)
 
-    async def _write(self, group: groups.Group, stored: StoredMembers) -> bool:
+    async def _write(
+        self, group: groups.Group, stored: member_store.StoredMembers
+    ) -> bool:
         """Write a record; return False if it has changed meanwhile."""
         wanted = group.members.make_record()
         written = await self._store.write(
-            group.name, StoredMembers(wanted, stored.revision)
+            group.name, member_store.StoredMembers(wanted, stored.revision)
         )
         if written is None:
             return False
@@ -292,7 +243,9 @@
         group.members.recorded = wanted
         return True
 
-    def _apply(self, group: groups.Group, stored: StoredMembers) -> bool:
+    def _apply(
+        self, group: groups.Group, stored: member_store.StoredMembers
+    ) -> bool:
         """Apply a record; return whether it could be used."""
         now = time.monotonic()
         self._revisions[group.name] = stored.revision
@@ -325,7 +278,7 @@
         """
         known = self._directory.groups[group]
         earlier = known.promotions.find(time.monotonic())
-        wanted = StoredMembers(
+        wanted = member_store.StoredMembers(
             known.members.recorded,
             self._revisions.get(group),
             pending_promotions.PendingPromotion(
@@ -353,13 +306,13 @@
         return False
 
     async def _write_pending(
-        self, group: groups.Group, wanted: StoredMembers
+        self, group: groups.Group, wanted: member_store.StoredMembers
     ) -> bool:
         """Write a record with the same members; return whether it is there.
 
         :raises PlatformUnavailable: the store did not answer
         """
-        written: StoredMembers | None
+        written: member_store.StoredMembers | None
         try:
             written = await self._store.write(group.name, wanted)
         except errors.PlatformRefused:
@@ -389,7 +342,7 @@
             if pending.repeated or not is_refused:
                 return
             known.promotions.put(None, now)
-        wanted = StoredMembers(
+        wanted = member_store.StoredMembers(
             known.members.recorded, self._revisions.get(group)
         )
         try:
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_store.py
@@ -0,0 +1,59 @@
+"""Store of the records of the groups' members."""
+
+import abc
+import collections.abc
+import dataclasses
+
+from fescuestile import group_members
+from fescuestile import pending_promotions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredMembers:
+    """A record and its revision, on which a later write is conditional.
+
+    :ivar members: None if the record is malformed
+    :ivar revision: None when there is no record yet
+    :ivar pending: promotion that may still take effect
+    """
+
+    members: frozenset[group_members.Member] | None
+    revision: int | None
+    pending: pending_promotions.PendingPromotion | None = None
+
+
+NO_RECORD = StoredMembers(frozenset(), None)
+
+
+class MemberStore(abc.ABC):
+    """Store of the records."""
+
+    @abc.abstractmethod
+    async def read(self, group: str) -> StoredMembers:
+        """Return the record of a group.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+
+    @abc.abstractmethod
+    async def list_all(
+        self, allow_stale: bool = False
+    ) -> collections.abc.Mapping[str, StoredMembers]:
+        """Return the records of all groups that have one, by group.
+
+        :param allow_stale: whether they may be seconds old
+        :raises PlatformUnavailable: the store did not answer
+        """
+
+    @abc.abstractmethod
+    async def write(
+        self, group: str, wanted: StoredMembers
+    ) -> StoredMembers | None:
+        """Write a record if its revision is still that of the wanted one.
+
+        :param wanted: with the revision None to create the record
+        :returns: the record as it was written, None when the revision has
+            changed
+        :raises PlatformRefused: nothing was written
+        :raises PlatformUnavailable: no answer; it may have been written
+        """
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -11,6 +11,7 @@
 from fescuestile_daemon.relay import events
 from fescuestile_daemon.relay import execution
 from fescuestile_daemon.relay import member_records
+from fescuestile_daemon.relay import member_store
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
@@ -46,7 +47,7 @@
         dialer: ports.Dialer,
         promoter: ports.Promoter,
         registry: ports.Registry,
-        member_store: member_records.MemberStore,
+        record_store: member_store.MemberStore,
         relay_options: options.RelayOptions,
         zone: str,
         name: str = "",
@@ -69,7 +70,7 @@
             name, zone, self.directory.groups.get, boot_clock
         )
         self._records = member_records.MemberRecords(
-            member_store, self.directory, registry, random.Random()
+            record_store, self.directory, registry, random.Random()
         )
         self._monitor = monitor.Monitor(
             self.directory,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -14,6 +14,7 @@
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import promotion_requests
 
 log = structlog.get_logger()
 
@@ -26,9 +27,6 @@
 # Longest wait for a switchover's target to hold the old primary's log;
 # replicas lag by some ten milliseconds.
 CATCH_UP_TIMEOUT_SECONDS = 1.0
-# Longest wait for a promotion to be accepted and to take effect; the platform
-# takes up to a second.
-PROMOTION_TIMEOUT_SECONDS = 3.0
 # Interval at which an endpoint is polled for its report.
 POLL_SECONDS = 0.03
 
@@ -51,8 +49,10 @@
         :param lease: right to request promotions
         """
         self._group = group
-        self._promoter = promoter
         self._log = promotion_log
+        self._requests = promotion_requests.PromotionRequests(
+            group, promoter, promotion_log, lease
+        )
         self._lease = lease
         self._clock = boot_clock
         self._fenced: dict[str, messages.Report] = {}
@@ -123,7 +123,7 @@
 
         :returns: whether it has taken effect
         """
-        has_effect = await self._promote(chosen)
+        has_effect = await self._requests.run(chosen, self._fenced.values())
         if has_effect:
             await self._finish(chosen, replaced)
         elif has_effect is None:
@@ -183,7 +183,11 @@
         is_recorded = caught_up or await self._log.record_request(
             group.name, chosen
         )
-        has_effect = await self._promote(chosen) if is_recorded else False
+        has_effect = (
+            await self._requests.run(chosen, self._fenced.values())
+            if is_recorded
+            else False
+        )
         if has_effect:
             await self._finish(chosen, primary)
             return True
@@ -292,65 +296,6 @@
             await asyncio.sleep(POLL_SECONDS)
         return False
 
-    async def _promote(self, chosen: str) -> bool | None:
-        """Request the promotion and wait until it has taken effect.
-
-        A request without an answer is repeated.
-
-        :returns: False when it was refused, None when it may still take
-            effect
-        """
-        started_at = time.monotonic()
-        until = started_at + PROMOTION_TIMEOUT_SECONDS
-        self._group.events.record_request(chosen)
-        accepted = await self._request(chosen)
-        is_repeated = False
-        while accepted is None and time.monotonic() < until:
-            if await self._is_primary(chosen):
-                return True
-            if not await self._log.record_request(self._group.name, chosen):
-                break
-            is_repeated = True
-            accepted = await self._request(chosen)
-        log.info(
-            "promotion requested",
-            group=self._group.name,
-            endpoint=chosen,
-            token=self._lease.token,
-            accepted=accepted,
-        )
-        if accepted is False:
-            return None if is_repeated else False
-        while time.monotonic() < until:
-            if await self._is_primary(chosen):
-                return True
-            await asyncio.sleep(POLL_SECONDS)
-        log.warning(
-            "promotion has not taken effect",
-            group=self._group.name,
-            endpoint=chosen,
-            term=self._group.term,
-            token=self._lease.token,
-            accepted=accepted,
-            seconds=round(time.monotonic() - started_at, 3),
-            fenced=events.describe_reports(self._fenced.values()),
-        )
-        return None
-
-    async def _request(self, chosen: str) -> bool | None:
-        return await self._promoter.promote(
-            self._group.name, chosen, self._lease
-        )
-
-    async def _is_primary(self, name: str) -> bool:
-        endpoint = self._group.endpoints.get(name)
-        if endpoint is None:
-            return False
-        report = await self._group.inspect(
-            endpoint, messages.Inspect(), FENCE_TIMEOUT_SECONDS
-        )
-        return report is not None and report.role is Role.PRIMARY
-
     async def _finish(
         self, chosen: str, replaced: endpoint_states.EndpointState | None
     ) -> None:
@@ -378,19 +323,24 @@
         :param only: endpoint whose fence alone is lifted, empty for all
         """
         is_lifted = self._holds_lease()
+        concerned = {
+            name: report
+            for name, report in self._fenced.items()
+            if only in ("", name) or not is_lifted
+        }
         log.info(
             "fences lifted" if is_lifted else "fences left in place",
             group=self._group.name,
             term=self._group.term,
             token=self._lease.token,
-            fenced=events.describe_reports(self._fenced.values()),
+            fenced=events.describe_reports(concerned.values()),
         )
         if not is_lifted:
             return
         fenced = [
             endpoint
             for name, endpoint in self._group.endpoints.items()
-            if name in self._fenced and only in ("", name)
+            if name in concerned
         ]
         await asyncio.gather(
             *(
--- a/tests/member_stores.py
+++ b/tests/member_stores.py
@@ -4,7 +4,7 @@
 
 from fescuestile import errors
 from fescuestile import group_members
-from fescuestile_daemon.relay import member_records
+from fescuestile_daemon.relay import member_store
 
 
 def make_members(*names):
@@ -15,7 +15,7 @@
     )
 
 
-class MemoryStore(member_records.MemberStore):
+class MemoryStore(member_store.MemberStore):
     """Holds records; a group has none at first.
 
     :ivar records: by group
@@ -33,13 +33,13 @@
     def put(self, group, members, pending=None):
         """Write a record unconditionally; None for a malformed one."""
         revision = self.find(group).revision or 0
-        self.records[group] = member_records.StoredMembers(
+        self.records[group] = member_store.StoredMembers(
             members, revision + 1, pending
         )
 
     def find(self, group):
         """Return the record of a group."""
-        return self.records.get(group, member_records.NO_RECORD)
+        return self.records.get(group, member_store.NO_RECORD)
 
     async def read(self, group):
         await self._call("read")
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -11,6 +11,7 @@
 from fescuestile import promotion
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import promotion_requests
 from fescuestile_daemon.relay import takeover
 from tests import fences
 
@@ -158,7 +159,7 @@
 
 @pytest.fixture
 def brief_timeout(monkeypatch):
-    monkeypatch.setattr(takeover, "PROMOTION_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(promotion_requests, "PROMOTION_TIMEOUT_SECONDS", 0.1)
 
 
 async def replace_logged(world):
@@ -183,7 +184,9 @@
     assert line["accepted"] is accepted
     assert line["seconds"] >= 0.1
     assert line["fenced"].keys() == {"r1", "r2"}
-    assert lines["fences lifted"]["fenced"] == line["fenced"]
+    assert lines["fences lifted"]["fenced"].keys() == {"r2"}
+    assert world.endpoints["r1"].fence_term
+    assert not world.endpoints["r2"].fence_term
 
 
 async def test_a_refused_promotion_can_not_take_effect_later(world):
