Take an endpoint whose address another has taken for gone

What callers saw: groups that chose no primary for tens of seconds after a release. An endpoint that left counts as ended once a connection to it was refused. Its successor often answers at its address before that, and its answer, that it is another endpoint, counted as a sign of life. So the endpoint that had left counted as absent for 15 s, and a failed primary at such an address as responsive.

The answer now shows that the endpoint does not run there any more.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -59,6 +59,7 @@
         answer, None when it has answered since the latest request
     :ivar refused_since: monotonic seconds since which it refuses connections,
         None when it does not
+    :ivar is_displaced: another endpoint answers at its address
     :ivar has_answered: it has answered at least once
     :ivar held: latest position that its log was seen to hold
     :ivar dropped_at: monotonic seconds at which its registry entry was missed,
@@ -109,6 +110,7 @@
         self.held = positions.START
         self.unanswered_since: float | None = None
         self.refused_since: float | None = None
+        self.is_displaced = False
         self.dropped_at: float | None = None
         self._mean_service = INITIAL_SERVICE_SECONDS
         self._failures = 0.0
@@ -144,7 +146,7 @@
         return (
             self.leaving_since is not None
             and self.dropped_at is not None
-            and self.refused_since is not None
+            and (self.refused_since is not None or self.is_displaced)
         )
 
     def refuse_late_work(self) -> None:
@@ -183,6 +185,12 @@
 
         :param outcome: why it failed, None if it was opened
         """
+        self.is_displaced = (
+            outcome is not None
+            and outcome.kind is messages.Kind.WRONG_ENDPOINT
+        )
+        if self.is_displaced:
+            return
         if outcome is None or outcome.kind is not messages.Kind.LOST:
             self.record_answer()
         elif outcome.connection_refused and self.refused_since is None:
--- a/tests/unit/test_group_size.py
+++ b/tests/unit/test_group_size.py
@@ -89,6 +89,36 @@
     assert group.count() == 2
 
 
+async def test_an_endpoint_whose_address_another_has_taken_has_left(group):
+    """Guards against a group that chooses no primary after a release.
+
+    The entry of the endpoint that left goes once its successor answers at its
+    address, so no connection is refused there.
+    """
+    group.receive("p", 5)
+    group.receive("r2", 4)
+    leaving = group.endpoints["r1"]
+    leaving.put_entry(dataclasses.replace(leaving.entry, leaving=True))
+    leaving.record_connection_result(
+        messages.Outcome(messages.Kind.WRONG_ENDPOINT)
+    )
+    group.vanish("r1")
+    for name, end in (("p", 6), ("r2", 6), ("p", 7), ("r2", 7)):
+        group.receive(name, end)
+    assert group.count() == 2
+
+
+async def test_an_endpoint_at_whose_address_another_answers_is_silent(group):
+    """Guards against a failed primary whose address is used again."""
+    primary = group.endpoints["p"]
+    primary.record_request()
+    primary.record_connection_result(
+        messages.Outcome(messages.Kind.WRONG_ENDPOINT)
+    )
+    assert primary.unanswered_since is not None
+    assert not primary.has_answered
+
+
 async def test_a_position_from_before_the_end_shows_nothing(group):
     group.receive("p", 5)
     group.leave("r1")
