Fence nobody while absent members rule out a promotion

The driver did not hear the primary, which other daemons reached, made it step down and then chose nobody: endpoints that had left counted as absent. Further takeovers fenced and lifted in turn, as in the issue's record.

Whether any choice can be safe depends on counts that are known before. A takeover now changes nothing while no set of fences would allow one. Evidence: test_no_endpoint_is_fenced_while_absent_members_rule_a_choice_out failed before; a property test compares the count with the choice.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -68,6 +68,18 @@
         group = self._group
         term = promotion.find_next_term(group.list_reports())
         name = failed.name if failed else ""
+        if not promotion.may_choose(
+            group.make_plan(), name, group.members.absent, group.members.ended
+        ):
+            log.info(
+                "no takeover while members are absent",
+                group=group.name,
+                failed=name,
+                members=sorted(group.endpoints),
+                absent=group.members.absent,
+                ended=group.members.ended,
+            )
+            return False
         chosen = recorded = None
         for _ in range(FENCE_ATTEMPTS):
             await self._fence_all(term, name)
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -116,6 +116,22 @@
     return None
 
 
+def may_choose(
+    plan: plans.Plan, failed_primary: str = "", absent: int = 0, ended: int = 0
+) -> bool:
+    """Return whether a choice is safe if every endpoint can be fenced.
+
+    The parameters are those of ``choose_promotion``.
+    """
+    count = len(plan.endpoints)
+    size = count + absent
+    has_primary = failed_primary in plan.endpoint_by_name
+    return size >= 2 and (
+        count - has_primary >= size - 1
+        or (has_primary and count >= count_confirming(size - ended))
+    )
+
+
 def _choose_longest(
     plan: plans.Plan,
     fenced: typing.Mapping[str, Report],
--- a/tests/unit/test_promotion.py
+++ b/tests/unit/test_promotion.py
@@ -47,6 +47,36 @@
     )
 
 
+@hypothesis.given(
+    draw_history(), strategies.integers(0, 3), strategies.integers(0, 3)
+)
+@hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
+def test_a_choice_is_ruled_out_only_if_no_fences_allow_one(
+    history, absent, ended
+):
+    """Guards against fences that stop a group in vain."""
+    count, ends, fenced, leaving = history
+    ended = min(absent, ended)
+    chosen = promotion.choose_promotion(
+        make_plan(count),
+        {name: builders.build_log_report(name, ends[name]) for name in fenced},
+        "p",
+        absent,
+        ended,
+        leaving,
+    )
+    may_choose = promotion.may_choose(make_plan(count), "p", absent, ended)
+    if chosen is not None:
+        assert may_choose
+    if may_choose:
+        everyone = {
+            name: builders.build_log_report(name, 6) for name in NAMES[:count]
+        }
+        assert promotion.choose_promotion(
+            make_plan(count), everyone, "p", absent, ended
+        )
+
+
 def find_acknowledged(ends):
     return max(end for name, end in ends.items() if name != "p")
 
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import time
 
 import pytest
 import structlog
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
+from fescuestile import group_members
 from fescuestile import promotion
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
@@ -148,6 +150,20 @@
     assert world.promoted == []
 
 
+async def test_no_endpoint_is_fenced_while_absent_members_rule_a_choice_out(
+    world,
+):
+    """Guards against a group that loses a primary which others reach."""
+    await world.inspect_all()
+    now = time.monotonic()
+    for name in ("r3", "r4"):
+        world.group.members.add(group_members.Member(name, 0), now)
+        world.group.members.remove(name, now, has_left=False)
+    world.endpoints["p"].log.append((1, 6))
+    assert not await world.replace()
+    assert world.endpoints["p"].role is Role.PRIMARY
+
+
 async def test_no_fence_is_left_when_no_promotion_could_be_requested(world):
     """Guards against a chosen endpoint that stays fenced."""
     await world.inspect_all()
