Record members that join within four seconds

All daemons list the records when a member joins. Spread over more time, more of them find it recorded by the first one, and a write that waits for the member has it recorded at once anyway.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -32,7 +32,7 @@
 # spares the others the write.
 RECORD_DELAY_SECONDS = (1.0, 8.0)
 # Likewise for a member that joins, which confirms no writes before.
-JOIN_DELAY_SECONDS = (0.2, 1.5)
+JOIN_DELAY_SECONDS = (0.2, 4.0)
 CHECK_SECONDS = 1.0
 # Shorter than CHECK_SECONDS: a group's primary is not replaced before its
 # record has been read.
