Reproduce writes lost after a switchover back to the primary

What callers saw: acknowledged writes are missing at the promoted endpoint. The target's promotion was late, so the former primary was promoted again, since it stays and the others are leaving. It served writes for two seconds. Then the target's promotion took effect.

--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -120,6 +120,28 @@
     await check_kept(writers)
 
 
+async def test_a_switchover_back_before_a_late_promotion_loses_no_write(
+    world, group, writers
+):
+    """Guards against LOST: the former primary was promoted again meanwhile.
+
+    It stays after all, and the others are leaving instead.
+    """
+    primary, *others = group.endpoints.values()
+    world.store.faults.promotion_delays = [6.0]
+    world.store.register(primary, state="draining")
+    target = await wait_requested(world)
+    target.faults.deaf = True
+    world.store.register(primary)
+    for endpoint in others:
+        world.store.register(endpoint, state="draining")
+    await wait_promoted(group, target, 7.0)
+    for endpoint in others:
+        world.store.register(endpoint)
+    end_former_primaries(group)
+    await check_kept(writers)
+
+
 async def test_unanswered_requests_that_are_executed_late_lose_no_write(
     world, group, writers
 ):
