Lift no other fence while a promotion may take effect

Lifting fences now always asks the record: what it names keeps the others where they are. A request without an answer is repeated after 0.2 s: a refusing service got 1,866 requests a second from one driver.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/promotion_requests.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/promotion_requests.py
@@ -21,6 +21,8 @@
 PROMOTION_TIMEOUT_SECONDS = 3.0
 # Interval at which the endpoint is polled for its report.
 POLL_SECONDS = 0.03
+# Pause before a request without an answer is repeated.
+REPEAT_SECONDS = 0.2
 # Longest wait for a report: one round trip, and at a busy endpoint the time of
 # some statements.
 REPORT_TIMEOUT_SECONDS = 0.3
@@ -70,6 +72,7 @@
             if not await self._log.record_request(self._group.name, endpoint):
                 break
             is_repeated = True
+            await asyncio.sleep(REPEAT_SECONDS)
             accepted = await self._request(endpoint)
         log.info(
             "promotion requested",
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -128,21 +128,17 @@
     async def _complete(
         self, chosen: str, replaced: endpoint_states.EndpointState | None
     ) -> bool:
-        """Request the recorded promotion and lift the fences accordingly.
-
-        While the promotion may still take effect, its endpoint alone may
-        receive writes: any other could hold one that it lacks.
+        """Request the recorded promotion and lift the fences.
 
         :returns: whether it has taken effect
         """
         has_effect = await self._requests.run(chosen, self._fenced.values())
         if has_effect:
             await self._finish(chosen, replaced)
-        elif has_effect is None:
-            await self._unfence(only=chosen)
         else:
+            if has_effect is False:
+                await self._log.record_end(self._group.name, is_refused=True)
             await self._unfence()
-            await self._log.record_end(self._group.name, is_refused=True)
         return bool(has_effect)
 
     async def switch_over(
@@ -327,18 +323,18 @@
         await self._unfence()
         await self._log.record_end(group.name)
 
-    async def _unfence(self, only: str = "") -> None:
+    async def _unfence(self) -> None:
         """Lift the fences that this takeover set.
 
-        Without the lease, that is left to the next driver.
-
-        :param only: endpoint whose fence alone is lifted, empty for all
+        While a promotion may still take effect, its endpoint alone may
+        receive writes: any other could hold one that it lacks. Without the
+        lease, all is left to the next driver.
         """
         is_lifted = self._holds_lease()
         concerned = {
             name: report
             for name, report in self._fenced.items()
-            if only in ("", name) or not is_lifted
+            if not is_lifted or self._group.pending_promotion in ("", name)
         }
         log.info(
             "fences lifted" if is_lifted else "fences left in place",
--- a/tests/platform/standins/writers.py
+++ b/tests/platform/standins/writers.py
@@ -18,7 +18,7 @@
 
     def __init__(self, world: worlds.World, group: wire_group.Group) -> None:
         self.acknowledged: dict[str, float] = {}
-        self._world = world
+        self.world = world
         self._group = group
         self._numbers = itertools.count()
         self._tasks: list[asyncio.Task[None]] = []
@@ -38,7 +38,7 @@
     async def _run(self, number: int) -> None:
         while True:
             try:
-                client = await self._world.connect(
+                client = await self.world.connect(
                     "primary", self._group.name, number
                 )
                 while await self._write(client):
--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -184,3 +184,63 @@
     await asyncio.gather(writing, return_exceptions=True)
     end_former_primaries(group)
     await check_kept(writers)
+
+
+async def wait_given_up(group, writers, delay, back=0.5):
+    """Request a promotion that is late until its driver stops waiting.
+
+    The primary is back, and one replica stays fenced.
+
+    :param delay: seconds until the promotion takes effect
+    :returns: the former primary and the endpoint that will be promoted
+    """
+    world = writers.world
+    primary = group.primary
+    world.store.faults.promotion_delays = [delay]
+    primary.faults.dark = True
+    chosen = await wait_requested(world)
+    chosen.faults.deaf = True
+    await asyncio.sleep(back)
+    primary.faults.dark = False
+    await asyncio.sleep(3.3 - back)
+    return primary, chosen
+
+
+async def test_a_takeover_that_chooses_nobody_lifts_no_fence_meanwhile(
+    group, writers
+):
+    """Guards against LOST: a second takeover ends an earlier one's fence.
+
+    The endpoint whose promotion is pending is too busy for a fence, so the
+    second takeover requests none. The other replica confirms writes then.
+    """
+    primary, chosen = await wait_given_up(group, writers, 9.0)
+    chosen.faults.refuse_fences = True
+    primary.faults.dark = True
+    await asyncio.sleep(2.5)
+    primary.faults.dark = chosen.faults.refuse_fences = False
+    await wait_promoted(group, chosen, 8.0)
+    await writers.close()
+    assert writers.list_lost() == []
+
+
+async def test_a_refused_repetition_lifts_no_fence_meanwhile(
+    world, group, writers
+):
+    """Guards against LOST: the earlier request has not been refused.
+
+    A second takeover requests the pending promotion again and is refused.
+    """
+    primary, chosen = await wait_given_up(group, writers, 9.0)
+    (other,) = set(group.endpoints.values()) - {primary, chosen}
+    world.store.faults.promotion_status = 409
+    primary.faults.dark = True
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 3.0
+    while other.pause_term and loop.time() < until:
+        await asyncio.sleep(0.001)
+    primary.faults.dark = False
+    world.store.faults.promotion_status = 0
+    await wait_promoted(group, chosen, 8.0)
+    await writers.close()
+    assert writers.list_lost() == []
