Leave writes in doubt that a later primary may lack

Callers would see acknowledged writes missing: a promotion lifts the fences of all replicas. One that does not reach the new primary follows the former one again and, as a recorded member, confirmed its writes. Daemons that do not reach the new primary either know nothing of its term.

Once a member was seen to hold a write, each endpoint that was not has to report that it still follows the write's term: none of them led a later one by then. If one does not respond, or a member is absent, the record is read: it names the promotion that may take effect, and now also the highest term whose primary was replaced. While the record is needed but can't be read, writes are refused before they are sent.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
@@ -23,6 +23,7 @@
     :ivar groups: groups by name
     :ivar table: routes in force
     :ivar endpoints_loaded: the registry has been read at least once
+    :ivar record_reader: reads the groups' records, None without a store
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self.groups: dict[str, groups.Group] = {}
         self.table = EMPTY_TABLE
         self.endpoints_loaded = False
+        self.record_reader: ports.RecordReader | None = None
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
@@ -145,6 +147,7 @@
             group = self.groups[name] = groups.Group(
                 name, self._dialer, self._options, self._clock
             )
+            group.replication.record_reader = self.record_reader
         return group
 
     def _apply_limits(self, group: groups.Group) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -163,10 +163,8 @@
     @property
     def term(self) -> int:
         """Highest term that an endpoint reported."""
-        return max(
-            (e.report.term for e in self.endpoints.values() if e.report),
-            default=0,
-        )
+        reports = (e.report for e in self.endpoints.values() if e.report)
+        return promotion.find_next_term(reports) - 1
 
     @property
     def followed_term(self) -> int:
@@ -174,15 +172,8 @@
 
         The term of a fence does not count: nobody leads it yet.
         """
-        return max(
-            (
-                e.report.followed
-                if e.report.role is Role.FENCED
-                else e.report.term
-                for e in self.endpoints.values()
-                if e.report
-            ),
-            default=0,
+        return promotion.find_followed_term(
+            e.report for e in self.endpoints.values() if e.report
         )
 
     @property
@@ -231,10 +222,7 @@
         return answering < min(self.count_confirming(), len(self.endpoints))
 
     def has_unresponsive_endpoint(self, now: float) -> bool:
-        """Return whether an endpoint has been unresponsive for a while.
-
-        The time is the option ``suspect_after``.
-        """
+        """Return whether an endpoint is unresponsive for ``suspect_after``."""
         return any(
             endpoint.measure_unanswered(now) > self.options.suspect_after
             for endpoint in self.endpoints.values()
@@ -327,6 +315,7 @@
         ):
             self.events.record_term(report, known)
             self.notify()
+        self.replication.check_waiters()
 
     def _record_replication(
         self, report: messages.Report, requested_at: float
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -44,7 +44,7 @@
 MALFORMED_SECONDS = group_members.MISSING_SECONDS
 
 
-class MemberRecords(ports.PromotionLog):
+class MemberRecords(ports.PromotionLog, ports.RecordReader):
     """Reads the records for this daemon and keeps them up to date."""
 
     def __init__(
@@ -229,12 +229,19 @@
         """Write a record; return False if it has changed meanwhile."""
         wanted = group.members.make_record()
         written = await self._store.write(
-            group.name, member_store.StoredMembers(wanted, stored.revision)
+            group.name,
+            member_store.StoredMembers(
+                wanted,
+                stored.revision,
+                replaced_term=group.promotions.find_replaced_term(
+                    time.monotonic()
+                ),
+            ),
         )
         if written is None:
             return False
         self._revisions[group.name] = written.revision
-        group.promotions.put(None, time.monotonic())
+        group.promotions.put(None, time.monotonic(), written.replaced_term)
         log.info(
             "members recorded",
             group=group.name,
@@ -263,7 +270,7 @@
                 group.members.apply_record((), now)
             return True
         group.members.apply_record(stored.members, now)
-        group.promotions.put(stored.pending, now)
+        group.promotions.put(stored.pending, now, stored.replaced_term)
         return True
 
     # Promotions
@@ -277,6 +284,7 @@
         :returns: False when it was not recorded
         """
         known = self._directory.groups[group]
+        chosen = known.endpoints.get(endpoint)
         earlier = known.promotions.find(time.monotonic())
         wanted = member_store.StoredMembers(
             known.members.recorded,
@@ -285,8 +293,10 @@
                 endpoint,
                 known.followed_term,
                 secrets.token_hex(4),
+                started_at=chosen.entry.started_at if chosen else 0,
                 repeated=earlier is not None and earlier.endpoint == endpoint,
             ),
+            known.promotions.find_replaced_term(time.monotonic()),
         )
         try:
             written = await self._write_pending(known, wanted)
@@ -325,7 +335,9 @@
         if written is None:
             return False
         self._revisions[group.name] = written.revision
-        group.promotions.put(wanted.pending, time.monotonic())
+        group.promotions.put(
+            wanted.pending, time.monotonic(), wanted.replaced_term
+        )
         return True
 
     async def record_end(self, group: str, is_refused: bool = False) -> None:
@@ -343,7 +355,9 @@
                 return
             known.promotions.put(None, now)
         wanted = member_store.StoredMembers(
-            known.members.recorded, self._revisions.get(group)
+            known.members.recorded,
+            self._revisions.get(group),
+            replaced_term=known.promotions.find_replaced_term(now),
         )
         try:
             await self._write_pending(known, wanted)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_store.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_store.py
@@ -15,11 +15,13 @@
     :ivar members: None if the record is malformed
     :ivar revision: None when there is no record yet
     :ivar pending: promotion that may still take effect
+    :ivar replaced_term: highest term whose primary may have been replaced
     """
 
     members: frozenset[group_members.Member] | None
     revision: int | None
     pending: pending_promotions.PendingPromotion | None = None
+    replaced_term: int = 0
 
 
 NO_RECORD = StoredMembers(frozenset(), None)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -72,6 +72,7 @@
         self._records = member_records.MemberRecords(
             record_store, self.directory, registry, random.Random()
         )
+        self.directory.record_reader = self._records
         self._monitor = monitor.Monitor(
             self.directory,
             promoter,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -6,6 +6,9 @@
 from fescuestile import promotion
 from fescuestile_daemon.relay import messages
 
+if typing.TYPE_CHECKING:
+    from fescuestile_daemon.relay import groups
+
 
 class EndpointConnection(abc.ABC):
     """A connection to an endpoint; commands run in order.
@@ -123,6 +126,18 @@
         """
 
 
+class RecordReader(abc.ABC):
+    """Reads the record of a group's members."""
+
+    @abc.abstractmethod
+    async def load(self, group: "groups.Group") -> bool:
+        """Read the record of a group and apply it to the group.
+
+        :returns: False when the store did not answer, or nothing can be
+            decided on the record
+        """
+
+
 class Registry(abc.ABC):
     """The registry of endpoints, of which each daemon keeps a copy."""
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -1,12 +1,15 @@
-"""Checks that a recorded member holds a write before it is acknowledged.
+"""Checks that no takeover loses a write before it is acknowledged.
 
-A takeover stops the members that the record of a group names. A primary that
-its driver does not reach may go on with a replica that nobody has recorded
-yet: what only these two hold is lost with the takeover.
+A takeover stops the members that the record of a group names, and promotes
+the longest of their logs. In two cases a primary acknowledges a write that is
+lost: a replica that nobody has recorded yet receives it, or one whose fence a
+promotion has lifted before it learns the new term. So a recorded member has to
+hold the write, and then no other endpoint may be a later primary.
 """
 
 import asyncio
 import dataclasses
+import math
 import time
 import typing
 
@@ -14,40 +17,55 @@
 from fescuestile import positions
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import ports
 
 if typing.TYPE_CHECKING:
     from fescuestile_daemon.relay import groups
 
-# Pause before members that did not hold a write are queried again.
+# Pause before endpoints that did not settle a write are queried again.
 POLL_SECONDS = 0.02
+# Shortest interval between two readings of the record.
+READ_INTERVAL_SECONDS = 0.1
+# A write that a member holds is settled by reports within this time, or else
+# by the record.
+REPORT_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Waiter:
-    """A write that waits until a member holds it.
+    """A write that waits until nothing can lose it.
 
     :ivar primary: endpoint that acknowledged it
-    :ivar missed: whether a member was queried for it without finding it
+    :ivar held_at: monotonic seconds at which a member was first seen to hold
+        it, infinite before
+    :ivar missed: whether endpoints were queried for it in vain
     """
 
     primary: str
     position: positions.Position
-    found: asyncio.Future[None]
+    settled: asyncio.Future[None]
+    held_at: float = math.inf
     missed: bool = False
 
 
 class ReplicationChecks:
-    """Queries of one group's members for the writes that wait.
+    """Queries of one group's endpoints for the writes that wait.
 
     Writes that wait at the same time share the queries.
+
+    :ivar record_reader: reads the group's record, None without a store
     """
 
     def __init__(self, group: "groups.Group") -> None:
         """Start without queries."""
+        self.record_reader: ports.RecordReader | None = None
         self._group = group
         self._waiters: set[_Waiter] = set()
         self._queries: dict[str, asyncio.Task[None]] = {}
+        self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        # Monotonic seconds at which the latest readings began.
+        self._read_at = self._unread_at = -math.inf
 
     def list_members(
         self, primary: str
@@ -56,59 +74,70 @@
 
         An endpoint that has started again since the record was written is
         another member.
-
-        :returns: those that respond best first
         """
         group = self._group
         recorded = group.members.recorded or frozenset()
-        members = [
+        return [
             endpoint
             for endpoint in group.endpoints.values()
             if endpoint.name != primary
             and group_members.Member(endpoint.name, endpoint.entry.started_at)
             in recorded
         ]
-        return sorted(
-            members,
-            key=lambda endpoint: (
-                endpoint.estimate_failures(),
-                not endpoint.pool.has_idle,
-            ),
-        )
 
     def is_possible(self, primary: str) -> bool:
-        """Return whether a member that could hold a write responds."""
-        if not self._group.replicated:
+        """Return whether a write could be acknowledged now."""
+        group = self._group
+        if not group.replicated:
             return True
-        now = time.monotonic()
-        return any(
-            endpoint.has_answered
-            and endpoint.measure_unanswered(now)
+        members = self.list_members(primary)
+        if not any(self._responds(member) for member in members):
+            return False
+        pending = group.endpoints.get(group.pending_promotion)
+        if pending is not None and pending.name != primary:
+            return self._responds(pending)
+        if not self._needs_record(primary) or self._read_at >= self._unread_at:
+            return True
+        self._read_record()
+        return False
+
+    def _responds(self, endpoint: endpoint_states.EndpointState) -> bool:
+        return endpoint.has_answered and (
+            endpoint.measure_unanswered(time.monotonic())
             < self._group.options.isolated_after
-            for endpoint in self.list_members(primary)
+        )
+
+    def _needs_record(self, primary: str) -> bool:
+        """Return whether an endpoint that may lead does not respond."""
+        return self._group.members.absent > 0 or not all(
+            self._responds(endpoint)
+            for endpoint in self._group.endpoints.values()
+            if endpoint.name != primary
         )
 
     async def wait_replicated(
         self, primary: str, position: positions.Position, deadline: float
     ) -> bool:
-        """Wait until a member other than the primary holds a write.
+        """Wait until no takeover can lose a write.
 
         :param primary: endpoint that acknowledged the write
         :param position: end of its log after the write
         :param deadline: monotonic seconds
-        :returns: False if none was seen to hold it in time
+        :returns: False if that was not seen in time
         """
-        if not self._group.replicated or self._is_held(primary, position):
+        if not self._group.replicated:
             return True
         waiter = _Waiter(
             primary, position, asyncio.get_running_loop().create_future()
         )
+        if self._is_settled(waiter):
+            return True
         self._waiters.add(waiter)
         if self._task is None or self._task.done():
-            self._task = asyncio.create_task(self._query_members())
+            self._task = asyncio.create_task(self._query_endpoints())
         try:
             async with asyncio.timeout(max(deadline - time.monotonic(), 0.0)):
-                await waiter.found
+                await waiter.settled
         except TimeoutError:
             return False
         finally:
@@ -128,43 +157,82 @@
         position: positions.Position | None,
     ) -> None:
         """Record that an endpoint's log holds a position."""
-        if position is None or position <= endpoint.held:
-            return
-        endpoint.held = position
+        if position is not None and position > endpoint.held:
+            endpoint.held = position
+            self.check_waiters()
+
+    def check_waiters(self) -> None:
+        """Wake the writes that have been settled."""
         for waiter in self._waiters:
-            if not waiter.found.done() and self._is_held(
-                waiter.primary, waiter.position
-            ):
-                waiter.found.set_result(None)
+            if not waiter.settled.done() and self._is_settled(waiter):
+                waiter.settled.set_result(None)
 
-    def _is_held(self, primary: str, position: positions.Position) -> bool:
-        """Return whether a member was seen to hold a position.
+    def _is_settled(self, waiter: _Waiter) -> bool:
+        """Return whether no takeover can lose a write.
 
-        The log of a later term may lack the end of an earlier one. Once a
-        later primary is known, it may also lack what a replica received from
-        the former one since then.
+        All that was promoted before a member held the write is known to be
+        none: each endpoint that lacks it has reported since then that it
+        follows the write's term, or the record has been read since then.
         """
-        return self._group.followed_term <= position.term and any(
-            endpoint.held.term == position.term
-            and endpoint.held.index >= position.index
-            for endpoint in self.list_members(primary)
+        group = self._group
+        if group.followed_term > waiter.position.term or not any(
+            _holds(member, waiter.position)
+            for member in self.list_members(waiter.primary)
+        ):
+            return False
+        waiter.held_at = min(waiter.held_at, time.monotonic())
+        if not group.members.absent and not self._list_unsure(waiter):
+            return True
+        return self._read_at >= waiter.held_at and self._allows(
+            waiter.position
         )
 
+    def _allows(self, position: positions.Position) -> bool:
+        """Return whether no promotion in the record can lose a write."""
+        tracker = self._group.promotions
+        if tracker.find_replaced_term(time.monotonic()) >= position.term:
+            return False
+        pending = self._group.pending_promotion
+        endpoint = self._group.endpoints.get(pending)
+        return not pending or (
+            endpoint is not None and _holds(endpoint, position)
+        )
+
+    def _list_unsure(
+        self, waiter: _Waiter
+    ) -> list[endpoint_states.EndpointState]:
+        """Return the endpoints that may lead a later term without a write."""
+        return [
+            endpoint
+            for endpoint in self._group.endpoints.values()
+            if endpoint.name != waiter.primary
+            and not _holds(endpoint, waiter.position)
+            and (
+                endpoint.report is None
+                or endpoint.reported_at < waiter.held_at
+            )
+        ]
+
     def _list_waiting(self) -> list[_Waiter]:
-        return [each for each in self._waiters if not each.found.done()]
+        return [each for each in self._waiters if not each.settled.done()]
 
-    async def _query_members(self) -> None:
-        """Query one member first, and all if it lacks a write."""
+    async def _query_endpoints(self) -> None:
+        """Query the endpoints, and the record if some do not respond."""
         while waiting := self._list_waiting():
             has_missed = any(waiter.missed for waiter in waiting)
-            members = self.list_members(waiting[0].primary)
-            for endpoint in members if has_missed else members[:1]:
-                self._query(endpoint)
             for waiter in waiting:
+                for endpoint in self._list_unsure(waiter):
+                    self._query(endpoint)
+                held_seconds = time.monotonic() - waiter.held_at
+                if held_seconds > REPORT_SECONDS or (
+                    held_seconds >= 0 and self._needs_record(waiter.primary)
+                ):
+                    self._read_record()
                 waiter.missed = True
-            if self._queries:
+            pending = {*self._queries.values(), *self._list_reading()}
+            if pending:
                 await asyncio.wait(
-                    self._queries.values(),
+                    pending,
                     timeout=self._group.options.second_replica_delay,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
@@ -186,9 +254,41 @@
             endpoint, messages.Inspect(), self._group.options.inspect_timeout
         )
 
+    def _list_reading(self) -> list[asyncio.Task[None]]:
+        reading = self._reading
+        return [] if reading is None or reading.done() else [reading]
+
+    def _read_record(self) -> None:
+        latest = max(self._read_at, self._unread_at)
+        if not self._list_reading() and (
+            time.monotonic() - latest > READ_INTERVAL_SECONDS
+        ):
+            self._reading = asyncio.create_task(self._load())
+
+    async def _load(self) -> None:
+        began_at = time.monotonic()
+        reader = self.record_reader
+        if reader is not None and await reader.load(self._group):
+            self._read_at = began_at
+            self.check_waiters()
+        else:
+            self._unread_at = began_at
+
     def close(self) -> None:
         """Cancel the queries."""
-        if self._task is not None:
-            self._task.cancel()
-        for task in list(self._queries.values()):
-            task.cancel()
+        for task in (self._task, self._reading, *self._queries.values()):
+            if task is not None:
+                task.cancel()
+
+
+def _holds(
+    endpoint: endpoint_states.EndpointState, position: positions.Position
+) -> bool:
+    """Return whether an endpoint was seen to hold a position.
+
+    The log of a later term may lack the end of an earlier one.
+    """
+    return (
+        endpoint.held.term == position.term
+        and endpoint.held.index >= position.index
+    )
--- a/packages/fescuestile/src/fescuestile/pending_promotions.py
+++ b/packages/fescuestile/src/fescuestile/pending_promotions.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 # A request that has had no effect for this time is taken to have none.
 PENDING_SECONDS = 12.0
@@ -18,33 +19,51 @@
     :ivar endpoint: name of the endpoint to promote
     :ivar term: highest term that was known before the request
     :ivar id: unique to each request
+    :ivar started_at: Unix milliseconds of the endpoint's start
     :ivar repeated: whether an earlier request may take effect, too
     """
 
     endpoint: str
     term: int
     id: str
+    started_at: int = 0
     repeated: bool = False
 
 
 class PromotionTracker:
-    """The pending promotion of one group, as one daemon knows it."""
+    """The promotions of one group, as one daemon knows them.
+
+    :ivar replaced_term: highest term in the record whose primary a promotion
+        has replaced, or may have
+    """
 
     def __init__(self) -> None:
         """Start without one."""
+        self.replaced_term = 0
         self._pending: PendingPromotion | None = None
         self._seen_at = 0.0
         self._led: tuple[str, int] = ("", 0)
 
-    def put(self, pending: PendingPromotion | None, now: float) -> None:
+    def put(
+        self,
+        pending: PendingPromotion | None,
+        now: float,
+        replaced_term: int = 0,
+    ) -> None:
         """Apply what the record holds.
 
         :param now: monotonic seconds
+        :param replaced_term: as the record has it
         """
+        self.replaced_term = max(self.replaced_term, replaced_term)
         if pending is not None and pending != self._pending:
             self._seen_at = now
         self._pending = pending
 
+    def end(self) -> None:
+        """Record that the run of the endpoint has ended."""
+        self._seen_at = -math.inf
+
     def record_primary(self, endpoint: str, term: int) -> None:
         """Record that an endpoint reported to lead a term."""
         if term > self._led[1]:
@@ -57,6 +76,15 @@
         """
         return self._pending is not None and self.find(now) is None
 
+    def find_replaced_term(self, now: float) -> int:
+        """Return the term of the record once what is over has left it.
+
+        :param now: monotonic seconds
+        """
+        if self._pending is None or not self.is_over(now):
+            return self.replaced_term
+        return max(self.replaced_term, self._pending.term)
+
     def find(self, now: float) -> PendingPromotion | None:
         """Return the promotion that may still take effect, if there is one.
 
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -199,6 +199,20 @@
     return max((report.term for report in reports), default=0) + 1
 
 
+def find_followed_term(reports: typing.Iterable[Report]) -> int:
+    """Return the highest term that an endpoint leads or follows.
+
+    The term of a fence does not count: nobody leads it yet.
+    """
+    return max(
+        (
+            report.followed if report.role is Role.FENCED else report.term
+            for report in reports
+        ),
+        default=0,
+    )
+
+
 def find_primary(reports: typing.Iterable[Report]) -> Report | None:
     """Return the report of the primary with the highest term, if any."""
     primaries = [r for r in reports if r.role is Role.PRIMARY]
--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -244,3 +244,26 @@
     await wait_promoted(group, chosen, 8.0)
     await writers.close()
     assert writers.list_lost() == []
+
+
+async def test_no_write_is_confirmed_beside_a_primary_out_of_reach(
+    group, writers
+):
+    """Guards against LOST: the promotion has lifted the replica's fence.
+
+    The promoted endpoint is cut off just before it leads. The former primary
+    is back, and the replica that has not learned the new term follows it.
+    """
+    group.promotion_delay_seconds = 1.0
+    primary = group.primary
+    primary.faults.dark = True
+    chosen = await wait_requested(writers.world)
+    await asyncio.sleep(0.8)
+    chosen.faults.dark = True
+    await asyncio.sleep(0.5)
+    primary.faults.dark = False
+    await asyncio.sleep(3.0)
+    chosen.faults.dark = False
+    await writers.close()
+    assert group.primary is chosen
+    assert writers.list_lost() == []
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -6,7 +6,9 @@
 import pytest
 
 from fescuestile import endpoint_messages
+from fescuestile import pending_promotions
 from fescuestile import positions
+from fescuestile_daemon.relay import ports
 from tests import member_stores
 from tests import monitored_groups
 
@@ -31,12 +33,93 @@
     )
 
 
-async def test_a_member_that_holds_the_write_confirms_it(group):
-    add_report(group, "r1", 5)
+class Reader(ports.RecordReader):
+    """Answers at once.
+
+    :ivar readable: whether the record can be read
+    """
+
+    def __init__(self, readable):
+        self.readable = readable
+
+    async def load(self, group):
+        return self.readable
+
+
+def lose(group, name):
+    """Let an endpoint leave requests unanswered for a second."""
+    group.endpoints[name].unanswered_since = time.monotonic() - 1.0
+
+
+async def test_a_write_that_all_members_hold_is_confirmed(group):
+    add_report(group, "r1", 7)
     add_report(group, "r2", 6)
     assert await wait(group)
 
 
+async def test_a_member_that_lacks_it_has_to_follow_the_term_still(group):
+    """Guards against LOST: the other member may lead a later term."""
+    add_report(group, "r1", 5)
+    add_report(group, "r2", 6)
+    assert not await wait(group)
+    task = asyncio.create_task(wait(group, 5.0))
+    await asyncio.sleep(0.03)
+    assert not task.done()
+    add_report(group, "r1", 5)
+    assert await task
+
+
+@pytest.mark.parametrize("readable", [True, False])
+async def test_the_record_decides_if_a_member_does_not_respond(
+    group, readable
+):
+    """Guards against LOST: that member may lead a later term."""
+    group.replication.record_reader = Reader(readable)
+    lose(group, "r1")
+    add_report(group, "r2", 6)
+    assert await wait(group, 0.3) is readable
+
+
+async def test_the_record_decides_if_a_member_is_absent(group):
+    group.replication.record_reader = Reader(True)
+    group.remove_endpoint("r1")
+    add_report(group, "r2", 6)
+    assert await wait(group, 0.3)
+
+
+async def test_a_pending_promotion_in_the_record_leaves_it_in_doubt(group):
+    group.replication.record_reader = Reader(True)
+    group.promotions.put(
+        pending_promotions.PendingPromotion("r1", 1, "x"), time.monotonic()
+    )
+    lose(group, "r1")
+    add_report(group, "r2", 6)
+    assert not await wait(group, 0.3)
+
+
+async def test_a_replaced_term_in_the_record_leaves_it_in_doubt(group):
+    group.replication.record_reader = Reader(True)
+    group.promotions.put(None, time.monotonic(), replaced_term=1)
+    lose(group, "r1")
+    add_report(group, "r2", 6)
+    assert not await wait(group, 0.3)
+
+
+async def test_writes_are_refused_while_a_needed_record_is_unreadable(group):
+    """Guards against writes that can only end in doubt."""
+    group.replication.record_reader = reader = Reader(False)
+    lose(group, "r1")
+    add_report(group, "r2", 6)
+    assert group.replication.is_possible("p")
+    assert not await wait(group, 0.3)
+    assert not group.replication.is_possible("p")
+    reader.readable = True
+    await asyncio.sleep(0.15)
+    group.replication.is_possible("p")
+    await asyncio.sleep(0.01)
+    assert group.replication.is_possible("p")
+
+
 async def test_a_member_that_lacks_the_write_does_not(group):
     add_report(group, "r1", 5)
     assert not await wait(group)
@@ -50,6 +133,7 @@
 async def test_a_report_that_arrives_meanwhile_confirms_it(group):
     task = asyncio.create_task(wait(group, 5.0))
     await asyncio.sleep(0.03)
+    add_report(group, "r1", 7)
     add_report(group, "r2", 7)
     assert await task
 
@@ -97,5 +181,5 @@
 async def test_writes_wait_for_no_member_that_does_not_respond(group):
     assert group.replication.is_possible("p")
     for name in ("r1", "r2"):
-        group.endpoints[name].unanswered_since = time.monotonic() - 1.0
+        lose(group, name)
     assert not group.replication.is_possible("p")
