End a pending promotion with the run of its endpoint

The chosen endpoint was lost right after its promotion was accepted, and no other may be promoted for 12 s from when each daemon first sees the request.

A request can have no effect on an endpoint whose run has ended: its entry is gone, or names another start, connections are refused, or another endpoint answers at its address. The record names the start now.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -149,6 +149,17 @@
             and (self.refused_since is not None or self.is_displaced)
         )
 
+    def has_ended(self, started_at: int) -> bool:
+        """Return whether a run of it has ended.
+
+        :param started_at: Unix milliseconds of the start of that run
+        """
+        return (
+            self.entry.started_at != started_at
+            or self.refused_since is not None
+            or self.is_displaced
+        )
+
     def refuse_late_work(self) -> None:
         """Refuse the work that waits for it once it accepts none."""
         accepted_work = self.pool.accepts_work
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -180,7 +180,17 @@
     def pending_promotion(self) -> str:
         """Endpoint whose promotion may still take effect, empty for none."""
         pending = self.promotions.find(time.monotonic())
-        return pending.endpoint if pending else ""
+        if pending is None:
+            return ""
+        endpoint = self.endpoints.get(pending.endpoint)
+        has_ended = (
+            self.members.is_settled(time.monotonic())
+            if endpoint is None
+            else endpoint.has_ended(pending.started_at)
+        )
+        if has_ended:
+            self.promotions.end()
+        return "" if has_ended else pending.endpoint
 
     def find_primary(self) -> endpoint_states.EndpointState | None:
         """Return the primary by the reports, or else by the registry."""
--- a/tests/unit/test_pending_promotions.py
+++ b/tests/unit/test_pending_promotions.py
@@ -11,6 +11,7 @@
 from fescuestile import plans
 from fescuestile import promotion
 from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
 from tests import builders
@@ -18,7 +19,7 @@
 from tests import monitored_groups
 
 Role = endpoint_messages.Role
-PENDING = pending_promotions.PendingPromotion("r1", 3, "x")
+PENDING = pending_promotions.PendingPromotion("r1", 3, "x", 0)
 LATER = pending_promotions.PENDING_SECONDS + 0.1
 
 
@@ -205,3 +206,38 @@
     group.promotions.put(PENDING, time.monotonic())
     left = [e.name for e in monitor._list_left_fenced(group)]
     assert left == ["r1"]
+
+
+def displace(group):
+    outcome = messages.Outcome(messages.Kind.WRONG_ENDPOINT)
+    group.endpoints["r1"].record_connection_result(outcome)
+
+
+def refuse(group):
+    outcome = messages.Outcome(messages.Kind.LOST, connection_refused=True)
+    group.endpoints["r1"].record_connection_result(outcome)
+
+
+def restart(group):
+    entry = monitored_groups.make_entry("r1")
+    group.put_endpoint(dataclasses.replace(entry, started_at=7), 4)
+
+
+def vanish(group):
+    group.remove_endpoint("r1")
+
+
+@pytest.mark.parametrize("end", [displace, refuse, restart, vanish])
+async def test_a_promotion_of_an_endpoint_that_has_ended_is_over(
+    monkeypatch, end
+):
+    """Guards against groups that wait for a primary that is gone."""
+    group = monitored_groups.make_group()
+    group.promotions.put(PENDING, time.monotonic())
+    assert group.pending_promotion == "r1"
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now + 4.0)
+    assert group.pending_promotion == "r1"
+    end(group)
+    assert group.pending_promotion == ""
+    assert group.promotions.find_replaced_term(now + 4.0) == 3
