Answer current reads while replicas are fenced

A fenced endpoint counted as preparing a later term, so that too few followed the present one. It follows its primary's term until it learns another, which is what the check asks.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -168,6 +168,11 @@
         round_.log_ends[endpoint.name] = report.last
         round_.followed = max(round_.followed, report.followed)
         self._sample_replicas(round_)
+        if report.role is Role.FENCED:
+            # It follows its primary's term until it learns another.
+            report = dataclasses.replace(
+                report, role=Role.REPLICA, term=report.followed
+            )
         self._rounds.observe(round_.number, report)
         ticket = read_confirmation.ReadTicket(round_.number)
         if self.is_confirmed(ticket):
