Switch over to nobody while a promotion is pending

Callers would see acknowledged writes missing: a switchover to the endpoint of a pending promotion that did not catch up recorded the old primary over it, and the promotion was forgotten (found by the review; the added test failed).

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -166,10 +166,9 @@
         if not await self._confirm(primary):
             self._log_no_switchover(primary, target, "confirm", before.role)
             return False
-        if group.pending_promotion not in (
-            "",
-            target.name,
-        ) or not await self._log.record_request(group.name, target.name):
+        if group.pending_promotion or not await self._log.record_request(
+            group.name, target.name
+        ):
             self._log_no_switchover(primary, target, "record", before.role)
             return False
         final = await self._fence(primary, term, as_primary=True)
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -10,6 +10,7 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import group_members
+from fescuestile import pending_promotions
 from fescuestile import promotion
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
@@ -228,3 +229,29 @@
     line = (await replace_logged(world))["fences left in place"]
     assert (line["group"], line["term"], line["token"]) == ("g", 2, 1)
     assert line["fenced"].keys() == {"r1", "r2"}
+
+
+@pytest.mark.parametrize("is_fenced", [False, True])
+async def test_a_switchover_replaces_no_pending_promotion(world, is_fenced):
+    """Guards against LOST: the promotion of its target takes effect later.
+
+    The target does not catch up, so the old primary would be promoted again;
+    its record replaces that of the pending promotion.
+    """
+    await world.inspect_all()
+    world.group.promotions.put(
+        pending_promotions.PendingPromotion("r1", 1, "x"), time.monotonic()
+    )
+    world.endpoints["p"].log.append((1, 6))
+    world.endpoints["r2"].fence_term = 2 if is_fenced else 0
+    lease = await world.acquire()
+    replacement = takeover.Takeover(
+        world.group,
+        world,
+        fences.LocalLog(world.group),
+        lease,
+        clock.BootClock(),
+    )
+    endpoints = world.group.endpoints
+    await replacement.switch_over(endpoints["p"], endpoints["r1"])
+    assert "p" not in world.promoted
