Rest on no record that others may have changed

Callers would see acknowledged writes missing (found by the review, a failing test each): - a daemon without the registry for over 20 s confirmed writes by members that others had released (835 writes missing). After 15 s it confirms none; - after a lost answer a driver took the revision of a record that it read, but not its members, and recorded its next request over a member that had joined; - a missing record, or one older than known, ended a pending promotion.

The test of the long cut passes, as do those of the lost answer and the missing record.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -79,6 +79,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    @property
+    def heard_at(self) -> float:
+        """Monotonic seconds of the registry's latest answer."""
+        return self._registry.heard_at
+
     async def load(self, group: groups.Group) -> bool:
         """Read the record of a group again and apply it.
 
@@ -227,21 +232,21 @@
         self, group: groups.Group, stored: member_store.StoredMembers
     ) -> bool:
         """Write a record; return False if it has changed meanwhile."""
+        now = time.monotonic()
         wanted = group.members.make_record()
         written = await self._store.write(
             group.name,
             member_store.StoredMembers(
                 wanted,
                 stored.revision,
-                replaced_term=group.promotions.find_replaced_term(
-                    time.monotonic()
-                ),
+                group.promotions.find(now),
+                group.promotions.find_replaced_term(now),
             ),
         )
         if written is None:
             return False
         self._revisions[group.name] = written.revision
-        group.promotions.put(None, time.monotonic(), written.replaced_term)
+        group.promotions.put(written.pending, now, written.replaced_term)
         log.info(
             "members recorded",
             group=group.name,
@@ -255,6 +260,7 @@
     ) -> bool:
         """Apply a record; return whether it could be used."""
         now = time.monotonic()
+        before = self._revisions.get(group.name) or 0
         self._revisions[group.name] = stored.revision
         if stored.members is None:
             since = self._malformed_since.setdefault(group.name, now)
@@ -270,7 +276,9 @@
                 group.members.apply_record((), now)
             return True
         group.members.apply_record(stored.members, now)
-        group.promotions.put(stored.pending, now, stored.replaced_term)
+        if stored.pending is not None or stored.revision >= before:
+            # An older copy of the record does not end a promotion.
+            group.promotions.put(stored.pending, now, stored.replaced_term)
         return True
 
     # Promotions
@@ -330,7 +338,10 @@
         except errors.PlatformUnavailable:
             # The write may have been executed: read the record to find out.
             written = await self._store.read(group.name)
-            if written.pending != wanted.pending:
+            if (written.members, written.pending) != (
+                wanted.members,
+                wanted.pending,
+            ):
                 written = None
         if written is None:
             return False
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -1,6 +1,7 @@
 """Interfaces of the relay to endpoints, callers and the platform."""
 
 import abc
+import time
 import typing
 
 from fescuestile import promotion
@@ -129,6 +130,11 @@
 class RecordReader(abc.ABC):
     """Reads the record of a group's members."""
 
+    @property
+    def heard_at(self) -> float:
+        """Monotonic seconds at which the latest answered call began."""
+        return time.monotonic()
+
     @abc.abstractmethod
     async def load(self, group: "groups.Group") -> bool:
         """Read the record of a group and apply it to the group.
@@ -141,6 +147,11 @@
 class Registry(abc.ABC):
     """The registry of endpoints, of which each daemon keeps a copy."""
 
+    @property
+    def heard_at(self) -> float:
+        """Monotonic seconds at which the latest answered call began."""
+        return time.monotonic()
+
     @abc.abstractmethod
     async def refresh(self) -> bool:
         """Read the registry again and apply it.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -73,9 +73,15 @@
         """Return the members that may hold a write beside the primary.
 
         An endpoint that has started again since the record was written is
-        another member.
+        another member. After a long time without the registry others may have
+        released members that this daemon still knows.
         """
         group = self._group
+        reader = self.record_reader
+        if reader is not None and (
+            time.monotonic() - reader.heard_at > group_members.MISSING_SECONDS
+        ):
+            return []
         recorded = group.members.recorded or frozenset()
         return [
             endpoint
--- a/tests/unit/test_pending_promotions.py
+++ b/tests/unit/test_pending_promotions.py
@@ -241,3 +241,39 @@
     end(group)
     assert group.pending_promotion == ""
     assert group.promotions.find_replaced_term(now + 4.0) == 3
+
+
+async def test_an_end_without_an_answer_hides_no_member(world, monkeypatch):
+    """Guards against LOST: the next request drops a member off the record.
+
+    The end is recorded, but its answer is lost. Another daemon records a
+    member before the record is read again.
+    """
+    _, records = await world.make_daemon()
+    assert await records.record_request("g", "r1")
+    read = world.store.read
+
+    async def read_later(name):
+        world.store.put("g", member_stores.make_members("p", "r1", "r2", "r3"))
+        return await read(name)
+
+    world.store.fault = "lost"
+    with monkeypatch.context() as patch:
+        patch.setattr(world.store, "read", read_later)
+        await records.record_end("g", is_refused=True)
+    world.store.fault = ""
+    assert not await records.record_request("g", "r2")
+    assert world.store.find("g").members == member_stores.make_members(
+        "p", "r1", "r2", "r3"
+    )
+
+
+async def test_a_missing_record_ends_no_promotion(world, monkeypatch):
+    """Guards against LOST: the promotion that it named may take effect."""
+    group, records = await world.make_daemon()
+    assert await records.record_request("g", "r1")
+    del world.store.records["g"]
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now + 3.0)
+    await records.load(group)
+    assert group.pending_promotion == "r1"
