Report an unanswered promotion as in doubt

Operators read "not run" for a switchover whose target became primary a moment later. The driver gave up while its promotion was unanswered, or when a repetition was refused, and every end without a publication was reported as not run; the command, or a first copy of it, takes effect up to 5 s later.

An attempt that ends after its promotion was ordered now says so, and the switchover ends as unknown outcome. No write is lost by it: the order counts only under the term that its endpoint promised.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
@@ -113,7 +113,11 @@
         self, database: str, action: failover_steps.Abandon
     ) -> None:
         waiting = self._waiting.get(database)
-        if waiting is not None and not waiting.done():
+        if waiting is None or waiting.done():
+            return
+        if action.in_doubt:
+            waiting.set_result(_make_unknown(action.reason, database))
+        else:
             waiting.set_result(_make_not_run(action.reason, "target"))
 
     async def switch_over(
@@ -122,7 +126,8 @@
         """Attempt once to make the target primary.
 
         :returns: the new primary, which may be another endpoint with a longer
-            log; NotRun when nothing was changed; UnknownOutcome when the
+            log; NotRun when nobody was promoted; UnknownOutcome when a
+            promotion was ordered that may still take effect, or when the
             switchover did not finish in time
         """
         snapshot = self._group_snapshots.get(database)
@@ -156,12 +161,8 @@
             async with asyncio.timeout(SWITCHOVER_TIMEOUT_SECONDS):
                 return await future
         except TimeoutError:
-            return expression.Error(
-                errors.UnknownOutcome(
-                    message="the switchover did not finish in time",
-                    step=STEP_SWITCHOVER,
-                    peer=database,
-                )
+            return _make_unknown(
+                "the switchover did not finish in time", database
             )
         finally:
             del self._waiting[database]
@@ -224,6 +225,14 @@
     )
 
 
+def _make_unknown(message: str, database: str) -> SwitchoverResult:
+    return expression.Error(
+        errors.UnknownOutcome(
+            message=message, step=STEP_SWITCHOVER, peer=database
+        )
+    )
+
+
 def _read_reply(
     reply: expression.Result[typing.Any, errors.FescuestileError],
 ) -> SwitchoverResult:
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -290,7 +290,8 @@
         self, driver: steps.Driver, reason: str, now: float
     ) -> steps.Transition:
         """End the attempt; a failover is retried under a higher term."""
-        action = steps.Abandon(driver.term, reason)
+        in_doubt = driver.step is steps.Step.PROMOTING
+        action = steps.Abandon(driver.term, reason, in_doubt)
         if driver.target:
             return _reset_to_idle(driver), (action,)
         wait = RETRY_SECONDS + self._random.uniform(0, RETRY_SECONDS)
--- a/packages/fescuestile/src/fescuestile/failover_steps.py
+++ b/packages/fescuestile/src/fescuestile/failover_steps.py
@@ -187,10 +187,13 @@
     """Report that the attempt ended without a new primary.
 
     :ivar reason: why, for the log and the operator
+    :ivar in_doubt: a promotion was ordered and may have taken effect, or may
+        still do so
     """
 
     term: int
     reason: str
+    in_doubt: bool = False
 
 
 Action = SendFence | SendPromote | SendFollow | Publish | Abandon
