End a switchover by its own attempt alone

Operators read "not run" for a switchover that then went on: the end of an earlier failover attempt, reported while the request was on its way to the driver, ended the wait. Publications and abandoned attempts of the group's driver were matched by database alone.

They name the target of their switchover now, empty for a failover, and the wait ends by those of its own target; one switchover of a group waits at a time. A request that the driver refuses is answered under its target too.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
@@ -1,6 +1,7 @@
 """Planned switchovers, for operators and for leaving endpoints."""
 
 import asyncio
+import dataclasses
 import typing
 
 import expression
@@ -32,6 +33,14 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    """Switchover that was requested from the local driver."""
+
+    target: str
+    future: asyncio.Future[SwitchoverResult]
+
+
 class Switchovers:
     """Carries out switchovers, or requests them from a watching daemon.
 
@@ -51,7 +60,7 @@
         self._links = link_pool
         self._membership = membership
         self._tasks = tasks.TaskSet()
-        self._waiting: dict[str, asyncio.Future[SwitchoverResult]] = {}
+        self._waiting: dict[str, _Waiting] = {}
         runner.on_published.append(self._on_published)
         runner.on_abandoned.append(self._on_abandoned)
         link_pool.add_handler(
@@ -105,20 +114,29 @@
     def _on_published(
         self, database: str, action: failover_steps.Publish
     ) -> None:
-        waiting = self._waiting.get(database)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(expression.Ok(action))
+        self._finish(database, action.target, expression.Ok(action))
 
     def _on_abandoned(
         self, database: str, action: failover_steps.Abandon
     ) -> None:
-        waiting = self._waiting.get(database)
-        if waiting is None or waiting.done():
-            return
         if action.in_doubt:
-            waiting.set_result(_make_unknown(action.reason, database))
+            outcome = _make_unknown(action.reason, database)
         else:
-            waiting.set_result(_make_not_run(action.reason, "target"))
+            outcome = _make_not_run(action.reason, "target")
+        self._finish(database, action.target, outcome)
+
+    def _finish(
+        self, database: str, target: str, outcome: SwitchoverResult
+    ) -> None:
+        """End the wait for a switchover to a target.
+
+        The end of a failover may be reported while the request is under way.
+        """
+        waiting = self._waiting.get(database)
+        if waiting is None or waiting.target != target:
+            return
+        if not waiting.future.done():
+            waiting.future.set_result(outcome)
 
     async def switch_over(
         self, database: str, target: str
@@ -155,7 +173,7 @@
         future: asyncio.Future[SwitchoverResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiting[database] = future
+        self._waiting[database] = _Waiting(target, future)
         self._runner.request_switchover(database, target)
         try:
             async with asyncio.timeout(SWITCHOVER_TIMEOUT_SECONDS):
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -109,9 +109,10 @@
         now: float,
     ) -> steps.Transition:
         if driver.step not in (steps.Step.IDLE, steps.Step.WAITING):
-            return driver, (
-                steps.Abandon(driver.term, "a failover is under way"),
+            refusal = steps.Abandon(
+                driver.term, "a failover is under way", target=event.target
             )
+            return driver, (refusal,)
         return (
             dataclasses.replace(
                 driver,
@@ -237,7 +238,7 @@
         driver = dataclasses.replace(
             driver, step=steps.Step.FOLLOWING, started_at=now, sent_at=now
         )
-        published = steps.Publish(driver.term, driver.chosen)
+        published = steps.Publish(driver.term, driver.chosen, driver.target)
         return driver, (published, *self._list_commands(driver))
 
     def _on_follow_reply(
@@ -291,7 +292,7 @@
     ) -> steps.Transition:
         """End the attempt; a failover is retried under a higher term."""
         in_doubt = driver.step is steps.Step.PROMOTING
-        action = steps.Abandon(driver.term, reason, in_doubt)
+        action = steps.Abandon(driver.term, reason, in_doubt, driver.target)
         if driver.target:
             return _reset_to_idle(driver), (action,)
         wait = RETRY_SECONDS + self._random.uniform(0, RETRY_SECONDS)
--- a/packages/fescuestile/src/fescuestile/failover_steps.py
+++ b/packages/fescuestile/src/fescuestile/failover_steps.py
@@ -176,10 +176,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Publish:
-    """Announce the new primary to all daemons."""
+    """Announce the new primary to all daemons.
+
+    :ivar target: endpoint that a switchover requested, or empty
+    """
 
     term: int
     primary: str
+    target: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,11 +193,13 @@
     :ivar reason: why, for the log and the operator
     :ivar in_doubt: a promotion was ordered and may have taken effect, or may
         still do so
+    :ivar target: endpoint that a switchover requested, or empty
     """
 
     term: int
     reason: str
     in_doubt: bool = False
+    target: str = ""
 
 
 Action = SendFence | SendPromote | SendFollow | Publish | Abandon
