Test that an endpoint rejoins a group that has grown

An endpoint that lost its state asks the peers that its start named. After the group grew from three to five they may all miss an elected term: the endpoint then confirms under the old one.

--- a/tests/model_check/test_plan_changes.py
+++ b/tests/model_check/test_plan_changes.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from fescuestile_standins import rejoining
 from tests.model_check import explorer
 from tests.model_check import failover_parts
 from tests.model_check import plan_world
 
 Scope = failover_parts.Scope
+Build = failover_parts.Build
 LIMIT = 120_000
 
 
@@ -45,3 +47,29 @@
 def test_a_replacement_in_one_change_is_found_to_lose_writes():
     """Shows why a plan may not name another server in one change."""
     assert explore(Scope(writes=1, attempts=1), "abc", "abd").violation
+
+
+def may_rejoin_among_three(own, others, size):
+    """Ask as an endpoint that was started in the group of a, b and c."""
+    asked = [report for report in others if report.endpoint in "ab"]
+    return rejoining.may_rejoin(own, asked, 3)
+
+
+@pytest.mark.invariant_2
+@pytest.mark.parametrize(
+    ("group", "build"),
+    [
+        ("abcd", Build()),
+        ("abcd", Build(may_rejoin=may_rejoin_among_three)),
+        ("abcde", Build(may_rejoin=may_rejoin_among_three)),
+    ],
+    ids=("four", "four known as three", "five known as three"),
+)
+def test_an_endpoint_rejoins_a_grown_group(group, build):
+    """Guards against a term that nobody of the asked endpoints knows.
+
+    Endpoints ask the peers that their start named.
+    """
+    scope = Scope(writes=1, attempts=1, crashes=1, crashing=("c",))
+    result = explore(scope, group, build=build)
+    assert result.violation is None, result.trace
