--- a/tests/model_check/plan_world.py
+++ b/tests/model_check/plan_world.py
@@ -88,11 +88,14 @@
     scope: failover_parts.Scope,
     *groups: str,
     build: failover_parts.Build | None = None,
+    target: str = "",
 ) -> PlanWorld:
     """Return endpoints that hold the first entry of the first primary.
 
     :param groups: endpoints of each plan, in the order of the revisions
+    :param target: endpoint that a switchover prefers
     """
+    driver = failover_steps.Driver(DRIVER, highest=1, target=target)
     build = build or failover_parts.Build()
     names = sorted(set("".join(groups)))
     endpoints = {name: build.endpoint(name) for name in names}
@@ -105,7 +108,7 @@
         remaining=scope,
         rules=build.rules(revisions[0], random.Random(1)),
         endpoints=endpoints,
-        drivers={DRIVER: failover_steps.Driver(DRIVER, highest=1)},
+        drivers={DRIVER: driver},
         sends={DRIVER: frozenset()},
         trackers={},
         revisions=revisions,
--- a/tests/model_check/test_plan_changes.py
+++ b/tests/model_check/test_plan_changes.py
@@ -12,18 +12,24 @@
 LIMIT = 120_000
 
 
-def explore(scope, *groups, build=None):
-    world = plan_world.make_world(scope, *groups, build=build)
+ONE_CHANGE = [
+    ("ab", "abc"),
+    ("abc", "abcd"),
+    ("abc", "ab"),
+    ("abc", "bc"),
+    ("abcd", "abc"),
+    ("abcd", "bcd"),
+]
+
+
+def explore(scope, *groups, build=None, target=""):
+    world = plan_world.make_world(scope, *groups, build=build, target=target)
     return explorer.explore(world, LIMIT)
 
 
 @pytest.mark.invariant_2
 @pytest.mark.parametrize("avoids", [False, True])
-@pytest.mark.parametrize(
-    "groups",
-    [("ab", "abc"), ("abc", "abcd"), ("abc", "ab"), ("abcd", "abc")],
-    ids="-".join,
-)
+@pytest.mark.parametrize("groups", ONE_CHANGE, ids="-".join)
 def test_a_change_of_one_endpoint_loses_no_write(groups, avoids):
     """Guards against grants of endpoints that the plan no longer names."""
     result = explore(Scope(writes=1, attempts=1, avoids=avoids), *groups)
@@ -31,6 +37,16 @@
     assert result.states > 100
 
 
+@pytest.mark.invariant_2
+@pytest.mark.parametrize("groups", ONE_CHANGE, ids="-".join)
+def test_a_switchover_during_a_change_loses_no_write(groups):
+    """Guards against a target compared with logs outside the plan."""
+    target = groups[0][-1]
+    scope = Scope(writes=1, attempts=1)
+    result = explore(scope, *groups, target=target)
+    assert result.violation is None, result.trace
+
+
 @pytest.mark.invariant_2
 @pytest.mark.parametrize(
     "groups",
