--- a/tests/model_check/test_late_commands.py
+++ b/tests/model_check/test_late_commands.py
@@ -39,9 +39,18 @@
         return super().promote(term, driver, now)
 
 
+class BlankEndpoint(endpoint_state.EndpointState):
+    """Grants after it lost its state, like a new endpoint."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.role = Role.FENCED
+
+
 @pytest.mark.invariant_2
-def test_a_promotion_under_another_promise_is_found():
-    build = late_world.Build(endpoint=AnyPromiseEndpoint)
+@pytest.mark.parametrize("endpoint", [AnyPromiseEndpoint, BlankEndpoint])
+def test_an_endpoint_that_keeps_no_promise_is_found(endpoint):
+    build = late_world.Build(endpoint=endpoint)
     found = 0
     for seed in SEEDS:
         try:
