--- a/tests/model_check/test_plan_changes.py
+++ b/tests/model_check/test_plan_changes.py
@@ -2,26 +2,34 @@
 
 import pytest
 
+from fescuestile_standins import rejoining
 from tests.model_check import explorer
 from tests.model_check import failover_parts
 from tests.model_check import plan_world
 
 Scope = failover_parts.Scope
+Build = failover_parts.Build
 LIMIT = 120_000
 
 
-def explore(scope, *groups, build=None):
-    world = plan_world.make_world(scope, *groups, build=build)
+ONE_CHANGE = [
+    ("ab", "abc"),
+    ("abc", "abcd"),
+    ("abc", "ab"),
+    ("abc", "bc"),
+    ("abcd", "abc"),
+    ("abcd", "bcd"),
+]
+
+
+def explore(scope, *groups, build=None, target=""):
+    world = plan_world.make_world(scope, *groups, build=build, target=target)
     return explorer.explore(world, LIMIT)
 
 
 @pytest.mark.invariant_2
 @pytest.mark.parametrize("avoids", [False, True])
-@pytest.mark.parametrize(
-    "groups",
-    [("ab", "abc"), ("abc", "abcd"), ("abc", "ab"), ("abcd", "abc")],
-    ids="-".join,
-)
+@pytest.mark.parametrize("groups", ONE_CHANGE, ids="-".join)
 def test_a_change_of_one_endpoint_loses_no_write(groups, avoids):
     """Guards against grants of endpoints that the plan no longer names."""
     result = explore(Scope(writes=1, attempts=1, avoids=avoids), *groups)
@@ -29,6 +37,16 @@
     assert result.states > 100
 
 
+@pytest.mark.invariant_2
+@pytest.mark.parametrize("groups", ONE_CHANGE, ids="-".join)
+def test_a_switchover_during_a_change_loses_no_write(groups):
+    """Guards against a target compared with logs outside the plan."""
+    target = groups[0][-1]
+    scope = Scope(writes=1, attempts=1)
+    result = explore(scope, *groups, target=target)
+    assert result.violation is None, result.trace
+
+
 @pytest.mark.invariant_2
 @pytest.mark.parametrize(
     "groups",
@@ -45,3 +63,29 @@
 def test_a_replacement_in_one_change_is_found_to_lose_writes():
     """Shows why a plan may not name another server in one change."""
     assert explore(Scope(writes=1, attempts=1), "abc", "abd").violation
+
+
+def may_rejoin_among_three(own, others, size):
+    """Ask as an endpoint that was started in the group of a, b and c."""
+    asked = [report for report in others if report.endpoint in "ab"]
+    return rejoining.may_rejoin(own, asked, 3)
+
+
+@pytest.mark.invariant_2
+@pytest.mark.parametrize(
+    ("group", "build"),
+    [
+        ("abcd", Build()),
+        ("abcd", Build(may_rejoin=may_rejoin_among_three)),
+        ("abcde", Build(may_rejoin=may_rejoin_among_three)),
+    ],
+    ids=("four", "four known as three", "five known as three"),
+)
+def test_an_endpoint_rejoins_a_grown_group(group, build):
+    """Guards against a term that nobody of the asked endpoints knows.
+
+    Endpoints ask the peers that their start named.
+    """
+    scope = Scope(writes=1, attempts=1, crashes=1, crashing=("c",))
+    result = explore(scope, group, build=build)
+    assert result.violation is None, result.trace
