--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -334,13 +334,13 @@
         self, group: groups.Group, primary: endpoint_states.EndpointState
     ) -> endpoint_states.EndpointState | None:
         """Return the replica with the longest log, for a switchover."""
-        if group.pending_promotion:
-            return None
         now = time.monotonic()
+        pending = group.pending_promotion
         candidates = [
             endpoint
             for endpoint in group.list_candidates()
             if endpoint is not primary
+            and pending in ("", endpoint.name)
             and endpoint.report is not None
             and endpoint.report.role is Role.REPLICA
             and now - endpoint.reported_at < REPORT_VALID_SECONDS
@@ -453,8 +453,10 @@
             await self._unfence(group)
         elif reason is Reason.LEAVING and primary is not None:
             target = self._find_target(group, primary)
-            if target is not None:
-                await replacement.switch_over(primary, target)
+            if target is None or not await replacement.switch_over(
+                primary, target
+            ):
+                await asyncio.sleep(self._options.monitor_interval)
         else:
             replaced = await replacement.replace_failed(primary)
             group.clear_stall()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -166,9 +166,11 @@
         if not await self._confirm(primary):
             self._log_no_switchover(primary, target, "confirm", before.role)
             return False
-        if group.pending_promotion or not await self._log.record_request(
-            group.name, target.name
-        ):
+        pending = group.pending_promotion
+        if pending not in (
+            "",
+            target.name,
+        ) or not await self._log.record_request(group.name, target.name):
             self._log_no_switchover(primary, target, "record", before.role)
             return False
         final = await self._fence(primary, term, as_primary=True)
@@ -187,8 +189,9 @@
             position=str(final.last),
             caught_up=caught_up,
         )
-        is_recorded = caught_up or await self._log.record_request(
-            group.name, chosen
+        # Its own record would replace that of a pending promotion.
+        is_recorded = caught_up or (
+            not pending and await self._log.record_request(group.name, chosen)
         )
         has_effect = (
             await self._requests.run(chosen, self._fenced.values())
--- a/tests/platform/test_pending_service.py
+++ b/tests/platform/test_pending_service.py
@@ -64,3 +64,30 @@
     ends = [0.0, *served, 14.0]
     gap = max(later - former for former, later in itertools.pairwise(ends))
     assert gap < LEFT_FENCED_SECONDS, f"{gap=:.1f} {ends[1]=:.1f}"
+
+
+async def test_a_leaving_primary_is_replaced_while_a_promotion_is_pending(
+    world,
+):
+    """Guards against switchovers that are tried again and again in vain.
+
+    All endpoints respond, and the one whose promotion is pending receives
+    what the primary writes.
+    """
+    group = world.groups["g0"]
+    primary = group.primary
+    world.store.faults.promotion_delays = [60.0]
+    primary.faults.dark = True
+    async with asyncio.timeout(REQUEST_SECONDS):
+        while not world.store.promotion_requests:
+            await asyncio.sleep(0.002)
+    primary.faults.dark = False
+    await asyncio.sleep(4.0)
+    world.store.calls.clear()
+    world.store.register(primary, state="draining")
+    loop = asyncio.get_running_loop()
+    until = loop.time() + LEFT_FENCED_SECONDS
+    while loop.time() < until and group.primary is primary:
+        await asyncio.sleep(0.05)
+    writes = sum(method == "PUT" for method, _ in world.store.calls)
+    assert group.primary is not primary, f"{writes} writes at the store"
