Confirm writes in the model as daemons do

Cause: the model took a write for acknowledged as soon as any replica had it, imitated the record of the members, and kept orders in one daemon's memory. So it said nothing of a record that daemons share, nor of what a daemon tells its client.

Change: each daemon has its own registry and MemberRecords over a store whose writes may get no answer or be executed late; takeovers record their orders there, and left fences are lifted by the monitor's rule. A write goes through a daemon that reaches the primary, and is acknowledged when World.confirm says so: ReplicationChecks. The promise is the same: what a client saw acknowledged is in the log of each later promoted endpoint. An endpoint that has ended answers no more.

The seeds of the planted bugs are new, because the sequence of the random draws is: without the record, with two endpoints confirming, without the order, with any replica confirming.

--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -11,16 +11,14 @@
 import collections
 import random
 
-from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile import group_members
+from fescuestile import positions
 from fescuestile import promotion
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
 from fescuestile_daemon.relay import takeover
 from tests import fences
+from tests import group_daemons
+from tests import member_stores
 
 Role = endpoint_messages.Role
 INITIAL_SIZE = 3
@@ -31,6 +29,7 @@
 # takes longer than a promotion.
 LEASE_GAP_SECONDS = 0.8
 READ_TIMEOUT_SECONDS = 0.25
+WRITE_TIMEOUT_SECONDS = 1.0
 # Events that the report of a broken promise names.
 HISTORY_SIZE = 16
 RESTART_SHARE = 0.2
@@ -46,34 +45,15 @@
     return f"{len(entries)} from {min(entries)} to {max(entries)}"
 
 
-class LoopClock(clock.Clock):
-    """Time of the running loop."""
-
-    def now(self):
-        return asyncio.get_running_loop().time()
-
-
-class Vantage(fences.Dialer):
-    """One daemon's connections; some endpoints are out of its reach."""
-
-    def __init__(self, world):
-        self.endpoints = world.endpoints
-        self.unreachable = set()
-        self._random = world.random
-
-    async def delay(self, endpoint):
-        await asyncio.sleep(self._random.uniform(0.001, 0.02))
-        if endpoint.name in self.unreachable:
-            await asyncio.sleep(3600)
-
-
 class World(ports.Promoter):
     """A group, its replication, its promoter and its daemons.
 
     :cvar lifetimes: seconds after which a driver may die
     :cvar read_interval: seconds between two reads of a daemon
+    :ivar write_interval: seconds between two writes
+    :cvar store_faults: share of the store's writes that get no answer
     :ivar hidden: members whose registry entries are missing
-    :ivar members: those in the record in the platform's store
+    :ivar store: the platform's, with the record of the members
     :ivar acknowledged: writes that callers rely on
     :ivar promotions: how many took effect
     :ivar reads: how many were answered
@@ -81,6 +61,8 @@
 
     lifetimes: tuple[float, ...] = (0.05, 0.2, 5.0)
     read_interval = 0.03
+    write_interval = 0.02
+    store_faults = 0.0
 
     def __init__(self, seed, hides_unrecorded=False):
         self.random = random.Random(seed)
@@ -89,8 +71,11 @@
         self.side: dict[str, int] = {}
         self.linked = True
         self.hidden = set()
-        self.members: frozenset[group_members.Member] = frozenset()
+        self.store = group_daemons.Store(self.random, self.store_faults)
         self._stopped = []
+        self._writes: set[asyncio.Task[None]] = set()
+        self._promoted: tuple[int, frozenset[tuple[int, int]]]
+        self._promoted = 1, frozenset()
         self._history: collections.deque[str] = collections.deque(
             maxlen=HISTORY_SIZE
         )
@@ -99,14 +84,16 @@
         for _ in range(INITIAL_SIZE):
             self.add_endpoint()
         self.endpoints["e0"].role = Role.PRIMARY
-        self.daemons = [self._make_daemon() for _ in range(DAEMONS)]
+        self.store.put(
+            group_daemons.GROUP, member_stores.make_members(*self.endpoints)
+        )
+        self.daemons = [group_daemons.Daemon(self) for _ in range(DAEMONS)]
 
-    def _make_daemon(self):
-        vantage = Vantage(self)
-        group = groups.Group("g", vantage, options.RelayOptions(), LoopClock())
-        self.apply_registry(group)
-        self.apply_record(group)
-        return vantage, group
+    async def start(self):
+        """Start the daemons."""
+        for daemon in self.daemons:
+            await daemon.start()
+            await daemon.group.refresh(0.2)
 
     def record(self, event):
         """Record an event for the report of a broken promise."""
@@ -142,72 +129,46 @@
                 self.record(f"{name} leaves")
                 return
 
-    def apply_registry(self, group):
-        """Make a daemon know the members whose entries are there."""
-        listed = {
-            name: each
-            for name, each in self.endpoints.items()
-            if name not in self.hidden
-        }
-        for name in sorted(set(group.endpoints) - set(listed)):
-            group.remove_endpoint(name)
-        for name, each in listed.items():
-            entry = messages.EndpointEntry(
-                name,
-                "g",
-                "127.0.0.1:1",
-                "a",
-                2,
-                False,
-                each.role is Role.PRIMARY,
-                0,
-            )
-            group.put_endpoint(entry, 4)
-
-    def apply_record(self, group):
-        """Make a daemon read the record and write what it knows."""
-        loop = asyncio.get_running_loop()
-        group.members.apply_record(self.members, loop.time())
-        group.release_members()
-        self.members = group.members.make_record()
-
-    def restart_daemons(self):
+    async def restart_daemons(self):
         """Restart some daemons while entries are missing."""
-        recorded = {member.name for member in self.members}
+        record = self.store.find(group_daemons.GROUP)
+        recorded = {member.name for member in record.members}
         self.hidden = {
             name
             for name in list(self.endpoints)[1:]
             if (self.hides_unrecorded or name in recorded)
             and self.random.random() < HIDDEN_SHARE
         }
-        for number, (_, group) in enumerate(self.daemons):
+        for number, daemon in enumerate(self.daemons):
             if self.random.random() < RESTART_SHARE:
                 # Reads under way end by themselves.
-                self._stopped.append(group)
-                self.daemons[number] = self._make_daemon()
+                self._stopped.append(daemon)
+                await daemon.stop()
+                self.daemons[number] = group_daemons.Daemon(self)
+                await self.daemons[number].start()
 
-    def change(self):
+    async def change(self):
         """Change members, the link and what daemons reach."""
         if len(self.endpoints) < MAX_SIZE and self.random.random() < 0.5:
             self.add_endpoint()
         elif len(self.endpoints) > INITIAL_SIZE and self.random.random() < 0.5:
             self.remove_endpoint()
         self.linked = self.random.random() < 0.3
-        self.restart_daemons()
-        for vantage, group in self.daemons:
-            self.apply_registry(group)
-            self.apply_record(group)
-            vantage.unreachable = {
+        await self.restart_daemons()
+        for daemon in self.daemons:
+            daemon.read_registry()
+            daemon.vantage.unreachable = {
                 name
                 for name, each in self.endpoints.items()
                 if self.random.random()
                 < (0.4 if each.role is Role.PRIMARY else 0.1)
             }
 
-    def close(self):
-        """Close the groups of all daemons."""
-        for group in [*self._stopped, *(group for _, group in self.daemons)]:
-            group.close()
+    async def close(self):
+        """Stop all daemons."""
+        for daemon in [*self._stopped, *self.daemons]:
+            await daemon.stop()
+            daemon.group.close()
 
     # Replication
 
@@ -230,11 +191,44 @@
                 self._replicate(leader, e) for e in self.endpoints.values()
             ]
             if any(replicated) and leader.term == newest:
-                self.confirm(leader, leader.log[-1])
+                self._answer(leader, leader.log[-1])
+
+    def _answer(self, leader, entry):
+        """Let a daemon answer a write that its primary acknowledged."""
+        reaching = [
+            daemon
+            for daemon in self.daemons
+            if leader.name not in daemon.vantage.unreachable
+            and leader.name in daemon.group.endpoints
+        ]
+        if reaching:
+            task = asyncio.create_task(
+                self._pass_on(self.random.choice(reaching), leader, entry)
+            )
+            self._writes.add(task)
+            task.add_done_callback(self._writes.discard)
 
-    def confirm(self, leader, entry):
-        """Pass the success of a write on to its client."""
-        self.acknowledged.add(entry)
+    async def _pass_on(self, daemon, leader, entry):
+        if not await self.confirm(daemon, leader, positions.Position(*entry)):
+            return
+        # The client of a write that was rolled back before relies on nothing.
+        term, log = self._promoted
+        if daemon.runs and (entry[0] == term or entry in log):
+            self.acknowledged.add(entry)
+
+    async def confirm(self, daemon, leader, position):
+        """Return whether a daemon tells the client that a write succeeded."""
+        group = daemon.group
+        if not group.replication.is_possible(leader.name):
+            return False
+        group.replication.record_position(
+            group.endpoints[leader.name], position
+        )
+        return await group.replication.wait_replicated(
+            leader.name,
+            position,
+            asyncio.get_running_loop().time() + WRITE_TIMEOUT_SECONDS,
+        )
 
     def _steps_down(self, leader):
         return any(
@@ -251,7 +245,11 @@
             return False
         if not self.reach(leader, replica):
             return False
-        replica.log = list(leader.log)
+        if replica.log[-1:] == leader.log[-2:-1]:
+            # Logs with the same last entry are the same.
+            replica.log.append(leader.log[-1])
+        else:
+            replica.log = list(leader.log)
         replica.term = leader.term
         return True
 
@@ -262,7 +260,7 @@
     # Promoter
 
     async def acquire(self):
-        return promotion.Lease("d", 1, LoopClock().now() + 3600)
+        return promotion.Lease("d", 1, group_daemons.LoopClock().now() + 3600)
 
     async def release(self, lease):
         pass
@@ -286,6 +284,7 @@
         self.record(f"{name} promoted with {chosen.log[-1:]}")
         chosen.term = max(e.term for e in self.endpoints.values()) + 1
         chosen.role = Role.PRIMARY
+        self._promoted = chosen.term, frozenset(chosen.log)
         for each in self.endpoints.values():
             each.fence_term = 0
             if each.role is Role.REPLICA and self.reach(each, chosen):
@@ -310,12 +309,14 @@
         self.reads += 1
         if not wanted <= log:
             self.break_promise(
-                f"a read at {endpoint.name} missed {describe(wanted - log)}"
+                f"a read at {endpoint.name} missed {describe(wanted - log)};"
+                f" known {sorted(group.endpoints)}, recorded"
+                f" {sorted(m.name for m in group.members.recorded or ())}"
             )
 
     async def read_bounded(self, group):
         """Find a fresh position and compare it with what it must hold."""
-        arrived = LoopClock().now()
+        arrived = group_daemons.LoopClock().now()
         wanted = max(self.acknowledged, default=(0, 0))
         loop = asyncio.get_running_loop()
         minimum = await group.leadership.find_minimum(
@@ -325,15 +326,22 @@
             return
         self.reads += 1
         if (minimum.term, minimum.index) < wanted:
-            self.break_promise(f"{minimum} taken for fresh before {wanted}")
+            self.break_promise(
+                f"{minimum} taken for fresh before {wanted};"
+                f" known {sorted(group.endpoints)}, recorded"
+                f" {sorted(m.name for m in group.members.recorded or ())}"
+            )
 
-    async def replace(self, group):
+    async def replace(self, daemon):
         """Replace the primary that a daemon knows, or die while doing so."""
+        group = daemon.group
+        lease = await self.acquire()
+        if not await daemon.prepare():
+            return
         if self.random.random() < 0.7:
             await group.refresh(0.2)
-        lease = await self.acquire()
         replacement = takeover.Takeover(
-            group, self, fences.LocalLog(group), lease, LoopClock()
+            group, self, daemon.records, lease, group_daemons.LoopClock()
         )
         primary = group.find_primary()
         replicas = [e for e in group.endpoints.values() if e is not primary]
--- /dev/null
+++ b/tests/group_daemons.py
@@ -0,0 +1,170 @@
+"""Daemons of a simulated group: each has its own view of it."""
+
+import asyncio
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import errors
+from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import member_records
+from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import monitor
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import sampling
+from tests import fences
+from tests import member_stores
+
+Role = endpoint_messages.Role
+GROUP = "g"
+OPTIONS = options.RelayOptions(min_connections=4)
+STORE_SECONDS = (0.001, 0.03)
+# Longest time after which a write without an answer is executed.
+LATE_WRITE_SECONDS = 5.0
+
+
+class LoopClock(clock.Clock):
+    """Time of the running loop."""
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+
+class Vantage(fences.Dialer):
+    """One daemon's connections; some endpoints are out of its reach."""
+
+    def __init__(self, world):
+        self.endpoints = world.endpoints
+        self.unreachable = set()
+        self._random = world.random
+
+    async def dial(self, entry):
+        if entry.id not in self.endpoints:
+            return messages.Outcome(
+                messages.Kind.BUSY, detail="Connection refused"
+            )
+        return await super().dial(entry)
+
+    async def delay(self, endpoint):
+        await asyncio.sleep(self._random.uniform(0.001, 0.02))
+        has_ended = endpoint.name not in self.endpoints
+        if has_ended or endpoint.name in self.unreachable:
+            await asyncio.sleep(3600)
+
+
+class Store(member_stores.MemoryStore):
+    """The platform's store; some of its answers are lost.
+
+    :ivar fault_share: share of the writes that get no answer
+    """
+
+    def __init__(self, source, fault_share):
+        super().__init__()
+        self._random = source
+        self._fault_share = fault_share
+
+    async def write(self, group, wanted):
+        await asyncio.sleep(self._random.uniform(*STORE_SECONDS))
+        if self._random.random() >= self._fault_share:
+            return await super().write(group, wanted)
+        if self._random.random() < 0.5:
+            self._execute(group, wanted)
+        else:
+            asyncio.get_running_loop().call_later(
+                self._random.uniform(0.0, LATE_WRITE_SECONDS),
+                self._execute,
+                group,
+                wanted,
+            )
+        raise errors.PlatformUnavailable("no answer", step="write")
+
+    async def _call(self, name):
+        await asyncio.sleep(self._random.uniform(*STORE_SECONDS))
+
+
+class Registry(ports.Registry):
+    """One daemon's access to the registry."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    async def refresh(self):
+        self._daemon.read_registry()
+        return True
+
+
+class Daemon:
+    """One daemon: its connections, its registry and its copy of the record.
+
+    :ivar vantage: its connections
+    :ivar group: its view of the group
+    :ivar records: its copy of the record
+    :ivar runs: whether its process runs
+    """
+
+    def __init__(self, world):
+        self.runs = True
+        self.vantage = Vantage(world)
+        self._world = world
+        self._directory = directory.Directory(
+            self.vantage, OPTIONS, LoopClock()
+        )
+        self._registry = Registry(self)
+        self.records = member_records.MemberRecords(
+            world.store, self._directory, self._registry, world.random
+        )
+        self.read_registry()
+        self.group = self._directory.groups[GROUP]
+        self._monitor = monitor.Monitor(
+            self._directory,
+            world,
+            self._registry,
+            self.records,
+            OPTIONS,
+            LoopClock(),
+            world.random,
+            sampling.PositionSampler("d", "a", lambda name: None, LoopClock()),
+        )
+
+    async def start(self):
+        """Start to keep the record up to date."""
+        await self.records.start()
+
+    def read_registry(self):
+        """Learn the members whose entries are there."""
+        self._directory.put_endpoints(
+            {
+                name: messages.EndpointEntry(
+                    name,
+                    GROUP,
+                    "127.0.0.1:1",
+                    "a",
+                    2,
+                    False,
+                    each.role is Role.PRIMARY,
+                    0,
+                )
+                for name, each in self._world.endpoints.items()
+                if name not in self._world.hidden
+            },
+            keep_missing=False,
+        )
+        for group in self._directory.groups.values():
+            group.release_members()
+
+    async def prepare(self):
+        """Read all that a takeover rests on, as a monitor does."""
+        loaded, _ = await asyncio.gather(
+            self.records.load(self.group), self._registry.refresh()
+        )
+        return loaded
+
+    async def lift_fences(self):
+        """Lift the fences that a driver left, as a monitor does."""
+        if await self.prepare():
+            await self._monitor._unfence(self.group)
+
+    async def stop(self):
+        """End its process; its group is closed at the end of the run."""
+        self.runs = False
+        await self.records.close()
--- a/tests/group_rounds.py
+++ b/tests/group_rounds.py
@@ -20,8 +20,7 @@
     asyncio.get_running_loop().set_exception_handler(
         lambda loop, context: failures.append(context.get("exception"))
     )
-    for _, group in world.daemons:
-        await group.refresh(0.2)
+    await world.start()
     background = [asyncio.create_task(_write_forever(world))]
     for number in range(changing_group.DAEMONS):
         for read in (world.read, world.read_bounded):
@@ -29,10 +28,8 @@
                 asyncio.create_task(_repeat(world, read, number))
             )
     for _ in range(ROUNDS):
-        world.change()
-        _, group = world.random.choice(world.daemons)
-        world.apply_record(group)
-        await world.replace(group)
+        await world.change()
+        await world.replace(world.random.choice(world.daemons))
         await world.pass_time()
         if any(map(_is_broken_promise, failures)):
             break
@@ -42,7 +39,7 @@
     for failure in [*failures, *results]:
         if isinstance(failure, Exception):
             raise failure
-    world.close()
+    await world.close()
     await asyncio.sleep(1.0)
     return world
 
@@ -54,11 +51,10 @@
 async def _write_forever(world):
     while True:
         world.write()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(world.write_interval)
 
 
 async def _repeat(world, read, number):
     while True:
-        _, group = world.daemons[number]
-        await read(group)
+        await read(world.daemons[number].group)
         await asyncio.sleep(world.read_interval)
--- a/tests/late_orders.py
+++ b/tests/late_orders.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from fescuestile import endpoint_messages
-from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay import monitor
 from tests import changing_group
 
 Role = endpoint_messages.Role
@@ -15,12 +15,11 @@
 LATE_SECONDS = (0.6, 10.0)
 # Longest time until an order without an answer is known to have none.
 ANSWER_SECONDS = (0.1, 1.0)
-# Longest time between two takeovers; most orders take effect meanwhile.
-PAUSE_SECONDS = 12.0
+# Time between two takeovers; most orders take effect meanwhile.
+PAUSE_SECONDS = (2.0, 12.0)
 STEP_SECONDS = 0.25
-# As long as a daemon sees a fence beside a primary before it lifts it.
-LEFT_FENCED_SECONDS = 1.5
 REFRESH_SECONDS = 0.15
+CALM_WRITE_SECONDS = 0.2
 
 
 class LateWorld(changing_group.World):
@@ -29,10 +28,11 @@
     :ivar silent: replicas that receive nothing
     """
 
-    # Most drivers live until they give up.
-    lifetimes = (0.2, 5.0, 5.0)
+    # Some drivers die after their request, others give up.
+    lifetimes = (0.2, 0.6, 5.0)
     # Most of its time is calm.
-    read_interval = 0.3
+    read_interval = 1.0
+    store_faults = 0.1
 
     def __init__(self, seed, hides_unrecorded=False):
         super().__init__(seed, hides_unrecorded)
@@ -73,59 +73,66 @@
 
     # Time between takeovers
 
-    async def replace(self, group):
+    async def replace(self, daemon):
         """Replace a primary; a replica that nobody recorded may join."""
         joining = None
         if self.hides_unrecorded and len(self.endpoints) < (
             changing_group.MAX_SIZE
         ):
             joining = asyncio.get_running_loop().call_later(
-                self.random.uniform(0.0, 1.0), self.add_endpoint
+                self.random.uniform(0.0, 1.0), self._join
             )
-        await super().replace(group)
+        await super().replace(daemon)
         if joining is not None:
             joining.cancel()
 
     async def pass_time(self):
         """Let orders take effect while links and fences change."""
         await super().pass_time()
+        self.write_interval = CALM_WRITE_SECONDS
         loop = asyncio.get_running_loop()
-        until = loop.time() + self.random.uniform(0.0, PAUSE_SECONDS)
+        until = loop.time() + self.random.uniform(*PAUSE_SECONDS)
         while loop.time() < until:
             self._change_links()
-            _, group = self.random.choice(self.daemons)
-            await self._lift_left_fences(group)
+            daemon = self.random.choice(self.daemons)
+            daemon.read_registry()
+            await self._lift_left_fences(daemon)
             await asyncio.sleep(STEP_SECONDS)
+        self.write_interval = type(self).write_interval
 
     def _change_links(self):
         draw = self.random.random()
-        if draw < 0.2:
-            vantage, _ = self.random.choice(self.daemons)
-            vantage.unreachable = set()
-        elif draw < 0.25:
+        if draw < 0.4:
+            self.random.choice(self.daemons).vantage.unreachable = set()
+        elif draw < 0.45:
             self.linked = not self.linked
-        elif draw < 0.35:
+        elif draw < 0.55:
             self.silent = {
                 name
                 for name, each in self.endpoints.items()
                 if each.role is Role.REPLICA and self.random.random() < 0.2
             }
 
-    async def _lift_left_fences(self, group):
+    def _join(self):
+        """Start a replica that daemons learn of now or after a while."""
+        self.add_endpoint()
+        for daemon in self.daemons:
+            if self.random.random() < 0.5:
+                daemon.read_registry()
+
+    async def _lift_left_fences(self, daemon):
         """Lift fences that have been there for a while beside a primary."""
+        group = daemon.group
         await group.refresh(REFRESH_SECONDS)
-        fenced = [
-            endpoint
+        is_fenced = any(
+            endpoint.report and endpoint.report.role is Role.FENCED
             for endpoint in group.endpoints.values()
-            if endpoint.report and endpoint.report.role is Role.FENCED
-        ]
-        if not fenced or group.find_primary() is None:
+        )
+        if not is_fenced or group.find_primary() is None:
             self._fenced_since.pop(group, None)
             return
         now = asyncio.get_running_loop().time()
         since = self._fenced_since.setdefault(group, now)
-        if now - since <= LEFT_FENCED_SECONDS:
-            return
-        self.record(f"fences lifted of {[each.name for each in fenced]}")
-        for endpoint in fenced:
-            await group.inspect(endpoint, messages.Unfence(), REFRESH_SECONDS)
+        if now - since > monitor.SETTLE_SECONDS:
+            self.record("left fences lifted")
+            await daemon.lift_fences()
--- a/tests/model_check/test_changing_groups.py
+++ b/tests/model_check/test_changing_groups.py
@@ -3,22 +3,33 @@
 import pytest
 
 from fescuestile import group_members
+from fescuestile import promotion
+from fescuestile_daemon.relay import member_records
+from fescuestile_daemon.relay import replication
 from tests import changing_group
 from tests import group_rounds
 from tests import late_orders
 from tests import virtual_time
 
-# Broke a promise: 19, 254, 257 while two endpoints confirmed a term, 21 and 24
-# while daemons did not read the record of the members.
-SEEDS = (*range(6), 19, 21, 24, 254, 257)
+# Break a promise if daemons know only what they see.
+UNREAD_SEEDS = (71, 146, 168, 211)
+# Break a promise if two endpoints confirm a term.
+WEAK_SEEDS = (30, 87)
+SEEDS = (*range(6), 19, 21, 24, 254, 257, *UNREAD_SEEDS, *WEAK_SEEDS)
 
+# Break a promise if any replica may confirm a write.
+UNCONFIRMED_SEEDS = (44, 51)
+UNRECORDED_SEEDS = (2, 11, 245, 276, 287, 299, *UNCONFIRMED_SEEDS)
 
-# Broke a promise while a member confirmed writes that nobody knew.
-UNRECORDED_SEEDS = (2, 11, 245, 276, 287, 299)
+# Break a promise if only its driver knows an order.
+UNORDERED_SEEDS = (10, 24, 29, 35)
+# Breaks a promise if a former primary's own report releases a member.
+RELEASED_SEED = 403
+LATE_SEEDS = (4, 5, 18, 20, 52, 55, 83, 88, RELEASED_SEED, *UNORDERED_SEEDS)
 
-# Broke a promise while an order could still take effect that only its driver
-# knew.
-LATE_SEEDS = (4, 5, 18, 20, 52, 55, 83, 88)
+# Break a promise if any replica may confirm a write while orders are late.
+LATE_UNCONFIRMED_SEEDS = (1, 7, 34, 35)
+LATE_UNRECORDED_SEEDS = (200, *LATE_UNCONFIRMED_SEEDS)
 
 
 def play(seed, hides_unrecorded=False, kind=changing_group.World):
@@ -38,6 +49,7 @@
     worlds = [play(seed) for seed in SEEDS]
     assert sum(world.promotions for world in worlds) > len(SEEDS)
     assert sum(world.reads for world in worlds) > 20 * len(SEEDS)
+    assert sum(len(world.acknowledged) for world in worlds) > 20 * len(SEEDS)
 
 
 @pytest.mark.parametrize("seed", UNRECORDED_SEEDS)
@@ -49,18 +61,68 @@
 @pytest.mark.parametrize("seed", LATE_SEEDS)
 def test_orders_that_take_effect_late_lose_no_write(seed):
     """Guards against LOST: an order takes effect after its driver gave up."""
-    play(seed, kind=late_orders.LateWorld)
+    assert play(seed, kind=late_orders.LateWorld).acknowledged
+
+
+@pytest.mark.parametrize("seed", LATE_UNRECORDED_SEEDS)
+def test_late_orders_beside_unrecorded_members_lose_no_write(seed):
+    """Guards against LOST: a replica joins while a primary is replaced."""
+    play(seed, hides_unrecorded=True, kind=late_orders.LateWorld)
 
 
 def forget_record(members, recorded, now):
+    """Take what a daemon sees for the record."""
     members.recorded = frozenset()
+    members.recorded = members.make_record()
 
 
-def test_daemons_that_know_only_what_they_see_are_detected(monkeypatch):
+@pytest.mark.parametrize("seed", UNREAD_SEEDS)
+def test_daemons_that_know_only_what_they_see_are_detected(monkeypatch, seed):
     """Shows that the search fails without the record of the members."""
     monkeypatch.setattr(
         group_members.GroupMembers, "apply_record", forget_record
     )
-    for seed in (21, 24):
-        with pytest.raises(changing_group.BrokenPromise):
-            play(seed)
+    with pytest.raises(changing_group.BrokenPromise):
+        play(seed)
+
+
+@pytest.mark.parametrize("seed", WEAK_SEEDS)
+def test_confirmation_by_two_endpoints_is_detected(monkeypatch, seed):
+    """Shows that the search fails if two endpoints confirm a term."""
+    monkeypatch.setattr(promotion, "count_confirming", lambda size: 2)
+    with pytest.raises(changing_group.BrokenPromise):
+        play(seed)
+
+
+async def agree(*unused, **options):
+    """Do nothing and succeed."""
+    return True
+
+
+@pytest.mark.parametrize("seed", UNORDERED_SEEDS)
+def test_orders_that_nobody_records_are_detected(monkeypatch, seed):
+    """Shows that the search fails without the order in the record."""
+    monkeypatch.setattr(member_records.MemberRecords, "record_request", agree)
+    with pytest.raises(changing_group.BrokenPromise):
+        play(seed, kind=late_orders.LateWorld)
+
+
+@pytest.mark.parametrize(
+    ("seed", "kind"),
+    [
+        *((seed, changing_group.World) for seed in UNCONFIRMED_SEEDS),
+        *((seed, late_orders.LateWorld) for seed in LATE_UNCONFIRMED_SEEDS),
+    ],
+)
+def test_writes_that_any_replica_confirms_are_detected(
+    monkeypatch, seed, kind
+):
+    """Shows that the search fails if an unrecorded member confirms."""
+    monkeypatch.setattr(
+        replication.ReplicationChecks, "wait_replicated", agree
+    )
+    monkeypatch.setattr(
+        replication.ReplicationChecks, "is_possible", lambda *unused: True
+    )
+    with pytest.raises(changing_group.BrokenPromise):
+        play(seed, hides_unrecorded=True, kind=kind)
