--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -168,10 +168,7 @@
 
     @property
     def followed_term(self) -> int:
-        """Highest term that an endpoint leads or follows.
-
-        The term of a fence does not count: nobody leads it yet.
-        """
+        """Highest term that an endpoint leads or follows, fences left out."""
         return promotion.find_followed_term(
             e.report for e in self.endpoints.values() if e.report
         )
@@ -343,7 +340,10 @@
                 self._awaited_position = report.last
                 self._awaited_at = requested_at
                 self.stalled_since = time.monotonic()
-        elif report.last >= self._awaited_position:
+        elif (
+            report.endpoint != self._leader
+            and report.last >= self._awaited_position
+        ):
             self.stalled_since = None
             self._replicated_at = self._awaited_at
 
--- a/tests/unit/test_group_size.py
+++ b/tests/unit/test_group_size.py
@@ -119,6 +119,21 @@
     assert not primary.has_answered
 
 
+async def test_a_primary_that_steps_down_is_no_replica_of_itself(group):
+    """Guards against members released without a copy of their log.
+
+    Other replicas may lack what only the primary and that member hold.
+    """
+    group.receive("p", 5)
+    group.leave("r1")
+    group.receive("p", 6)
+    group.receive("r2", 6)
+    group.receive("p", 7)
+    report = builders.build_log_report("p", 7, Role.FENCED, 2, followed=1)
+    group._apply_report(group.endpoints["p"], report, time.monotonic())
+    assert group.count() == 3
+
+
 async def test_a_position_from_before_the_end_shows_nothing(group):
     group.receive("p", 5)
     group.leave("r1")
