--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -163,10 +163,8 @@
     @property
     def term(self) -> int:
         """Highest term that an endpoint reported."""
-        return max(
-            (e.report.term for e in self.endpoints.values() if e.report),
-            default=0,
-        )
+        reports = (e.report for e in self.endpoints.values() if e.report)
+        return promotion.find_next_term(reports) - 1
 
     @property
     def followed_term(self) -> int:
@@ -174,22 +172,25 @@
 
         The term of a fence does not count: nobody leads it yet.
         """
-        return max(
-            (
-                e.report.followed
-                if e.report.role is Role.FENCED
-                else e.report.term
-                for e in self.endpoints.values()
-                if e.report
-            ),
-            default=0,
+        return promotion.find_followed_term(
+            e.report for e in self.endpoints.values() if e.report
         )
 
     @property
     def pending_promotion(self) -> str:
         """Endpoint whose promotion may still take effect, empty for none."""
         pending = self.promotions.find(time.monotonic())
-        return pending.endpoint if pending else ""
+        if pending is None:
+            return ""
+        endpoint = self.endpoints.get(pending.endpoint)
+        has_ended = (
+            self.members.is_settled(time.monotonic())
+            if endpoint is None
+            else endpoint.has_ended(pending.started_at)
+        )
+        if has_ended:
+            self.promotions.end()
+        return "" if has_ended else pending.endpoint
 
     def find_primary(self) -> endpoint_states.EndpointState | None:
         """Return the primary by the reports, or else by the registry."""
@@ -231,10 +232,7 @@
         return answering < min(self.count_confirming(), len(self.endpoints))
 
     def has_unresponsive_endpoint(self, now: float) -> bool:
-        """Return whether an endpoint has been unresponsive for a while.
-
-        The time is the option ``suspect_after``.
-        """
+        """Return whether an endpoint is unresponsive for ``suspect_after``."""
         return any(
             endpoint.measure_unanswered(now) > self.options.suspect_after
             for endpoint in self.endpoints.values()
@@ -327,6 +325,7 @@
         ):
             self.events.record_term(report, known)
             self.notify()
+        self.replication.check_waiters()
 
     def _record_replication(
         self, report: messages.Report, requested_at: float
--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -120,6 +120,28 @@
     await check_kept(writers)
 
 
+async def test_a_switchover_back_before_a_late_promotion_loses_no_write(
+    world, group, writers
+):
+    """Guards against LOST: the former primary was promoted again meanwhile.
+
+    It stays after all, and the others are leaving instead.
+    """
+    primary, *others = group.endpoints.values()
+    world.store.faults.promotion_delays = [6.0]
+    world.store.register(primary, state="draining")
+    target = await wait_requested(world)
+    target.faults.deaf = True
+    world.store.register(primary)
+    for endpoint in others:
+        world.store.register(endpoint, state="draining")
+    await wait_promoted(group, target, 7.0)
+    for endpoint in others:
+        world.store.register(endpoint)
+    end_former_primaries(group)
+    await check_kept(writers)
+
+
 async def test_unanswered_requests_that_are_executed_late_lose_no_write(
     world, group, writers
 ):
@@ -162,3 +184,86 @@
     await asyncio.gather(writing, return_exceptions=True)
     end_former_primaries(group)
     await check_kept(writers)
+
+
+async def wait_given_up(group, writers, delay, back=0.5):
+    """Request a promotion that is late until its driver stops waiting.
+
+    The primary is back, and one replica stays fenced.
+
+    :param delay: seconds until the promotion takes effect
+    :returns: the former primary and the endpoint that will be promoted
+    """
+    world = writers.world
+    primary = group.primary
+    world.store.faults.promotion_delays = [delay]
+    primary.faults.dark = True
+    chosen = await wait_requested(world)
+    chosen.faults.deaf = True
+    await asyncio.sleep(back)
+    primary.faults.dark = False
+    await asyncio.sleep(3.3 - back)
+    return primary, chosen
+
+
+async def test_a_takeover_that_chooses_nobody_lifts_no_fence_meanwhile(
+    group, writers
+):
+    """Guards against LOST: a second takeover ends an earlier one's fence.
+
+    The endpoint whose promotion is pending is too busy for a fence, so the
+    second takeover requests none. The other replica confirms writes then.
+    """
+    primary, chosen = await wait_given_up(group, writers, 9.0)
+    chosen.faults.refuse_fences = True
+    primary.faults.dark = True
+    await asyncio.sleep(2.5)
+    primary.faults.dark = chosen.faults.refuse_fences = False
+    await wait_promoted(group, chosen, 8.0)
+    await writers.close()
+    assert writers.list_lost() == []
+
+
+async def test_a_refused_repetition_lifts_no_fence_meanwhile(
+    world, group, writers
+):
+    """Guards against LOST: the earlier request has not been refused.
+
+    A second takeover requests the pending promotion again and is refused.
+    """
+    primary, chosen = await wait_given_up(group, writers, 9.0)
+    (other,) = set(group.endpoints.values()) - {primary, chosen}
+    world.store.faults.promotion_status = 409
+    primary.faults.dark = True
+    loop = asyncio.get_running_loop()
+    until = loop.time() + 3.0
+    while other.pause_term and loop.time() < until:
+        await asyncio.sleep(0.001)
+    primary.faults.dark = False
+    world.store.faults.promotion_status = 0
+    await wait_promoted(group, chosen, 8.0)
+    await writers.close()
+    assert writers.list_lost() == []
+
+
+async def test_no_write_is_confirmed_beside_a_primary_out_of_reach(
+    group, writers
+):
+    """Guards against LOST: the promotion has lifted the replica's fence.
+
+    The promoted endpoint is cut off just before it leads. The former primary
+    is back, and the replica that has not learned the new term follows it.
+    """
+    group.promotion_delay_seconds = 1.0
+    primary = group.primary
+    primary.faults.dark = True
+    chosen = await wait_requested(writers.world)
+    await asyncio.sleep(0.8)
+    chosen.faults.dark = True
+    await asyncio.sleep(0.5)
+    primary.faults.dark = False
+    await asyncio.sleep(3.0)
+    chosen.faults.dark = False
+    await writers.close()
+    assert group.primary is chosen
+    assert writers.list_lost() == []
