--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -453,8 +453,10 @@
             await self._unfence(group)
         elif reason is Reason.LEAVING and primary is not None:
             target = self._find_target(group, primary)
-            if target is not None:
-                await replacement.switch_over(primary, target)
+            if target is None or not await replacement.switch_over(
+                primary, target
+            ):
+                await asyncio.sleep(self._options.monitor_interval)
         else:
             replaced = await replacement.replace_failed(primary)
             group.clear_stall()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/switchovers.py
@@ -1,6 +1,7 @@
 """Planned switchovers, for operators and for leaving endpoints."""
 
 import asyncio
+import dataclasses
 import typing
 
 import expression
@@ -32,6 +33,14 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    """Switchover that was requested from the local driver."""
+
+    target: str
+    future: asyncio.Future[SwitchoverResult]
+
+
 class Switchovers:
     """Carries out switchovers, or requests them from a watching daemon.
 
@@ -51,7 +60,7 @@
         self._links = link_pool
         self._membership = membership
         self._tasks = tasks.TaskSet()
-        self._waiting: dict[str, asyncio.Future[SwitchoverResult]] = {}
+        self._waiting: dict[str, _Waiting] = {}
         runner.on_published.append(self._on_published)
         runner.on_abandoned.append(self._on_abandoned)
         link_pool.add_handler(
@@ -105,16 +114,29 @@
     def _on_published(
         self, database: str, action: failover_steps.Publish
     ) -> None:
-        waiting = self._waiting.get(database)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(expression.Ok(action))
+        self._finish(database, action.target, expression.Ok(action))
 
     def _on_abandoned(
         self, database: str, action: failover_steps.Abandon
     ) -> None:
+        if action.in_doubt:
+            outcome = _make_unknown(action.reason, database)
+        else:
+            outcome = _make_not_run(action.reason, "target")
+        self._finish(database, action.target, outcome)
+
+    def _finish(
+        self, database: str, target: str, outcome: SwitchoverResult
+    ) -> None:
+        """End the wait for a switchover to a target.
+
+        The end of a failover may be reported while the request is under way.
+        """
         waiting = self._waiting.get(database)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(_make_not_run(action.reason, "target"))
+        if waiting is None or waiting.target != target:
+            return
+        if not waiting.future.done():
+            waiting.future.set_result(outcome)
 
     async def switch_over(
         self, database: str, target: str
@@ -122,7 +144,8 @@
         """Attempt once to make the target primary.
 
         :returns: the new primary, which may be another endpoint with a longer
-            log; NotRun when nothing was changed; UnknownOutcome when the
+            log; NotRun when nobody was promoted; UnknownOutcome when a
+            promotion was ordered that may still take effect, or when the
             switchover did not finish in time
         """
         snapshot = self._group_snapshots.get(database)
@@ -150,18 +173,14 @@
         future: asyncio.Future[SwitchoverResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._waiting[database] = future
+        self._waiting[database] = _Waiting(target, future)
         self._runner.request_switchover(database, target)
         try:
             async with asyncio.timeout(SWITCHOVER_TIMEOUT_SECONDS):
                 return await future
         except TimeoutError:
-            return expression.Error(
-                errors.UnknownOutcome(
-                    message="the switchover did not finish in time",
-                    step=STEP_SWITCHOVER,
-                    peer=database,
-                )
+            return _make_unknown(
+                "the switchover did not finish in time", database
             )
         finally:
             del self._waiting[database]
@@ -224,6 +243,14 @@
     )
 
 
+def _make_unknown(message: str, database: str) -> SwitchoverResult:
+    return expression.Error(
+        errors.UnknownOutcome(
+            message=message, step=STEP_SWITCHOVER, peer=database
+        )
+    )
+
+
 def _read_reply(
     reply: expression.Result[typing.Any, errors.FescuestileError],
 ) -> SwitchoverResult:
