--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -36,6 +36,8 @@
     """A write that waits until nothing can lose it.
 
     :ivar primary: endpoint that acknowledged it
+    :ivar position: end of the primary's log after it
+    :ivar settled: done once no takeover can lose it
     :ivar held_at: monotonic seconds at which a member was first seen to hold
         it, infinite before
     :ivar missed: whether endpoints were queried for it in vain
@@ -176,9 +178,9 @@
     def _is_settled(self, waiter: _Waiter) -> bool:
         """Return whether no takeover can lose a write.
 
-        All that was promoted before a member held the write is known to be
-        none: each endpoint that lacks it has reported since then that it
-        follows the write's term, or the record has been read since then.
+        That is so once a member holds it and nobody was promoted before: each
+        endpoint that lacks it has reported since then that it follows the
+        write's term, or the record, read since then, names no promotion.
         """
         group = self._group
         if group.followed_term > waiter.position.term or not any(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -189,7 +189,7 @@
             position=str(final.last),
             caught_up=caught_up,
         )
-        # Its own record would replace that of a pending promotion.
+        # Recording the old primary would replace a pending promotion.
         is_recorded = caught_up or (
             not pending and await self._log.record_request(group.name, chosen)
         )
--- a/packages/fescuestile/src/fescuestile/pending_promotions.py
+++ b/packages/fescuestile/src/fescuestile/pending_promotions.py
@@ -81,9 +81,10 @@
 
         :param now: monotonic seconds
         """
-        if self._pending is None or not self.is_over(now):
+        pending = self._pending
+        if pending is None or self.find(now) is not None:
             return self.replaced_term
-        return max(self.replaced_term, self._pending.term)
+        return max(self.replaced_term, pending.term)
 
     def find(self, now: float) -> PendingPromotion | None:
         """Return the promotion that may still take effect, if there is one.
