--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -12,10 +12,16 @@
     return 2, 2
 
 
+@pytest.fixture
+def dialers():
+    """How the first daemons reach endpoints, by default directly."""
+    return ()
+
+
 @pytest_asyncio.fixture
-async def world(world_size):
+async def world(world_size, dialers):
     groups, daemons = world_size
-    made = worlds.World(groups=groups, daemons=daemons)
+    made = worlds.World(groups=groups, daemons=daemons, dialers=dialers)
     await made.start()
     yield made
     await made.close()
--- a/tests/platform/test_joining_replicas.py
+++ b/tests/platform/test_joining_replicas.py
@@ -7,7 +7,6 @@
 
 from fescuestile_daemon.relay import member_records
 from tests.platform.standins import cuts
-from tests.platform.standins import world as worlds
 from tests.platform.standins import writers as wire_writers
 
 # Until a primary that is out of reach is suspected and all are fenced.
@@ -23,18 +22,20 @@
 JOINER = "i-g0-3"
 
 
+@pytest.fixture
+def world_size():
+    return 1, 2
+
+
 @pytest.fixture
 def dialer():
+    """Return how the first daemon reaches endpoints, until it is cut off."""
     return cuts.CutDialer()
 
 
-@pytest_asyncio.fixture
-async def world(dialer):
-    """Yield two daemons; the first can be cut off from endpoints."""
-    made = worlds.World(daemons=2, dialers=[dialer])
-    await made.start()
-    yield made
-    await made.close()
+@pytest.fixture
+def dialers(dialer):
+    return [dialer]
 
 
 @pytest.fixture
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -72,15 +72,17 @@
         for endpoint in self.group.endpoints.values():
             await self.group.inspect(endpoint, messages.Inspect(), 0.05)
 
-    async def replace(self, name="p"):
-        lease = await self.acquire()
-        replacement = takeover.Takeover(
+    async def make_takeover(self):
+        return takeover.Takeover(
             self.group,
             self,
             fences.LocalLog(self.group),
-            lease,
+            await self.acquire(),
             clock.BootClock(),
         )
+
+    async def replace(self, name="p"):
+        replacement = await self.make_takeover()
         return await replacement.replace_failed(self.group.endpoints[name])
 
 
@@ -244,14 +246,7 @@
     )
     world.endpoints["p"].log.append((1, 6))
     world.endpoints["r2"].fence_term = 2 if is_fenced else 0
-    lease = await world.acquire()
-    replacement = takeover.Takeover(
-        world.group,
-        world,
-        fences.LocalLog(world.group),
-        lease,
-        clock.BootClock(),
-    )
+    replacement = await world.make_takeover()
     endpoints = world.group.endpoints
     await replacement.switch_over(endpoints["p"], endpoints["r1"])
     assert "p" not in world.promoted
