--- a/tests/member_stores.py
+++ b/tests/member_stores.py
@@ -30,11 +30,11 @@
         self.fault = ""
         self._late = []
 
-    def put(self, group, members, pending=None):
+    def put(self, group, members, pending=None, replaced_term=0):
         """Write a record unconditionally; None for a malformed one."""
         revision = self.find(group).revision or 0
         self.records[group] = member_store.StoredMembers(
-            members, revision + 1, pending
+            members, revision + 1, pending, replaced_term
         )
 
     def find(self, group):
@@ -68,7 +68,7 @@
     def _execute(self, group, wanted):
         if self.find(group).revision != wanted.revision:
             return False
-        self.put(group, wanted.members, wanted.pending)
+        self.put(group, wanted.members, wanted.pending, wanted.replaced_term)
         return True
 
     def execute_late(self):
