Keep a promotion pending while its endpoint's entry is missing

Cause: a daemon took a promotion for over as soon as the registry did not name its endpoint, although the endpoint runs and the order can still take effect. It took the promotion off the record, and the next driver promoted another endpoint; the late order then rolled back what that one had acknowledged.

Change: a promotion ends when its endpoint refuses connections, is displaced or starts again, also if that was seen before its entry went; else after PENDING_SECONDS. Meanwhile a write that the missing endpoint cannot hold is refused at once.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -134,6 +134,7 @@
         """Remove an endpoint and close its connections."""
         endpoint = self.endpoints.pop(name, None)
         if endpoint is not None:
+            self._end_promotion(endpoint)
             endpoint.close()
             self.leadership.set_plan(self.make_plan())
             self.members.remove(name, time.monotonic(), endpoint.has_left)
@@ -175,19 +176,26 @@
 
     @property
     def pending_promotion(self) -> str:
-        """Endpoint whose promotion may still take effect, empty for none."""
+        """Endpoint whose promotion may still take effect, empty for none.
+
+        An endpoint that only lacks its registry entry may still be promoted.
+        """
+        now = time.monotonic()
+        pending = self.promotions.find(now)
+        if pending is not None and pending.endpoint in self.endpoints:
+            self._end_promotion(self.endpoints[pending.endpoint])
+            pending = self.promotions.find(now)
+        return "" if pending is None else pending.endpoint
+
+    def _end_promotion(self, endpoint: endpoint_states.EndpointState) -> None:
+        """End the promotion of an endpoint whose run has ended."""
         pending = self.promotions.find(time.monotonic())
-        if pending is None:
-            return ""
-        endpoint = self.endpoints.get(pending.endpoint)
-        has_ended = (
-            self.members.is_settled(time.monotonic())
-            if endpoint is None
-            else endpoint.has_ended(pending.started_at)
-        )
-        if has_ended:
+        if (
+            pending is not None
+            and pending.endpoint == endpoint.name
+            and endpoint.has_ended(pending.started_at)
+        ):
             self.promotions.end()
-        return "" if has_ended else pending.endpoint
 
     def find_primary(self) -> endpoint_states.EndpointState | None:
         """Return the primary by the reports, or else by the registry."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -101,9 +101,10 @@
         members = self.list_members(primary)
         if not any(self._responds(member) for member in members):
             return False
-        pending = group.endpoints.get(group.pending_promotion)
-        if pending is not None and pending.name != primary:
-            return self._responds(pending)
+        pending = group.pending_promotion
+        if pending not in ("", primary):
+            chosen = group.endpoints.get(pending)
+            return chosen is not None and self._responds(chosen)
         if not self._needs_record(primary) or self._read_at >= self._unread_at:
             return True
         self._read_record()
