--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
@@ -17,6 +17,7 @@
 from fescuestile import failover
 from fescuestile import failover_steps
 from fescuestile import failure_detection
+from fescuestile import promotion_order
 from fescuestile import rendezvous
 from fescuestile_daemon import groups_actor
 
@@ -237,6 +238,11 @@
                 step=str(group.driver.step),
                 term=group.driver.term,
                 chosen=group.driver.chosen,
+                granted={
+                    name: promotion_order.make_log_key(report)
+                    for name, report in group.driver.grants.items()
+                },
+                leaving=sorted(group.rules.leaving),
             )
         if actions:
             self._perform(Decision(database, actions))
