Run a write again that a failover dropped

Callers got `unknown outcome` for writes around a planned switchover.

Cause: entries that the old primary appends just before its fence reach no replica, and the target is promoted without them, by design. The daemon saw that a confirmed entry of the later term had taken their place, which is final, and reported them as of unknown outcome nevertheless.

Such a write did not run: it ends as TermRefused, which the entry daemon repeats at the new primary; a transaction ends. A repeated request of an earlier term stays unknown, since its first run may be in the log.

The model check now also asks that no write reported as replaced is in a later primary's log, and finds an injected tracker that is hasty about it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner_filters.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner_filters.py
@@ -5,7 +5,9 @@
 import expression
 
 from fescuestile import clock
+from fescuestile import confirmation
 from fescuestile import diversion
+from fescuestile import errors
 from fescuestile import positions
 from fescuestile import requests
 from fescuestile_daemon import execution
@@ -13,6 +15,10 @@
 from fescuestile_daemon import read_confirmations
 from fescuestile_daemon import write_confirmations
 
+STEP_CONFIRM = "confirm"
+NOT_CONFIRMED = "the write was not confirmed by a majority in time"
+REPLACED = "a later term replaced the write"
+
 
 class DivertedReadFilter(filters.Filter[execution.OwnerExchange]):
     """Limits the reads that a primary serves in place of its replicas."""
@@ -86,15 +92,22 @@
         outcome = await proceed(exchange)
         if outcome.is_error() or not is_write(exchange.request):
             return outcome
-        confirmed = await self._confirmations.wait(
+        written = outcome.ok.position
+        position = find_confirming_position(written, exchange.term)
+        state = await self._confirmations.wait(
             exchange.plan,
             exchange.endpoint,
-            find_confirming_position(outcome.ok.position, exchange.term),
+            position,
             self._find_timeout(exchange),
         )
-        if confirmed.is_error():
-            return expression.Error(confirmed.error)
-        return outcome
+        if state is confirmation.WriteState.CONFIRMED:
+            return outcome
+        # That the entry after an earlier run's was replaced says nothing of
+        # that run's own.
+        is_lost = state is confirmation.WriteState.LOST
+        if is_lost and position == written:
+            return expression.Error(_make_replaced(exchange))
+        return expression.Error(_make_unconfirmed(exchange))
 
 
 class ReadConfirmationFilter(ConfirmationFilter):
@@ -140,6 +153,22 @@
         return outcome
 
 
+def _make_replaced(
+    exchange: execution.OwnerExchange,
+) -> errors.TermRefused:
+    return errors.TermRefused(
+        message=REPLACED, step=STEP_CONFIRM, peer=exchange.endpoint
+    )
+
+
+def _make_unconfirmed(
+    exchange: execution.OwnerExchange,
+) -> errors.UnknownOutcome:
+    return errors.UnknownOutcome(
+        message=NOT_CONFIRMED, step=STEP_CONFIRM, peer=exchange.plan.database
+    )
+
+
 def is_write(request: requests.Request) -> bool:
     """Return whether a request appends an entry to the group's log."""
     if request.action is requests.Action.STATEMENT:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/write_confirmations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/write_confirmations.py
@@ -4,18 +4,11 @@
 import collections.abc
 import dataclasses
 
-import expression
-
 from fescuestile import confirmation
 from fescuestile import endpoint_messages
-from fescuestile import errors
 from fescuestile import plans
 from fescuestile import positions
 
-STEP = "confirm"
-NOT_CONFIRMED = "the write was not confirmed by a majority in time"
-LOST_BY_FAILOVER = "the write was lost in a failover"
-
 RequestReports = collections.abc.Callable[[str, str, positions.Position], None]
 
 
@@ -83,8 +76,8 @@
         primary: str,
         position: positions.Position,
         timeout: float,
-    ) -> expression.Result[None, errors.UnknownOutcome]:
-        """Wait until a majority holds a write.
+    ) -> confirmation.WriteState:
+        """Wait until a majority holds a write or a later term replaced it.
 
         The answer with the position counts as the primary's vote.
 
@@ -92,7 +85,7 @@
         :param primary: endpoint that wrote it
         :param position: position of the write
         :param timeout: seconds
-        :returns: nothing, or UnknownOutcome if it was not confirmed
+        :returns: state of the write, pending if it was not decided in time
         """
         group = self._groups.setdefault(plan.database, _GroupState())
         tracker = group.update_tracker(plan)
@@ -101,13 +94,7 @@
         if state is confirmation.WriteState.PENDING:
             self._request_reports(plan.database, primary, position)
             state = await _wait_for_state(group, position, timeout)
-        match state:
-            case confirmation.WriteState.CONFIRMED:
-                return expression.Ok(None)
-            case confirmation.WriteState.LOST:
-                return _make_error(plan, LOST_BY_FAILOVER)
-            case confirmation.WriteState.PENDING:
-                return _make_error(plan, NOT_CONFIRMED)
+        return state
 
 
 async def _wait_for_state(
@@ -121,11 +108,3 @@
         return confirmation.WriteState.PENDING
     finally:
         group.pending.discard(write)
-
-
-def _make_error(
-    plan: plans.Plan, message: str
-) -> expression.Result[None, errors.UnknownOutcome]:
-    return expression.Error(
-        errors.UnknownOutcome(message=message, step=STEP, peer=plan.database)
-    )
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -9,6 +9,7 @@
 from fescuestile import members
 from fescuestile import plans
 from fescuestile import sessions
+from fescuestile_client import options as client_options
 from fescuestile_client import session as client_session
 from fescuestile_daemon import daemon
 from fescuestile_daemon import settings
@@ -125,11 +126,14 @@
 
 @contextlib.asynccontextmanager
 async def open_session(
-    served: daemon.Daemon, caller: str = "station-7", token: bytes = b""
+    served: daemon.Daemon,
+    caller: str = "station-7",
+    token: bytes = b"",
+    options: client_options.SessionOptions | None = None,
 ) -> collections.abc.AsyncIterator[client_session.Session]:
     """Open a caller's session at a daemon."""
     session = client_session.Session(
-        [served.options.daemon.caller_address], caller, token
+        [served.options.daemon.caller_address], caller, token, options
     )
     async with session:
         yield session
--- a/tests/integration/test_failover.py
+++ b/tests/integration/test_failover.py
@@ -7,11 +7,13 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import errors
+from fescuestile_client import options as client_options
 from tests import endpoint_groups
 from tests import fleets
 
 Role = endpoint_messages.Role
 FAILOVER_SECONDS = 9.0
+PATIENT_SECONDS = 60.0
 
 
 @pytest.fixture
@@ -145,3 +147,26 @@
                 repeatable=False,
                 timeout=1.0,
             )
+
+
+@pytest.mark.invariant_5
+async def test_a_write_that_a_failover_drops_runs_at_the_new_primary(group):
+    """Only the old primary held it, so it did not run and is sent again."""
+    plan = fleets.build_group_plan(group)
+    patient = {"confirm_timeout": f"{PATIENT_SECONDS}s"}
+    options = client_options.SessionOptions(settle_unknown=False)
+    async with fleets.serve_daemons(1, plan, timing=patient) as daemons:
+        await endpoint_groups.wait_until(lambda: are_ready(daemons))
+        async with fleets.open_session(daemons[0], options=options) as session:
+            before = group["one"].state.log.last
+            for name in ("two", "three"):
+                group[name].replication_client.stop()
+            answer = await session.execute(
+                fleets.DATABASE,
+                "fault-report",
+                "ADD reports 1",
+                repeatable=False,
+                timeout=PATIENT_SECONDS,
+            )
+    assert answer.position.term > before.term
+    assert (answer.payload, answer.repeated) == (b"1", False)
--- a/tests/model_check/failover_world.py
+++ b/tests/model_check/failover_world.py
@@ -39,6 +39,7 @@
     :ivar remaining: steps that may still be made
     :ivar sends: commands under way, by driver
     :ivar trackers: confirmed positions, by the term of the reports
+    :ivar replaced: writes reported as replaced, so that they may be repeated
     :ivar elected: highest term with a primary so far
     :ivar keys: cached keys of the endpoints
     """
@@ -52,6 +53,7 @@
     trackers: dict[int, confirmation.ConfirmationTracker]
     written: tuple[positions.Position, ...] = ()
     acknowledged: frozenset[positions.Position] = frozenset()
+    replaced: frozenset[positions.Position] = frozenset()
     elected: int = 1
     violation: str | None = None
     keys: dict[str, typing.Hashable] = dataclasses.field(default_factory=dict)
@@ -103,6 +105,7 @@
             self.remaining,
             self.written,
             self.acknowledged,
+            self.replaced,
             self.elected,
         )
 
@@ -125,6 +128,9 @@
         for position in self.acknowledged:
             if position not in held:
                 return f"{primary.name} lost acknowledged {position}"
+        for position in self.replaced:
+            if position in held or position in self.acknowledged:
+                return f"{primary.name} holds {position}, reported replaced"
         return None
 
     def find_primary(self) -> endpoint_state.EndpointState:
@@ -189,6 +195,8 @@
             state = tracker.find_state(position)
             if state is confirmation.WriteState.CONFIRMED:
                 self._acknowledge(position)
+            elif state is confirmation.WriteState.LOST:
+                self.replaced |= {position}
 
     def make_tracker(self) -> confirmation.ConfirmationTracker:
         plan = failover_parts.make_plan(self.build.confirm_majority)
--- a/tests/model_check/injected_bugs.py
+++ b/tests/model_check/injected_bugs.py
@@ -80,6 +80,15 @@
         return confirmation.WriteState.PENDING
 
 
+class HastyTracker(confirmation.ConfirmationTracker):
+    """Takes every write for replaced once a later term has confirmed."""
+
+    def find_state(self, position):
+        if position.term < self.confirmed.term:
+            return confirmation.WriteState.LOST
+        return super().find_state(position)
+
+
 class FirstGrantRules(failover.FailoverRules):
     """Promotes after the first grant, before a majority is fenced."""
 
--- a/tests/model_check/test_failover_rules.py
+++ b/tests/model_check/test_failover_rules.py
@@ -83,6 +83,12 @@
             ),
             id="an old primary's unconfirmed entries count",
         ),
+        pytest.param(
+            "new",
+            Scope(writes=1, attempts=1),
+            Build(tracker=injected_bugs.HastyTracker),
+            id="a write that a later term kept is taken for replaced",
+        ),
         pytest.param(
             "new",
             Scope(writes=1, attempts=1, crashes=1),
