Wake waiting tasks in the order of their arrival

Cause: reads that wait for a change of a group and writes that wait to be settled stood in sets of futures, which are ordered by address.

Change: dicts whose keys are in order of arrival hold them, and the checks' rounds, which are cancelled in order.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/changes.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/changes.py
@@ -8,11 +8,12 @@
 
     def __init__(self) -> None:
         """Start without tasks."""
-        self._waiters: set[asyncio.Future[None]] = set()
+        # Keys in order of their arrival, in which they are woken.
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     def notify(self) -> None:
         """Wake the tasks in ``wait_change``."""
-        waiters, self._waiters = self._waiters, set()
+        waiters, self._waiters = self._waiters, {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -23,11 +24,11 @@
         :param seconds: longest wait
         """
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         try:
             async with asyncio.timeout(seconds):
                 await waiter
         except TimeoutError:
             pass
         finally:
-            self._waiters.discard(waiter)
+            self._waiters.pop(waiter, None)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
@@ -58,7 +58,8 @@
         self._clock = boot_clock
         self._rounds = read_confirmation.LeadershipRounds(group.make_plan())
         self._freshness = freshness.FreshnessLog()
-        self._tasks: set[asyncio.Task[None]] = set()
+        # Keys in order of their start.
+        self._tasks: dict[asyncio.Task[None], None] = {}
         self._failed_rounds_since: float | None = None
         self._last_read_at = 0.0
         self._staleness = math.inf
@@ -78,8 +79,8 @@
         if number is None:
             return
         task = asyncio.create_task(self._run_round(number))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(self._tasks.pop)
 
     async def _run_round(self, number: int) -> None:
         round_ = Round(number, self._clock.now())
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -62,7 +62,8 @@
         """Start without queries."""
         self.record_reader: ports.RecordReader | None = None
         self._group = group
-        self._waiters: set[_Waiter] = set()
+        # Keys in order of their arrival, in which they are settled.
+        self._waiters: dict[_Waiter, None] = {}
         self._queries: dict[str, asyncio.Task[None]] = {}
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
@@ -140,7 +141,7 @@
         )
         if self._is_settled(waiter):
             return True
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._query_endpoints())
         try:
@@ -149,7 +150,7 @@
         except TimeoutError:
             return False
         finally:
-            self._waiters.discard(waiter)
+            self._waiters.pop(waiter, None)
         return True
 
     def describe(self, primary: str) -> str:
--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import collections
 import random
 
 from fescuestile import endpoint_messages
@@ -76,9 +75,7 @@
         self._writes: set[asyncio.Task[None]] = set()
         self._promoted: tuple[int, frozenset[tuple[int, int]]]
         self._promoted = 1, frozenset()
-        self._history: collections.deque[str] = collections.deque(
-            maxlen=HISTORY_SIZE
-        )
+        self._history: list[str] = []
         self.acknowledged = set()
         self.promotions = self.reads = 0
         for _ in range(INITIAL_SIZE):
@@ -102,7 +99,19 @@
 
     def break_promise(self, promise):
         """Raise BrokenPromise with the latest events."""
-        raise BrokenPromise("\n".join([promise, *self._history]))
+        latest = self._history[-HISTORY_SIZE:]
+        raise BrokenPromise("\n".join([promise, *latest]))
+
+    def describe_history(self):
+        """Return lines that differ if anything happened differently."""
+        return [
+            *self._history,
+            *map(str, self.endpoints.values()),
+            f"{self.promotions=} {self.reads=}",
+            f"{sorted(self.acknowledged)}",
+            # Each delay is drawn, so this depends on the order of all events.
+            str(self.random.getstate()),
+        ]
 
     # Members
 
--- a/tests/unit/test_replication.py
+++ b/tests/unit/test_replication.py
@@ -57,6 +57,22 @@
     assert await wait(group)
 
 
+async def test_writes_are_confirmed_in_the_order_of_their_arrival(group):
+    """Guards against an order that differs from process to process."""
+    confirmed = []
+
+    async def record(number):
+        assert await wait(group, 5.0)
+        confirmed.append(number)
+
+    tasks = [asyncio.create_task(record(number)) for number in range(30)]
+    await asyncio.sleep(0)
+    add_report(group, "r1", 7)
+    add_report(group, "r2", 6)
+    await asyncio.gather(*tasks)
+    assert confirmed == list(range(30))
+
+
 async def test_a_member_that_lacks_it_has_to_follow_the_term_still(group):
     """Guards against LOST: the other member may lead a later term."""
     add_report(group, "r1", 5)
