Tell the eras of the platform's store apart

Change: the adapter decodes the header once, for each answer. StoreClient gains era, era_changes and add_era_listener; objects, listings and watches carry the era they belong to; create and replace take the era of the read that they rest on, are not sent in another one, and have an unknown outcome if they were executed in another one. An answer of an earlier era, or one without a number after one with a number, counts as no answer. One log line and a metric at each change. The watch moves to a module of its own, unchanged but for the listing's type.

--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -6,7 +6,9 @@
 import pytest
 
 from fescuestile import errors
+from fescuestile_platform import http
 from fescuestile_platform import store
+from fescuestile_platform import watches
 
 
 class FakeStore(store.StoreClient):
@@ -19,6 +21,7 @@
     """
 
     def __init__(self):
+        super().__init__(http.HttpClient("127.0.0.1:1"))
         self.objects = ["a"]
         self.revision = 1
         self.gates: list[asyncio.Event] = []
@@ -36,14 +39,14 @@
 
     async def list_all(self, kind, allow_stale=False):
         self.calls.append("list")
-        answer = self._make_objects(self.objects), self.revision
+        answer = store.Listing(self._make_objects(self.objects), self.revision)
         if self.gates:
             await self.gates.pop(0).wait()
         if not self.available:
             raise errors.PlatformUnavailable("no answer", step="list")
         return answer
 
-    async def watch(self, kind, since, seconds):
+    async def watch(self, kind, since, seconds, era=None):
         self.calls.append(since)
         while self.revision == since:
             await asyncio.sleep(0.001)
@@ -69,7 +72,7 @@
 
 @pytest.fixture
 def watch(fake_store, seen):
-    return store.ObjectWatch(
+    return watches.ObjectWatch(
         fake_store,
         "servers",
         lambda objects: seen.append(sorted(objects)),
@@ -146,7 +149,7 @@
 
     A watch is a call of each daemon to the store.
     """
-    watch = store.ObjectWatch(
+    watch = watches.ObjectWatch(
         fake_store,
         "servers",
         lambda objects: seen.append(sorted(objects)),
