Let the stand-in store come back from an older copy

Change: all answers of the stand-in store carry Store-Era. drills.restore lets it be away (connections reset, silent or 503) and return from a copy: revisions are given out again, a watch from a later one gets 410, and the operator and the endpoints write again after delays of their own. A world can give each daemon a proxy of the store, so that they hear of it at different times. test_restored_store goes through a drill of the whole store instead of putting one object back; it is as strict as before, the lease is lost, too.

--- a/tests/platform/standins/store.py
+++ b/tests/platform/standins/store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store and promotion service, with faults."""
 
 import asyncio
+import copy
 import dataclasses
 import json
 import typing
@@ -8,6 +9,7 @@
 
 import httptools
 
+from tests.platform.standins import drills
 from tests.platform.standins import group
 
 
@@ -17,6 +19,7 @@
 
     :ivar status: HTTP status of all responses, 0 to serve the calls
     :ivar silent: calls get no response and are not executed
+    :ivar reset: connections are reset by calls, which are not executed
     :ivar lose_writes: writes are executed but get no response
     :ivar late_writes: writes are executed after this many seconds and get no
         response; 0 for no delay
@@ -28,6 +31,7 @@
 
     status: int = 0
     silent: bool = False
+    reset: bool = False
     lose_writes: bool = False
     late_writes: float = 0.0
     promotion_delays: list[float] = dataclasses.field(default_factory=list)
@@ -36,10 +40,15 @@
 
 
 class Store:
-    """Objects with revisions, conditional writes and watches."""
+    """Objects with revisions, conditional writes and watches.
+
+    :ivar era: sent with all answers, None for a store that sends none
+    :ivar promotion_times: loop times of ``promotion_requests``
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
+        self.era: int | str | None = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], dict[str, typing.Any]] = {}
         self.history: list[tuple[int, str, dict[str, typing.Any]]] = []
@@ -47,10 +56,11 @@
         self.calls: list[tuple[str, str]] = []
         self.groups: dict[str, group.Group] = {}
         self.promotion_requests: list[tuple[str, str, str, int]] = []
+        self.promotion_times: list[float] = []
         self._raw_texts: dict[str, str] = {}
         self._change_event = asyncio.Event()
         self._server: asyncio.Server | None = None
-        self._transports: set[typing.Any] = set()
+        self._connections: set[_HttpConnection] = set()
         self._port = 0
 
     @property
@@ -68,8 +78,8 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for transport in list(self._transports):
-            transport.abort()
+        for connection in list(self._connections):
+            connection.abort()
 
     def put(self, kind: str, name: str, spec: typing.Any) -> None:
         """Write an object unconditionally, as the operator or an endpoint."""
@@ -113,6 +123,22 @@
         self.dropped_revision = self.revision
         self.history.clear()
 
+    def return_from(self, older: drills.Copy) -> None:
+        """Go back to a copy; later revisions are given out again."""
+        self.revision = older.revision
+        self.objects = copy.deepcopy(older.objects)
+        self.history = copy.deepcopy(older.history)
+        self.dropped_revision = older.dropped_revision
+        self._notify_watches()
+
+    def cut_watches(self, way: drills.Way) -> None:
+        """End the calls that wait for an answer, as the way says."""
+        for connection in list(self._connections):
+            if connection.waits and way == drills.Way.RESET:
+                connection.abort()
+            elif connection.waits and way == drills.Way.SILENT:
+                connection.is_silent = True
+
     def register(self, endpoint: group.Endpoint, **fields: typing.Any) -> None:
         """Write an endpoint's entry.
 
@@ -138,6 +164,9 @@
 
     def _record(self, kind: str, event: dict[str, typing.Any]) -> None:
         self.history.append((self.revision, kind, event))
+        self._notify_watches()
+
+    def _notify_watches(self) -> None:
         changed, self._change_event = self._change_event, asyncio.Event()
         changed.set()
 
@@ -148,13 +177,18 @@
         headers: dict[str, str],
         body: typing.Any,
     ) -> tuple[int, typing.Any] | None:
-        """Return status and body of the response; None for no response."""
+        """Return status and body of the response; None for no response.
+
+        :raises ConnectionResetError: the connection is reset
+        """
         self.calls.append((method, url))
         parts = urllib.parse.urlsplit(url)
         query = dict(urllib.parse.parse_qsl(parts.query))
         if parts.path == "/promote":
             return self._promote(headers, body)
         faults = self.faults
+        if faults.reset:
+            raise ConnectionResetError
         if faults.silent:
             return None
         if faults.status:
@@ -196,7 +230,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait
         while True:
-            if since < self.dropped_revision:
+            if not self.dropped_revision <= since <= self.revision:
                 return 410, {"error": "history is gone"}
             events = [
                 event
@@ -235,6 +269,7 @@
         self.promotion_requests.append(
             (body["service"], body["id"], holder, token)
         )
+        self.promotion_times.append(asyncio.get_running_loop().time())
         faults = self.faults
         if faults.promotion_status:
             return faults.promotion_status, {"error": "refused"}
@@ -248,6 +283,12 @@
 
 
 class _HttpConnection(asyncio.Protocol):
+    """A connection.
+
+    :ivar waits: whether a call to the store waits for its answer
+    :ivar is_silent: whether nothing is sent any more
+    """
+
     def __init__(self, store: Store) -> None:
         self._store = store
         self._transport: typing.Any = None
@@ -256,13 +297,19 @@
         self._headers: dict[str, str] = {}
         self._body = b""
         self._tasks: set[asyncio.Task[None]] = set()
+        self.waits = False
+        self.is_silent = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
-        self._store._transports.add(transport)
+        self._store._connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._store._transports.discard(self._transport)
+        self._store._connections.discard(self)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         self._parser.feed_data(data)
@@ -291,13 +338,23 @@
     async def _serve(
         self, method: str, url: str, headers: dict[str, str], body: typing.Any
     ) -> None:
-        response = await self._store.serve(method, url, headers, body)
-        if response is None or self._transport.is_closing():
+        is_store = not url.startswith("/promote")
+        self.waits = is_store
+        try:
+            response = await self._store.serve(method, url, headers, body)
+        except ConnectionResetError:
+            self.abort()
+            return
+        finally:
+            self.waits = False
+        if response is None or self.is_silent or self._transport.is_closing():
             return
         status, content = response
         data = self._store.encode(content)
         head = (
             f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(data)}\r\n\r\n"
+            f"Content-Length: {len(data)}\r\n"
         )
-        self._transport.write(head.encode() + data)
+        if is_store and self._store.era is not None:
+            head += f"Store-Era: {self._store.era}\r\n"
+        self._transport.write(f"{head}\r\n".encode() + data)
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -7,6 +7,7 @@
 from fescuestile_platform import boot
 from fescuestile_platform import daemon
 from fescuestile_platform import endpoints
+from soak import proxies
 from tests.platform.standins import group as wire_group
 from tests.platform.standins import line_server
 from tests.platform.standins import store
@@ -50,6 +51,8 @@
     """Starts and stops stand-ins and daemons.
 
     :param dialers: how the first daemons reach endpoints
+    :param proxied: whether each daemon reaches the store by a proxy
+    :ivar store_proxies: these proxies, which can cut a daemon off
     :ivar caller_addresses: where each daemon accepts callers
     :ivar ready_addresses: where each daemon answers readiness probes
     """
@@ -60,6 +63,7 @@
         daemons: int = 1,
         bounds: boot.Bounds | None = None,
         dialers: typing.Sequence[endpoints.WireDialer] = (),
+        proxied: bool = False,
     ) -> None:
         self.groups = {
             f"g{n}": wire_group.Group(f"g{n}") for n in range(groups)
@@ -72,6 +76,8 @@
         self._daemon_count = daemons
         self._bounds = bounds or boot.Bounds()
         self._dialers = dialers
+        self._proxied = proxied
+        self.store_proxies: list[proxies.Proxy] = []
 
     async def start(self) -> None:
         """Start stand-ins and daemons, and wait until these are ready."""
@@ -85,9 +91,17 @@
         self.store.put("config", "main", make_configuration(self.groups))
         for number in range(self._daemon_count):
             dialer = (*self._dialers[number:], None)[0]
-            await self.start_daemon(f"daemon-{number}", dialer=dialer)
+            address = await self._start_proxy() if self._proxied else ""
+            await self.start_daemon(f"daemon-{number}", address, dialer)
         await self.wait_ready()
 
+    async def _start_proxy(self) -> str:
+        """Start a proxy of the store; return its address."""
+        proxy = proxies.Proxy(self.store.address)
+        self.store_proxies.append(proxy)
+        await proxy.start()
+        return proxy.address
+
     def record_members(self, group: wire_group.Group) -> None:
         """Write the record of a group that has been served for a while."""
         members = [
@@ -161,4 +175,6 @@
         await asyncio.gather(*(d.abort() for d in self.daemons))
         for each in self.groups.values():
             await each.close()
+        for proxy in self.store_proxies:
+            await proxy.close()
         await self.store.close()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -1,10 +1,10 @@
 """A store that comes back from a copy while a promotion is pending."""
 
 import asyncio
-import copy
 
 import pytest
 
+from tests.platform.standins import drills
 from tests.platform.standins import writers as wire_writers
 
 REQUEST_SECONDS = 5.0
@@ -26,7 +26,7 @@
     writers = wire_writers.Writers(world, group)
     writers.start(0, 1)
     await writers.wait_served(2.0)
-    kept = copy.deepcopy(world.store.objects["members", "g0"])
+    older = drills.take_copy(world.store)
     primary = group.primary
     world.store.faults.promotion_delays = [PROMOTION_SECONDS]
     primary.faults.dark = True
@@ -35,9 +35,8 @@
             await asyncio.sleep(0.002)
     chosen = group.endpoints[world.store.promotion_requests[0][1]]
     chosen.faults.deaf = True
-    await asyncio.sleep(0.5)
+    await drills.restore(world.store, older, drills.Drill(away_seconds=0.5))
     primary.faults.dark = False
-    world.store.objects["members", "g0"] = kept
     await asyncio.sleep(PROMOTION_SECONDS)
     await writers.close()
     assert group.primary is chosen
