Watch a store that comes back from a copy

Cause: ObjectWatch dropped each listing whose revision was lower than an earlier one's. After a copy all are: it listed for ever without a pause and applied nothing.

Change: revisions are compared within an era only. A change of the era, also one that another call was told of, ends the watch under way, and the objects are listed; refresh shares a listing within its era. A store that goes back without a new era is logged and followed: a listing that began after a higher revision was known can't be the slower one. is_copied tells which objects may be older than what was reported before.

--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import structlog
 
 from fescuestile import errors
 from fescuestile_platform import http
@@ -18,6 +19,7 @@
     :ivar revision: revision of the latest change
     :ivar gates: events for which the calls wait, in order of the calls
     :ivar calls: list and watch calls, the latter as the revision since which
+    :ivar header: era that the answers name, None for none
     """
 
     def __init__(self):
@@ -27,11 +29,28 @@
         self.gates: list[asyncio.Event] = []
         self.calls: list[str | int] = []
         self.available = True
+        self.header: str | None = None
 
     def put(self, name):
         self.objects.append(name)
         self.revision += 1
 
+    def restore(self, names, header):
+        """Go on from a copy, with one revision for each object."""
+        self.objects, self.revision = list(names), len(names)
+        self.header = header
+
+    def hear(self, header=None):
+        """Record the era of an answer; return it.
+
+        :param header: era that it names, by default that of the store
+        """
+        text = header or self.header
+        era = self._eras.record({} if text is None else {"store-era": text})
+        if era is None:
+            raise errors.PlatformUnavailable("earlier era", step="list")
+        return era
+
     def delay(self):
         """Make the next call wait; return the event that lets it go."""
         self.gates.append(asyncio.Event())
@@ -39,12 +58,15 @@
 
     async def list_all(self, kind, allow_stale=False):
         self.calls.append("list")
-        answer = store.Listing(self._make_objects(self.objects), self.revision)
+        names, revision = list(self.objects), self.revision
+        header = self.header
+        await asyncio.sleep(0.001)
         if self.gates:
             await self.gates.pop(0).wait()
         if not self.available:
             raise errors.PlatformUnavailable("no answer", step="list")
-        return answer
+        era = self.hear(header)
+        return store.Listing(self._make_objects(names), revision, era)
 
     async def watch(self, kind, since, seconds, era=None):
         self.calls.append(since)
@@ -52,12 +74,20 @@
             await asyncio.sleep(0.001)
         changed = self._make_objects(self.objects[since:]).values()
         answer = [(each, False) for each in changed], self.revision
+        is_gone, header = since > self.revision, self.header
+        await asyncio.sleep(0)
         if self.gates:
             await self.gates.pop(0).wait()
+        if self.hear(header) != (era or self.era) or is_gone:
+            return None
         return answer
 
     def _make_objects(self, names):
-        return {name: store.StoredObject(name, 1, {}) for name in names}
+        """Return objects whose revisions are their places."""
+        return {
+            name: store.StoredObject(name, place, {}, self._eras.current)
+            for place, name in enumerate(names, 1)
+        }
 
 
 @pytest.fixture
@@ -166,3 +196,119 @@
     assert len(seen) == 3
     assert fake_store.calls == ["list", 1, 2]
     await watch.close()
+
+
+async def start_watch(fake_store, watch, seen, names, header):
+    """Start the watch at a store that holds objects."""
+    fake_store.restore(names, header)
+    await watch.start()
+    await wait_seen(seen, sorted(names))
+
+
+async def test_a_listing_of_a_later_era_is_applied(fake_store, watch, seen):
+    """Answers a drill: revisions go back, and are given out again."""
+    await start_watch(fake_store, watch, seen, "abcd", "1")
+    fake_store.restore("ab", "2")
+    await wait_seen(seen, ["a", "b"])
+    fake_store.put("e")
+    await wait_seen(seen, ["a", "b", "e"])
+    assert fake_store.calls == ["list", 4, "list", 2]
+    await watch.close()
+
+
+async def test_a_watch_from_a_revision_given_out_again_lists(
+    fake_store, watch, seen
+):
+    """The copy lacks c, and another object has its revision."""
+    await start_watch(fake_store, watch, seen, "abc", "1")
+    fake_store.restore("abxy", "2")
+    await wait_seen(seen, ["a", "b", "x", "y"])
+    assert ["a", "b", "c", "y"] not in seen
+    await watch.close()
+
+
+async def test_a_watch_under_way_ends_when_another_call_names_a_new_era(
+    fake_store, watch, seen
+):
+    """The connection of the watch has gone silent."""
+    await start_watch(fake_store, watch, seen, "abc", "1")
+    fake_store.delay()
+    fake_store.restore("ab", "2")
+    await asyncio.sleep(0.01)
+    fake_store.hear()
+    await wait_seen(seen, ["a", "b"])
+    await watch.close()
+
+
+async def test_a_refresh_does_not_share_a_listing_of_a_former_era(fake_store):
+    """The era changes after the listing and before the refresh uses it."""
+    seen = []
+
+    def record(objects):
+        seen.append(sorted(objects))
+        if len(seen) == 2:
+            fake_store.restore("a", "2")
+            fake_store.hear()
+
+    fake_store.restore("ab", "1")
+    watch = watches.ObjectWatch(
+        fake_store, "servers", record, random.Random(1), 3.0
+    )
+    first_answer = fake_store.delay()
+    refreshes = [asyncio.create_task(watch.refresh()) for _ in range(3)]
+    await asyncio.sleep(0.01)
+    first_answer.set()
+    assert all(await asyncio.gather(*refreshes))
+    assert seen == [["a", "b"], ["a", "b"], ["a"]]
+
+
+async def test_a_listing_of_a_former_era_is_not_applied(
+    fake_store, watch, seen
+):
+    """It was answered before the store went away and arrives late."""
+    await start_watch(fake_store, watch, seen, "abc", "1")
+    late_answer = fake_store.delay()
+    refresh = asyncio.create_task(watch.refresh())
+    await asyncio.sleep(0.01)
+    fake_store.restore("ab", "2")
+    await wait_seen(seen, ["a", "b"])
+    late_answer.set()
+    assert not await refresh
+    assert seen[-1] == ["a", "b"]
+    await watch.close()
+
+
+async def test_a_store_that_goes_back_without_an_era_is_followed(
+    fake_store, watch, seen
+):
+    """Answers a store that names no era, and one whose era stays."""
+    await start_watch(fake_store, watch, seen, "abcd", None)
+    with structlog.testing.capture_logs() as logs:
+        fake_store.restore("ab", None)
+        await wait_seen(seen, ["a", "b"])
+    falls = [each for each in logs if "went back" in each["event"]]
+    assert [(each["before"], each["as_of"]) for each in falls] == [(4, 2)]
+    fake_store.put("e")
+    await wait_seen(seen, ["a", "b", "e"])
+    assert fake_store.calls.count("list") == 2
+    await watch.close()
+
+
+async def test_objects_of_a_copy_are_known_until_they_change(
+    fake_store, watch, seen
+):
+    def list_copied():
+        found = fake_store._make_objects(fake_store.objects).values()
+        return [each.name for each in found if watch.is_copied(each)]
+
+    await start_watch(fake_store, watch, seen, "abc", "1")
+    assert list_copied() == []
+    fake_store.restore("ab", "2")
+    await wait_seen(seen, ["a", "b"])
+    assert list_copied() == ["a", "b"]
+    fake_store.objects[1] = "x"
+    fake_store.put("b")
+    await wait_seen(seen, ["a", "b"])
+    assert await watch.refresh()
+    assert list_copied() == ["a"]
+    await watch.close()
