Keep what endpoints said since an older copy of the registry

Cause: after the store came back from a copy, its entries were applied as news.

Change: entries that a listing of a new era brings, and that have not changed since, are marked as copied. Of a copied entry, notice of the same run stays, runs that have ended or are older than the present one are left out as if their entries were missing, and reports outweigh claims. What the copy lacks is kept for removal_delay, as for entries that lapsed.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
@@ -7,6 +7,7 @@
 
 from fescuestile import clock
 from fescuestile import routes
+from fescuestile_daemon.relay import former_runs
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
@@ -40,6 +41,7 @@
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
+        self._former_runs = former_runs.FormerRuns()
 
     @property
     def is_complete(self) -> bool:
@@ -81,6 +83,7 @@
         self,
         entries: typing.Mapping[str, messages.EndpointEntry],
         keep_missing: bool,
+        copied: typing.Collection[str] = (),
     ) -> None:
         """Replace the endpoints by the entries of the registry.
 
@@ -88,12 +91,22 @@
         :param keep_missing: endpoints without an entry are kept for the time
             of the option ``removal_delay``, because the registry was
             unavailable
+        :param copied: ids of entries that may be older than those put
+            before, because the registry has come back from a copy
         """
         self.endpoints_loaded = True
-        for entry in entries.values():
-            group = self._get_group(entry.group)
+        current = set()
+        for found in entries.values():
+            group = self._get_group(found.group)
+            known = group.endpoints.get(found.id)
+            is_copied = found.id in copied
+            entry = (
+                self._former_runs.correct(found, known) if is_copied else found
+            )
+            if entry is None:
+                continue
+            current.add(entry.id)
             self._remove_from_other_groups(entry)
-            known = group.endpoints.get(entry.id)
             if known is None or known.entry != entry:
                 log.info(
                     "endpoint entry changed",
@@ -103,14 +116,12 @@
                     claims_primary=entry.claims_primary,
                     known=known is not None,
                 )
-            group.put_endpoint(
-                entry, self._compute_connection_limit(entry.group)
-            )
+            self._put_endpoint(group, entry, is_copied)
             self._apply_limits(group)
         now = time.monotonic()
         for group in self.groups.values():
             for name, endpoint in list(group.endpoints.items()):
-                if name in entries:
+                if name in current:
                     continue
                 if endpoint.dropped_at is None:
                     endpoint.dropped_at = now
@@ -132,8 +143,26 @@
         for group in self.groups.values():
             group.close()
 
+    def _put_endpoint(
+        self,
+        group: groups.Group,
+        entry: messages.EndpointEntry,
+        is_copied: bool,
+    ) -> None:
+        known = group.endpoints.get(entry.id)
+        report = None if known is None else known.report
+        if known is not None and known.entry.started_at != entry.started_at:
+            self._former_runs.record(known, has_restarted=True)
+        endpoint = group.put_endpoint(
+            entry, self._compute_connection_limit(entry.group)
+        )
+        if is_copied and endpoint is known:
+            # A claim of the copy does not outweigh what it reported since.
+            endpoint.report = report
+
     def _remove(self, group: groups.Group, name: str) -> None:
         log.info("endpoint removed", endpoint=name, group=group.name)
+        self._former_runs.record(group.endpoints[name], has_restarted=False)
         group.remove_endpoint(name)
 
     def _remove_from_other_groups(self, entry: messages.EndpointEntry) -> None:
