--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -5,6 +5,8 @@
 import pytest_asyncio
 
 from fescuestile import position_sharing
+from fescuestile_platform import peers as peers_adapter
+from tests.platform.standins import drills
 from tests.platform.standins import line_server
 
 
@@ -24,6 +26,14 @@
     return [name for kind, name in world.store.objects if kind == "peers"]
 
 
+async def restart_peers(daemon):
+    """Let a daemon register and list its peers as after its start."""
+    await daemon._peers.close()
+    # The port is free once the loop has closed the transport.
+    await asyncio.sleep(0.05)
+    await daemon._peers.start()
+
+
 def choose_asker(world, group):
     """Return the daemon that does not sample a group's positions."""
     known = [each._peers._peer for each in world.daemons]
@@ -77,3 +87,38 @@
         answer = await client.query("READ item")
         assert line_server.get_error(answer) is None
         await asyncio.sleep(0.7)
+
+
+async def test_daemons_register_again_after_the_store_forgot_them(
+    peers, monkeypatch
+):
+    """The copy is older than their registration."""
+    monkeypatch.setattr(peers_adapter, "FIRST_DELAY_SECONDS", (0.2, 0.3))
+    monkeypatch.setattr(peers_adapter, "LIST_DELAY_SECONDS", (0.2, 0.3))
+    daemon = peers.daemons[0]
+    await restart_peers(daemon)
+    await asyncio.sleep(0.5)
+    older = drills.take_copy(peers.store)
+    for key in [key for key in older.objects if key[0] == "peers"]:
+        del older.objects[key]
+    name = daemon._peers._peer.name
+    await drills.restore(peers.store, older)
+    assert ("peers", name) not in peers.store.objects
+    async with asyncio.timeout(3.0):
+        while ("peers", name) not in peers.store.objects:
+            await asyncio.sleep(0.02)
+
+
+async def test_daemons_register_once_while_the_store_goes_on(
+    peers, monkeypatch
+):
+    """Guards against calls to the store that change nothing."""
+    monkeypatch.setattr(peers_adapter, "FIRST_DELAY_SECONDS", (0.0, 0.0))
+    monkeypatch.setattr(peers_adapter, "LIST_DELAY_SECONDS", (0.1, 0.1))
+    daemon = peers.daemons[0]
+    peers.store.calls.clear()
+    await restart_peers(daemon)
+    await asyncio.sleep(1.0)
+    calls = [call for call in peers.store.calls if "/peers" in call[1]]
+    assert len([call for call in calls if call[0] == "POST"]) == 1
+    assert len([call for call in calls if "stale_ok" in call[1]]) > 2
