--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -18,10 +18,18 @@
     return ()
 
 
+@pytest.fixture
+def proxied():
+    """Whether the daemons reach the store by a proxy each."""
+    return False
+
+
 @pytest_asyncio.fixture
-async def world(world_size, dialers):
+async def world(world_size, dialers, proxied):
     groups, daemons = world_size
-    made = worlds.World(groups=groups, daemons=daemons, dialers=dialers)
+    made = worlds.World(
+        groups=groups, daemons=daemons, dialers=dialers, proxied=proxied
+    )
     await made.start()
     yield made
     await made.close()
