End leases with the store's era and derive tokens from it

Cause: a store that comes back from an older copy has forgotten who holds the lease and which tokens were given. A candidate found the lease free while its holder went on, and counted tokens on from an old one.

Change: a lease ends when its daemon hears of another era, and a write whose answer is of another era than its condition gives none. The object names the era in which it was written; one of another era, or none at all, is taken over only after it has been there unchanged for a lease time. A daemon begins to observe it with one stale listing when it starts and at each change of the era. A token is the era above 32 bits for the revision that was read, and at least one more than the recorded one. A malformed object counts as held, its token as its revision.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -4,6 +4,10 @@
 revision. A daemon that acquires it from another raises the fencing token. A
 holder sends nothing that could arrive after its lease has expired, by the
 clock that counts suspensions.
+
+The store may come back from an older copy, in the next era. It has forgotten
+leases and tokens then, so a lease ends with its era, and an object that was
+not written in the present one counts as held by an unknown daemon.
 """
 
 import abc
@@ -24,8 +28,14 @@
 LEASE_SECONDS = 3.5
 # Others wait this much longer, since clocks run at slightly different rates.
 CLOCK_DRIFT_SECONDS = 0.5
+WAIT_SECONDS = LEASE_SECONDS + CLOCK_DRIFT_SECONDS
 # A lease that expires sooner than this is renewed before use.
 RENEW_BELOW_SECONDS = 2.5
+# Bits of a token below the era: more revisions than a copy can lack, and few
+# enough that a JSON reader which decodes numbers as floats keeps them all.
+REVISION_BITS = 32
+# Pause before an object that could not be read is observed again.
+RETRY_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,11 +46,22 @@
     :ivar token: fencing token of the last holder
     :ivar claim: unique to each write, to recognise one whose answer was lost;
         begins with an id of the process
+    :ivar era: era of the store in which it was written, 0 if unknown
     """
 
     holder: str = ""
     token: int = 0
     claim: str = ""
+    era: int = 0
+
+
+def make_unknown(revision: int) -> Record:
+    """Return the record of an object that cannot be parsed.
+
+    Somebody may hold the lease. Each token was written with a revision of its
+    own, so none is above the object's.
+    """
+    return Record(holder="unknown", token=revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,17 +69,19 @@
     """A record and its revision, on which a later write is conditional.
 
     :ivar revision: None when there is no object yet
+    :ivar era: era of the store in which it was read, 0 for none
     """
 
     record: Record
     revision: int | None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Observation:
     """Another daemon's lease and the boot time when it was first seen."""
 
-    revision: int
+    stored: StoredRecord
     first_seen_at: float
 
 
@@ -66,9 +89,10 @@
     """Store of the lease object."""
 
     @abc.abstractmethod
-    async def read(self) -> StoredRecord:
-        """Return the object; one that cannot be parsed counts as free.
+    async def read(self, allow_stale: bool = False) -> StoredRecord:
+        """Return the object; see ``make_unknown`` for one that is malformed.
 
+        :param allow_stale: whether it may be seconds old
         :raises PlatformUnavailable: the store did not answer
         """
 
@@ -105,6 +129,64 @@
         self._lease: promotion.Lease | None = None
         self._users = 0
         self._observation: _Observation | None = None
+        self._era = 0
+        self._era_changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to observe the object at each change of the era."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Cancel the task."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            self._era_changed.clear()
+            try:
+                await self.observe()
+            except errors.PlatformUnavailable:
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            await self._era_changed.wait()
+
+    async def observe(self) -> None:
+        """See the object, so that the first takeover need not wait for it.
+
+        An older answer serves: a revision that is there later has been there
+        all the while.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+        stored = await self._store.read(allow_stale=True)
+        self.record_era(stored.era)
+        self._measure_observed(stored)
+
+    def record_era(self, era: int) -> None:
+        """Record the era of an answer of the store.
+
+        A lease of a former era ends.
+        """
+        if era <= self._era:
+            return
+        self._era = era
+        self._era_changed.set()
+        if self._lease is not None:
+            log.warning(
+                "lease ended with the store's era",
+                token=self._lease.token,
+                era=era,
+            )
+            self._lease = None
+
+    def is_in_force(self, lease: promotion.Lease) -> bool:
+        """Return whether the store has not gone back since the lease began.
+
+        It may have expired nevertheless.
+        """
+        return lease.era == self._era
 
     @property
     def lease(self) -> promotion.Lease | None:
@@ -133,28 +215,43 @@
         if held is not None and held.expires_at - now > RENEW_BELOW_SECONDS:
             return held
         stored = await self._store.read()
-        if not self._may_acquire(stored):
+        self.record_era(stored.era)
+        if stored.era < self._era or not self._may_acquire(stored):
             return None
-        is_own = held is not None and self._is_own(stored.record)
-        token = stored.record.token + (0 if is_own else 1)
-        return await self._write(stored, token)
+        held = self._lease
+        if (
+            held is not None
+            and self._is_own(stored.record)
+            and (stored.record.era, stored.record.token)
+            == (held.era, held.token)
+        ):
+            return await self._write(stored, held.token)
+        return await self._write(stored, _make_token(stored))
 
     def _is_own(self, record: Record) -> bool:
         return record.claim.startswith(self._process)
 
     def _may_acquire(self, stored: StoredRecord) -> bool:
-        """Return whether the lease is free, held here or expired."""
-        if stored.revision is None or not stored.record.holder:
-            return True
-        if self._is_own(stored.record):
+        """Return whether the lease is free, held here or expired.
+
+        In an object that was not written in the present era, a later holder
+        may have been forgotten or overwritten.
+        """
+        record = stored.record
+        if record.era == stored.era and (
+            stored.revision is None
+            or not record.holder
+            or self._is_own(record)
+        ):
             return True
+        return self._measure_observed(stored) > WAIT_SECONDS
+
+    def _measure_observed(self, stored: StoredRecord) -> float:
+        """Return for how many seconds this object has been there at least."""
         now = self._clock.now()
-        observation = self._observation
-        if observation is None or observation.revision != stored.revision:
-            self._observation = _Observation(stored.revision, now)
-            return False
-        observed_for = now - observation.first_seen_at
-        return observed_for > LEASE_SECONDS + CLOCK_DRIFT_SECONDS
+        if self._observation is None or self._observation.stored != stored:
+            self._observation = _Observation(stored, now)
+        return now - self._observation.first_seen_at
 
     def _make_claim(self) -> str:
         return f"{self._process}-{secrets.token_hex(4)}"
@@ -163,7 +260,7 @@
         self, stored: StoredRecord, token: int
     ) -> promotion.Lease | None:
         sent_at = self._clock.now()
-        record = Record(self._daemon, token, self._make_claim())
+        record = Record(self._daemon, token, self._make_claim(), stored.era)
         written: StoredRecord | None
         try:
             written = await self._store.write(record, stored.revision)
@@ -176,8 +273,12 @@
                 written = None
         if written is None:
             return None
+        self.record_era(written.era)
+        if not written.era == stored.era == self._era:
+            # Its condition was a revision of a former era.
+            return None
         self._lease = promotion.Lease(
-            self._daemon, token, sent_at + LEASE_SECONDS
+            self._daemon, token, sent_at + LEASE_SECONDS, self._era
         )
         log.info("lease acquired", token=token, revision=written.revision)
         return self._lease
@@ -193,9 +294,22 @@
                 return
             try:
                 stored = await self._store.read()
-                if self._is_own(stored.record):
-                    free = Record("", held.token, self._make_claim())
+                self.record_era(stored.era)
+                if stored.era == held.era and self._is_own(stored.record):
+                    free = Record("", held.token, self._make_claim(), held.era)
                     await self._store.write(free, stored.revision)
             except errors.PlatformUnavailable as error:
                 # The lease expires by itself.
                 log.warning("lease not released", detail=str(error))
+
+
+def _make_token(stored: StoredRecord) -> int:
+    """Return a token above all that were sent before.
+
+    The store may have forgotten some: those of former eras are below the era,
+    those of this one below a later revision.
+    """
+    token = stored.record.token + 1
+    if not stored.era:
+        return token
+    return max(token, (stored.era << REVISION_BITS) + (stored.revision or 0))
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -27,11 +27,14 @@
     :ivar token: fencing token, grows with each change of holder
     :ivar expires_at: seconds since boot after which no request is sent
         under it
+    :ivar era: era of the platform's store in which it was acquired, 0 for
+        none; it ends with that
     """
 
     holder: str
     token: int
     expires_at: float
+    era: int = 0
 
 
 def covers_call(lease: Lease, now: float, timeout: float) -> bool:
