Send nothing under a lease of a former era

Cause: a takeover under way kept the lease that it had begun with, so it went on to fence, to lift fences and to request promotions after the store had gone back, and fences left by another driver were lifted without a look at the lease.

Change: the promoter tells whether a lease is in force; a takeover asks before each fence and each lifting, the request for a promotion as well. Fences that were set under an ended lease are left to the next driver.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -1,6 +1,7 @@
 """Monitors the primaries and starts takeovers of failed or leaving ones."""
 
 import asyncio
+import collections.abc
 import enum
 import random
 import time
@@ -450,7 +451,7 @@
         primary: endpoint_states.EndpointState | None,
     ) -> None:
         if reason is Reason.LEFT_FENCED:
-            await self._unfence(group)
+            await self._unfence(group, replacement.holds_lease)
         elif reason is Reason.LEAVING and primary is not None:
             target = self._find_target(group, primary)
             if target is None or not await replacement.switch_over(
@@ -463,9 +464,18 @@
             if not replaced:
                 await asyncio.sleep(self._options.monitor_interval)
 
-    async def _unfence(self, group: groups.Group) -> None:
-        """Lift the fences of a driver that died before its promotion."""
+    async def _unfence(
+        self,
+        group: groups.Group,
+        may_send: collections.abc.Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Lift the fences of a driver that died before its promotion.
+
+        :param may_send: asked before each command
+        """
         for endpoint in _list_left_fenced(group):
+            if not may_send():
+                return
             await group.inspect(
                 endpoint, messages.Unfence(), self._options.inspect_timeout
             )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -95,6 +95,14 @@
     async def release(self, lease: promotion.Lease) -> None:
         """Release the lease."""
 
+    def is_in_force(self, lease: promotion.Lease) -> bool:
+        """Return whether the store still knows what it did of the lease.
+
+        One that has come back from an older copy may not. It may have expired
+        nevertheless.
+        """
+        return True
+
     @abc.abstractmethod
     async def promote(
         self, group: str, endpoint: str, lease: promotion.Lease
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -53,6 +53,7 @@
         self._requests = promotion_requests.PromotionRequests(
             group, promoter, promotion_log, lease
         )
+        self._promoter = promoter
         self._lease = lease
         self._clock = boot_clock
         self._fenced: dict[str, messages.Report] = {}
@@ -88,7 +89,7 @@
                 group.name, chosen
             ):
                 recorded = chosen
-            if recorded is not None or not self._holds_lease():
+            if recorded is not None or not self.holds_lease():
                 break
         log.info(
             "endpoints fenced for failover",
@@ -238,8 +239,11 @@
             role=role,
         )
 
-    def _holds_lease(self) -> bool:
-        return promotion.covers_call(
+    def holds_lease(self) -> bool:
+        """Return whether a command could be sent under the lease now."""
+        return self._promoter.is_in_force(
+            self._lease
+        ) and promotion.covers_call(
             self._lease, self._clock.now(), FENCE_TIMEOUT_SECONDS
         )
 
@@ -272,7 +276,7 @@
         term: int,
         as_primary: bool,
     ) -> messages.Report | None:
-        if not self._holds_lease():
+        if not self.holds_lease():
             return None
         known = endpoint.report
         led_term = 0
@@ -332,7 +336,7 @@
         receive writes: any other could hold one that it lacks. Without the
         lease, all is left to the next driver.
         """
-        is_lifted = self._holds_lease()
+        is_lifted = self.holds_lease()
         concerned = {
             name: report
             for name, report in self._fenced.items()
