Keep what the store forgets of the groups' members and promotions

Cause: a record that came back from an older copy was applied like a newer one. It took members off as released, ended a pending promotion, and a daemon that had just started decided on it; revisions of different eras were compared, and a condition could hold for another content.

Change: a record names the latest era in which it was known to lack nothing (settled_era). One of another era ends, removes and lowers nothing that is known here; what it lacks is written again at once, with the members that were recorded before and no others. Nothing is decided on it until it is settled: a daemon that knew so has written it, or all endpoints have followed one primary without a fence since the change, or 16 s are over (a lease and the time in which a request takes effect). Copies, revisions and conditions count within an era only. The reading and writing of records moves to record_copies.py, what may be missing to record_eras.py.

The stand-in world, which stands for a system that has been served for a while, writes its records and a free lease as such a system does, with the era; so does the other daemon in test_leaving.py.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -8,9 +8,13 @@
 It also holds the promotion that was requested and may still take effect.
 Until that is over no member is added: the driver has stopped those in the
 record only.
+
+The store may come back from an older copy, see ``record_eras``. Daemons then
+write again what they know at once.
 """
 
 import asyncio
+import dataclasses
 import math
 import random
 import secrets
@@ -25,6 +29,7 @@
 from fescuestile_daemon.relay import groups
 from fescuestile_daemon.relay import member_store
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import record_copies
 
 log = structlog.get_logger()
 
@@ -39,12 +44,11 @@
 LOAD_CHECK_SECONDS = 0.2
 # Pause before records that were missing or malformed are read again.
 LOAD_DELAY_SECONDS = group_members.SETTLE_SECONDS
-# A malformed record is replaced after this time: an endpoint that the
-# registry has not named by then is gone.
-MALFORMED_SECONDS = group_members.MISSING_SECONDS
 
 
-class MemberRecords(ports.PromotionLog, ports.RecordReader):
+class MemberRecords(
+    record_copies.RecordCopies, ports.PromotionLog, ports.RecordReader
+):
     """Reads the records for this daemon and keeps them up to date."""
 
     def __init__(
@@ -60,14 +64,12 @@
         :param registry: read again before a member is taken off a record
         :param source: randomness of the delay before a change is recorded
         """
-        self._store = store
-        self._directory = routes
+        super().__init__(store, routes)
         self._registry = registry
         self._random = source
         self._record_at = math.inf
         self._load_at = -math.inf
-        self._malformed_since: dict[str, float] = {}
-        self._revisions: dict[str, int | None] = {}
+        self._load_era = 0
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -91,16 +93,25 @@
         knows binds those that start later.
 
         :returns: False when the store did not answer, while the record is
-            malformed, or while there is none and this daemon may not know
-            all members yet
+            malformed or may lack a promotion, or while there is none and
+            this daemon may not know all members yet
         """
         try:
             stored = await self._store.read(group.name)
             if not self._apply(group, stored):
                 log.warning("members not known", group=group.name)
                 return False
+            if not self._is_settled(group, stored):
+                log.warning(
+                    "record of members may lack a promotion",
+                    group=group.name,
+                    era=stored.era,
+                )
+                return False
             if stored.members is None or stored.revision is None:
-                return await self._write(group, stored)
+                return await self._write(
+                    group, stored, group.members.make_record()
+                )
             return True
         except errors.PlatformUnavailable as error:
             log.warning(
@@ -127,9 +138,9 @@
         return [g for g in self._directory.groups.values() if g.endpoints]
 
     def _is_loaded(self) -> bool:
-        """Return whether all records have been read."""
+        """Return whether all records have been read in this era."""
         return self._directory.endpoints_loaded and all(
-            group.members.is_loaded for group in self._list()
+            self._is_read(group) for group in self._list()
         )
 
     def _is_idle(self) -> bool:
@@ -142,18 +153,24 @@
         :raises PlatformUnavailable: the store did not answer
         """
         now = time.monotonic()
+        self._notice_era()
+        if self._load_era != self._eras.era:
+            self._load_era = self._eras.era
+            self._load_at = -math.inf
         if (
             self._directory.endpoints_loaded
             and now >= self._load_at
             and not self._is_loaded()
         ):
             stored = await self._store.list_all()
+            self._notice_era()
+            none = dataclasses.replace(
+                member_store.NO_RECORD, era=self._store.era
+            )
             self._load_at = now + LOAD_DELAY_SECONDS
             for group in self._list():
-                if not group.members.is_loaded:
-                    self._apply(
-                        group, stored.get(group.name, member_store.NO_RECORD)
-                    )
+                if not self._is_read(group):
+                    self._apply(group, stored.get(group.name, none))
         if not self._list_changed():
             self._record_at = math.inf
             return
@@ -170,13 +187,21 @@
         return [
             group
             for group in self._list()
-            if group.members.is_loaded
-            and (
-                group.members.make_record() != group.members.recorded
-                or group.promotions.is_over(time.monotonic())
-            )
+            if self._is_read(group) and self._is_changed(group)
         ]
 
+    def _is_changed(self, group: groups.Group) -> bool:
+        stored = self._stored[group.name]
+        is_settled = self._is_settled(group, stored)
+        if not is_settled and not self._is_new(group, stored):
+            return self._lacks(group)
+        return (
+            group.members.make_record() != group.members.recorded
+            or group.promotions.is_over(time.monotonic())
+            or (is_settled and stored.settled_era != stored.era)
+            or self._lacks(group)
+        )
+
     def _list_joining(self) -> list[groups.Group]:
         """Return the groups with members that are not recorded."""
         return [
@@ -190,7 +215,9 @@
         if self._record_at == math.inf:
             self._record_at = now + self._random.uniform(*RECORD_DELAY_SECONDS)
         joining = self._list_joining()
-        if any(group.members.is_awaited for group in joining):
+        if any(group.members.is_awaited for group in joining) or any(
+            self._lacks(group) for group in self._list_changed()
+        ):
             self._record_at = now
         elif joining and self._record_at > now + JOIN_DELAY_SECONDS[1]:
             self._record_at = now + self._random.uniform(*JOIN_DELAY_SECONDS)
@@ -201,23 +228,33 @@
         A listing that may be stale is cheaper than a reading of each record.
         """
         stored = await self._store.list_all(allow_stale=True)
+        self._notice_era()
         for group in self._list_changed():
             found = stored.get(group.name)
             if (
                 found is not None
+                and found.era == found.settled_era == self._eras.era
                 and found.members == group.members.make_record()
                 and not group.promotions.is_over(time.monotonic())
+                and not self._lacks(group)
             ):
                 group.members.recorded = found.members
+                self._stored[group.name] = found
 
     async def _record(self, group: groups.Group) -> None:
         """Write what this daemon knows into the record of a group."""
         members = group.members
         stored = await self._store.read(group.name)
         members.is_awaited = False
-        if not self._apply(group, stored) or (
-            group.promotions.find(time.monotonic()) is not None
+        if not self._apply(group, stored):
+            return
+        if group.promotions.find(time.monotonic()) is not None or not (
+            self._is_settled(group, stored) or self._is_new(group, stored)
         ):
+            # No member is added, but what was recorded is written again.
+            if self._lacks(group):
+                known = members.recorded or frozenset()
+                await self._write(group, stored, known | members.forgotten)
             return
         wanted = members.make_record()
         if stored.members is not None and stored.members - wanted:
@@ -225,61 +262,13 @@
             if not await self._registry.refresh():
                 return
             wanted = members.make_record()
-        if wanted != stored.members or stored.pending is not None:
-            await self._write(group, stored)
-
-    async def _write(
-        self, group: groups.Group, stored: member_store.StoredMembers
-    ) -> bool:
-        """Write a record; return False if it has changed meanwhile."""
-        now = time.monotonic()
-        wanted = group.members.make_record()
-        written = await self._store.write(
-            group.name,
-            member_store.StoredMembers(
-                wanted,
-                stored.revision,
-                group.promotions.find(now),
-                group.promotions.find_replaced_term(now),
-            ),
-        )
-        if written is None:
-            return False
-        self._revisions[group.name] = written.revision
-        group.promotions.put(written.pending, now, written.replaced_term)
-        log.info(
-            "members recorded",
-            group=group.name,
-            members=[f"{m.name} {m.started_at}" for m in sorted(wanted)],
-        )
-        group.members.recorded = wanted
-        return True
-
-    def _apply(
-        self, group: groups.Group, stored: member_store.StoredMembers
-    ) -> bool:
-        """Apply a record; return whether it could be used."""
-        now = time.monotonic()
-        before = self._revisions.get(group.name) or 0
-        self._revisions[group.name] = stored.revision
-        if stored.members is None:
-            since = self._malformed_since.setdefault(group.name, now)
-            if now - since < MALFORMED_SECONDS:
-                return False
-        else:
-            self._malformed_since.pop(group.name, None)
-        if stored.members is None or stored.revision is None:
-            # Nothing is known but what this daemon has seen.
-            if not group.members.is_settled(now):
-                return False
-            if not group.members.is_loaded:
-                group.members.apply_record((), now)
-            return True
-        group.members.apply_record(stored.members, now)
-        if stored.pending is not None or stored.revision >= before:
-            # An older copy of the record does not end a promotion.
-            group.promotions.put(stored.pending, now, stored.replaced_term)
-        return True
+        if (
+            wanted != stored.members
+            or stored.pending is not None
+            or stored.settled_era != stored.era
+            or self._lacks(group)
+        ):
+            await self._write(group, stored, wanted)
 
     # Promotions
 
@@ -294,9 +283,13 @@
         known = self._directory.groups[group]
         chosen = known.endpoints.get(endpoint)
         earlier = known.promotions.find(time.monotonic())
+        stored = self._find_stored(group)
+        self._notice_era()
+        if not self._is_settled(known, stored):
+            return False
         wanted = member_store.StoredMembers(
             known.members.recorded,
-            self._revisions.get(group),
+            stored.revision,
             pending_promotions.PendingPromotion(
                 endpoint,
                 known.followed_term,
@@ -305,6 +298,8 @@
                 repeated=earlier is not None and earlier.endpoint == endpoint,
             ),
             known.promotions.find_replaced_term(time.monotonic()),
+            stored.era,
+            stored.era,
         )
         try:
             written = await self._write_pending(known, wanted)
@@ -323,6 +318,22 @@
         await self.load(known)
         return False
 
+    async def is_current(self, group: str) -> bool:
+        """Return whether the store still holds the promotion.
+
+        It has not come back from an older copy then, so that whoever reads
+        the record after that sees the fences that were set before.
+        """
+        if not self._store.era:
+            return True
+        try:
+            found = await self._store.read(group)
+        except errors.PlatformUnavailable as error:
+            log.warning("record not read", group=group, detail=str(error))
+            return False
+        stored = self._find_stored(group)
+        return (found.era, found.pending) == (stored.era, stored.pending)
+
     async def _write_pending(
         self, group: groups.Group, wanted: member_store.StoredMembers
     ) -> bool:
@@ -343,9 +354,9 @@
                 wanted.pending,
             ):
                 written = None
-        if written is None:
+        if written is None or written.era != wanted.era:
             return False
-        self._revisions[group.name] = written.revision
+        self._stored[group.name] = written
         group.promotions.put(
             wanted.pending, time.monotonic(), wanted.replaced_term
         )
@@ -365,10 +376,15 @@
             if pending.repeated or not is_refused:
                 return
             known.promotions.put(None, now)
+        stored = self._find_stored(group)
+        if stored.era != self._store.era:
+            return
         wanted = member_store.StoredMembers(
             known.members.recorded,
-            self._revisions.get(group),
+            stored.revision,
             replaced_term=known.promotions.find_replaced_term(now),
+            era=stored.era,
+            settled_era=stored.settled_era,
         )
         try:
             await self._write_pending(known, wanted)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -125,6 +125,10 @@
             again then, if they had changed
         """
 
+    async def is_current(self, group: str) -> bool:
+        """Return whether the store still holds the promotion."""
+        return True
+
     @abc.abstractmethod
     async def record_end(self, group: str, is_refused: bool = False) -> None:
         """Record that the promotion took effect, or never will.
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
@@ -0,0 +1,148 @@
+"""Which records may lack what was written in an earlier era of the store.
+
+The store may come back from an older copy, in the next era. A record may then
+lack members, and a promotion that was requested and takes effect later. Those
+who know of them write them again, but their daemons may have died. So nothing
+is decided on a record before one of these shows that no promotion is missing:
+
+- a daemon that knew so has written the record in this era;
+- the time in which a request can take effect is over;
+- all endpoints follow one primary. A driver keeps the fences of all but the
+  endpoint that it promotes until that has taken effect, or has made the
+  primary step down.
+"""
+
+import math
+
+import structlog
+
+from fescuestile import endpoint_messages
+from fescuestile import group_members
+from fescuestile import pending_promotions
+from fescuestile import promotion
+from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay import member_store
+
+log = structlog.get_logger()
+
+Role = endpoint_messages.Role
+# Time within which the daemons that reach the store have heard of its era and
+# written again what they know.
+RESTORE_SECONDS = 2.0
+# A request under a lease of a former era is sent, and takes effect, within.
+FORGOTTEN_SECONDS = leases.WAIT_SECONDS + pending_promotions.PENDING_SECONDS
+# Recorded replicas without a fence that show that none is fenced for a
+# promotion: one of them may be the promotion's endpoint.
+UNFENCED_REPLICAS = 2
+
+
+class RecordEras:
+    """The era of the store, and the records that are settled in it.
+
+    :ivar era: latest era of the store, 0 for none
+    """
+
+    def __init__(self) -> None:
+        """Start before the first era."""
+        self.era = 0
+        self._since = -math.inf
+        self._steady: set[str] = set()
+        self._settled: set[str] = set()
+
+    def notice(self, era: int, now: float) -> bool:
+        """Record the era of the store.
+
+        :param now: monotonic seconds
+        :returns: whether it is a later one
+        """
+        if era <= self.era:
+            return False
+        self.era, self._since = era, now
+        self._steady.clear()
+        self._settled.clear()
+        return True
+
+    def is_restored(self, now: float) -> bool:
+        """Return whether others have written again what they know.
+
+        :param now: monotonic seconds
+        """
+        return now - self._since > RESTORE_SECONDS
+
+    def is_settled(
+        self,
+        group: groups.Group,
+        stored: member_store.StoredMembers,
+        now: float,
+    ) -> bool:
+        """Return whether no promotion is missing in a record.
+
+        :param now: monotonic seconds
+        """
+        if stored.era != self.era:
+            return False
+        if stored.settled_era == self.era or group.name in self._settled:
+            return True
+        if (
+            group.name not in self._steady
+            and group.promotions.find(now) is None
+            and _is_steady(group, stored, self._since)
+        ):
+            self._steady.add(group.name)
+        is_steady = group.name in self._steady
+        if now - self._since <= FORGOTTEN_SECONDS and not (
+            is_steady and self.is_restored(now)
+        ):
+            return False
+        self._settled.add(group.name)
+        log.info(
+            "record settled",
+            group=group.name,
+            era=self.era,
+            steady=is_steady,
+            seconds=round(now - self._since, 1),
+        )
+        return True
+
+
+def _is_steady(
+    group: groups.Group, stored: member_store.StoredMembers, since: float
+) -> bool:
+    """Return whether all endpoints have followed one primary.
+
+    An endpoint that joined after the record was written was not fenced.
+
+    :param since: monotonic seconds; earlier reports do not count
+    """
+    endpoints = group.endpoints.values()
+    reports = [
+        endpoint.report
+        for endpoint in endpoints
+        if endpoint.report is not None and endpoint.reported_at >= since
+    ]
+    primary = promotion.find_primary(reports)
+    if (
+        primary is None
+        or len(reports) < len(endpoints)
+        or group.members.absent
+        or any(report.term != primary.term for report in reports)
+        or any(
+            report.role is not Role.REPLICA
+            for report in reports
+            if report is not primary
+        )
+    ):
+        return False
+    recorded = (stored.members or frozenset()) | group.members.forgotten
+    replicas = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.name != primary.endpoint
+        and (
+            stored.revision is None
+            or group_members.Member(endpoint.name, endpoint.entry.started_at)
+            in recorded
+        )
+    ]
+    return len(replicas) >= UNFENCED_REPLICAS
--- a/packages/fescuestile/src/fescuestile/group_members.py
+++ b/packages/fescuestile/src/fescuestile/group_members.py
@@ -57,6 +57,7 @@
         self._present: dict[str, Member] = {}
         self._absent: dict[Member, Absence] = {}
         self._released: set[Member] = set()
+        self._kept: frozenset[Member] = frozenset()
 
     @property
     def is_loaded(self) -> bool:
@@ -110,22 +111,36 @@
         if member is not None:
             self._absent[member] = Absence(now, has_left)
 
+    @property
+    def forgotten(self) -> frozenset[Member]:
+        """Members that were recorded, and that an older record lacks."""
+        return self._kept - (self.recorded or frozenset()) - self._released
+
     def apply_record(
-        self, recorded: typing.Iterable[Member], now: float
+        self,
+        recorded: typing.Iterable[Member],
+        now: float,
+        may_be_older: bool = False,
     ) -> None:
         """Apply the record that has just been read.
 
         Members that are unknown here count as missing from now on. Those that
         were recorded before, and are not any more, were released by another
-        daemon.
+        daemon, or forgotten.
 
         :param now: monotonic seconds
+        :param may_be_older: whether the record may be older than the one
+            before, so that it releases no member
         """
         before = self.recorded or frozenset()
         self.recorded = frozenset(recorded)
-        for member in before - self.recorded:
-            self._absent.pop(member, None)
-        self._released &= self.recorded
+        if may_be_older:
+            self._kept |= before
+        else:
+            self._kept = frozenset()
+            for member in before - self.recorded:
+                self._absent.pop(member, None)
+        self._released &= self.recorded | self._kept
         present = set(self._present.values())
         for member in self.recorded - present - self._released:
             self._absent.setdefault(member, Absence(now, has_left=False))
--- a/packages/fescuestile/src/fescuestile/pending_promotions.py
+++ b/packages/fescuestile/src/fescuestile/pending_promotions.py
@@ -60,6 +60,23 @@
             self._seen_at = now
         self._pending = pending
 
+    def merge(
+        self,
+        pending: PendingPromotion | None,
+        now: float,
+        replaced_term: int,
+    ) -> None:
+        """Apply a record that may be older than the one before.
+
+        It ends no promotion that is known here.
+
+        :param now: monotonic seconds
+        :param replaced_term: as the record has it
+        """
+        self.replaced_term = max(self.replaced_term, replaced_term)
+        if pending is not None and self.find(now) is None:
+            self.put(pending, now)
+
     def end(self) -> None:
         """Record that the run of the endpoint has ended."""
         self._seen_at = -math.inf
--- a/tests/member_stores.py
+++ b/tests/member_stores.py
@@ -1,6 +1,7 @@
 """Builders of records of members, and a store that holds them in memory."""
 
 import asyncio
+import dataclasses
 
 from fescuestile import errors
 from fescuestile import group_members
@@ -15,6 +16,9 @@
     )
 
 
+replace = dataclasses.replace
+
+
 class MemoryStore(member_store.MemberStore):
     """Holds records; a group has none at first.
 
@@ -22,8 +26,11 @@
     :ivar calls: names of the calls so far
     :ivar fault: "refuses", "lost" (executed without an answer), "late"
         (executed by ``execute_late``) or empty for none
+    :ivar era: rises each time the store goes back
     """
 
+    era = 0
+
     def __init__(self):
         self.records = {}
         self.calls = []
@@ -39,7 +46,8 @@
 
     def find(self, group):
         """Return the record of a group."""
-        return self.records.get(group, member_store.NO_RECORD)
+        found = self.records.get(group, member_store.NO_RECORD)
+        return dataclasses.replace(found, era=self.era)
 
     async def read(self, group):
         await self._call("read")
@@ -47,7 +55,7 @@
 
     async def list_all(self, allow_stale=False):
         await self._call("list stale" if allow_stale else "list")
-        return dict(self.records)
+        return {group: self.find(group) for group in self.records}
 
     async def write(self, group, wanted):
         await self._call("write")
@@ -68,9 +76,19 @@
     def _execute(self, group, wanted):
         if self.find(group).revision != wanted.revision:
             return False
-        self.put(group, wanted.members, wanted.pending)
+        revision = (wanted.revision or 0) + 1
+        self.records[group] = dataclasses.replace(wanted, revision=revision)
         return True
 
+    def copy(self):
+        """Return a copy that ``restore`` puts back."""
+        return dict(self.records)
+
+    def restore(self, kept):
+        """Come back from a copy in the next era."""
+        self.records = dict(kept)
+        self.era += 1
+
     def execute_late(self):
         """Execute the writes that got no answer."""
         for write in self._late:
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -88,6 +88,7 @@
             for endpoint in each.endpoints.values():
                 self.store.register(endpoint)
             self.record_members(each)
+        self.record_lease()
         self.store.put("config", "main", make_configuration(self.groups))
         for number in range(self._daemon_count):
             dialer = (*self._dialers[number:], None)[0]
@@ -108,7 +109,13 @@
             {"id": endpoint.name, "born": endpoint.started_at_ms}
             for endpoint in group.endpoints.values()
         ]
-        self.store.put("members", group.name, {"members": members})
+        record = {"members": members, "settled_era": self.store.era or 0}
+        self.store.put("members", group.name, record)
+
+    def record_lease(self) -> None:
+        """Write the lease of a store that has been served for a while."""
+        record = {"holder": "", "token": 0, "era": self.store.era or 0}
+        self.store.put("leases", "promotion", record)
 
     async def start_daemon(
         self,
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -116,7 +116,12 @@
 
     def _put_lease(self, holder):
         claim = secrets.token_hex(4)
-        record = {"holder": holder, "token": 1, "claim": claim}
+        record = {
+            "holder": holder,
+            "token": 1,
+            "claim": claim,
+            "era": self.world.store.era,
+        }
         self.world.store.put("leases", "promotion", record)
 
     def free_lease(self):
--- /dev/null
+++ b/tests/unit/test_record_eras.py
@@ -0,0 +1,318 @@
+"""Records of members in a store that comes back from an older copy."""
+
+import time
+
+import pytest
+
+from fescuestile import clock
+from fescuestile import endpoint_messages
+from fescuestile import pending_promotions
+from fescuestile_daemon.relay import directory
+from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import record_eras
+from tests import member_stores
+from tests import monitored_groups
+
+Role = endpoint_messages.Role
+make_members = member_stores.make_members
+ALL = make_members("p", "r1", "r2")
+
+
+class World:
+    """Daemons of one store, which is in its third era."""
+
+    def __init__(self, monkeypatch):
+        self.store = member_stores.MemoryStore()
+        self.store.era = 3
+        self.now = 100.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+    def put(self, *names, pending=None, replaced_term=0):
+        """Write a record that is settled in the present era."""
+        self.store.put("g", make_members(*names), pending)
+        self.store.records["g"] = member_stores.replace(
+            self.store.records["g"],
+            replaced_term=replaced_term,
+            settled_era=self.store.era,
+        )
+
+    def start_daemon(self, *names):
+        """Return a group in use and its records, as a daemon starts."""
+        routes = directory.Directory(
+            monitored_groups.NoDialer(),
+            options.RelayOptions(),
+            clock.BootClock(),
+        )
+        routes.put_endpoints(
+            {name: monitored_groups.make_entry(name) for name in names}, True
+        )
+        records = monitored_groups.make_records(
+            routes, monitored_groups.CurrentRegistry(), self.store
+        )
+        return routes.groups["g"], records
+
+    async def start_loaded(self, *names):
+        """Return those of a daemon that has read the record."""
+        group, records = self.start_daemon(*names)
+        await records.update()
+        assert group.members.is_loaded
+        return group, records
+
+    def go_back(self, *names):
+        """Let the store come back from a copy with these members."""
+        older = self.store.copy()
+        older["g"] = member_stores.replace(
+            older["g"], members=make_members(*names), pending=None, revision=1
+        )
+        self.store.restore(older)
+
+    async def run(self, records, seconds):
+        for _ in range(int(seconds * 5)):
+            self.now += 0.2
+            await records.update()
+
+
+def report(group, role=Role.REPLICA, primary="p"):
+    """Let all endpoints report.
+
+    :param role: role of the replicas
+    """
+    for name in group.endpoints:
+        is_primary = name == primary
+        monitored_groups.add_report(
+            group, name, 6, role=Role.PRIMARY if is_primary else role
+        )
+
+
+@pytest.fixture
+def world(monkeypatch):
+    made = World(monkeypatch)
+    made.put("p", "r1", "r2")
+    return made
+
+
+async def test_a_forgotten_member_is_written_again(world):
+    """Guards against LOST: it may hold acknowledged writes alone."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    group.remove_endpoint("r2")
+    world.go_back("p", "r1")
+    await records.update()
+    assert group.members.absent == 1
+    assert world.store.find("g").members == ALL
+
+
+async def test_members_that_an_older_copy_lacks_still_count(world):
+    """Guards against STALE and LOST: also while the store is away again."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    group.remove_endpoint("r2")
+    world.go_back("p", "r1")
+    assert not await records.load(group)
+    assert group.members.count() == 3
+    assert not await records.load(group)
+    assert group.members.count() == 3
+
+
+async def test_two_daemons_that_know_of_different_members_both_count(world):
+    first, first_records = await world.start_loaded("p", "r1", "r2")
+    world.put("p", "r1", "r2", "r3")
+    second, second_records = await world.start_loaded("p", "r3")
+    first.remove_endpoint("r2")
+    world.go_back("p")
+    for _ in range(3):
+        await world.run(first_records, 0.4)
+        await world.run(second_records, 0.4)
+    assert world.store.find("g").members == make_members("p", "r1", "r2", "r3")
+    await first_records.load(first)
+    assert first.members.count() == second.members.count() == 4
+
+
+async def test_a_missing_record_is_written_again(world):
+    group, records = await world.start_loaded("p", "r1", "r2")
+    world.now += 3.0
+    world.store.restore({})
+    group.remove_endpoint("r2")
+    await records.update()
+    assert world.store.find("g").members == ALL
+
+
+async def test_a_forgotten_promotion_is_written_again(world):
+    """Guards against LOST: it takes effect later."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    assert await records.record_request("g", "r1")
+    world.go_back("p", "r1", "r2")
+    other, others = world.start_daemon("p", "r1", "r2")
+    await records.update()
+    assert group.pending_promotion == "r1"
+    assert world.store.find("g").pending.endpoint == "r1"
+    await world.run(others, 5.0)
+    assert other.pending_promotion == "r1"
+
+
+async def test_a_forgotten_replaced_term_is_written_again(world):
+    """Guards against LOST: a former primary's writes are not promoted."""
+    world.put("p", "r1", "r2", replaced_term=7)
+    _, records = await world.start_loaded("p", "r1", "r2")
+    world.go_back("p", "r1", "r2")
+    world.store.records["g"] = member_stores.replace(
+        world.store.records["g"], replaced_term=2
+    )
+    await records.update()
+    assert world.store.find("g").replaced_term == 7
+
+
+async def test_nothing_is_decided_on_a_record_that_may_lack_a_promotion(
+    world,
+):
+    """Guards against LOST: its driver may have died."""
+    world.go_back("p", "r1", "r2")
+    group, records = world.start_daemon("p", "r1", "r2")
+    await world.run(records, 4.0)
+    report(group, role=Role.FENCED)
+    while not await records.load(group):
+        await world.run(records, 0.4)
+    assert (
+        record_eras.FORGOTTEN_SECONDS
+        < world.now - 100.0
+        < record_eras.FORGOTTEN_SECONDS + 1.0
+    )
+
+
+async def test_a_group_that_follows_one_primary_is_settled_at_once(world):
+    group, records = await world.start_loaded("p", "r1", "r2")
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    report(group)
+    assert not await records.load(group)
+    await world.run(records, record_eras.RESTORE_SECONDS + 0.2)
+    assert await records.load(group)
+    await world.run(records, 9.0)
+    assert world.store.find("g").settled_era == world.store.era
+
+
+async def test_it_stays_settled_when_the_primary_fails_later(world):
+    """A failover soon after the change waits for nothing else."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    report(group)
+    await records.update()
+    report(group, role=Role.FENCED, primary="")
+    await world.run(records, record_eras.RESTORE_SECONDS + 0.2)
+    assert await records.load(group)
+
+
+@pytest.mark.parametrize(
+    ("names", "role", "primary", "reported"),
+    [
+        (("p", "r1", "r2"), Role.FENCED, "p", 1),
+        (("p", "r1", "r2"), Role.REPLICA, "", 1),
+        (("p", "r1"), Role.REPLICA, "p", 1),
+        (("p", "r1", "r3"), Role.REPLICA, "p", 1),
+        (("p", "r1", "r2"), Role.REPLICA, "p", -1),
+    ],
+    ids=["fenced", "no primary", "one replica", "newcomer", "before"],
+)
+async def test_what_does_not_show_that_no_promotion_is_missing(
+    world, names, role, primary, reported
+):
+    """Guards against LOST: the promotion of an endpoint is forgotten."""
+    group, records = await world.start_loaded(*names)
+    if reported < 0:
+        report(group, role, primary)
+        world.now += 0.1
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    if reported > 0:
+        report(group, role, primary)
+    await world.run(records, record_eras.RESTORE_SECONDS + 1.0)
+    assert not await records.load(group)
+
+
+async def test_a_known_promotion_keeps_the_record_unsettled(world):
+    """Guards against LOST: unaware daemons see fences lifted by others."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    assert await records.record_request("g", "r1")
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    report(group)
+    await world.run(records, record_eras.RESTORE_SECONDS + 1.0)
+    assert not await records.load(group)
+
+
+async def test_no_member_is_added_meanwhile(world):
+    """Guards against LOST: a forgotten promotion did not fence it."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    world.go_back("p", "r1", "r2")
+    group.put_endpoint(monitored_groups.make_entry("r3"), 4)
+    group.members.is_awaited = True
+    await world.run(records, 5.0)
+    assert world.store.find("g").members == ALL
+    report(group)
+    await world.run(records, 9.0)
+    assert world.store.find("g").members == ALL | make_members("r3")
+
+
+async def test_a_daemon_that_starts_reads_an_old_record_later(world):
+    """Guards against STALE: others may know of more members."""
+    world.go_back("p", "r1")
+    group, records = world.start_daemon("p", "r1")
+    await records.update()
+    assert not group.members.is_loaded
+    world.store.put("g", ALL)
+    await world.run(records, 3.0)
+    assert group.members.count() == 3
+
+
+async def test_a_request_rests_on_a_read_of_the_same_era(world):
+    """Guards against LOST: the revision may be that of another content."""
+    _, records = await world.start_loaded("p", "r1", "r2")
+    world.store.era += 1
+    assert not await records.record_request("g", "r1")
+    assert world.store.find("g").pending is None
+
+
+async def test_a_request_that_crosses_the_change_does_not_count(
+    world, monkeypatch
+):
+    _, records = await world.start_loaded("p", "r1", "r2")
+    write = world.store.write
+
+    async def write_later(group, wanted):
+        world.store.era += 1
+        return await write(group, wanted)
+
+    monkeypatch.setattr(world.store, "write", write_later)
+    assert not await records.record_request("g", "r1")
+
+
+@pytest.mark.parametrize("is_back", [False, True])
+async def test_a_driver_learns_whether_its_request_was_forgotten(
+    world, is_back
+):
+    """Guards against LOST: its fence came after the request was recorded."""
+    _, records = await world.start_loaded("p", "r1", "r2")
+    assert await records.record_request("g", "r1")
+    if is_back:
+        world.go_back("p", "r1", "r2")
+    assert await records.is_current("g") is not is_back
+
+
+async def test_a_store_without_eras_is_settled(world):
+    world.store.era = 0
+    world.put("p", "r1", "r2")
+    group, records = world.start_daemon("p", "r1", "r2")
+    assert await records.load(group)
+
+
+def test_a_merged_record_ends_no_promotion_that_is_known():
+    tracker = pending_promotions.PromotionTracker()
+    known = pending_promotions.PendingPromotion("r1", 3, "x")
+    older = pending_promotions.PendingPromotion("r2", 2, "y")
+    tracker.put(known, 100.0, 5)
+    tracker.merge(None, 101.0, 2)
+    assert (tracker.find(101.0), tracker.replaced_term) == (known, 5)
+    tracker.merge(older, 102.0, 2)
+    assert tracker.find(102.0) == known
+    tracker.put(None, 103.0)
+    tracker.merge(older, 104.0, 6)
+    assert (tracker.find(104.0), tracker.replaced_term) == (older, 6)
