Ask for the record again before a switchover's request

Cause: a switchover records its request before it fences the primary. If the store goes back in between, others find a group that follows one primary and take the record to be complete, while the request is sent.

Change: the driver reads the record once more after the fence; if the store has gone back, or holds another promotion, it requests nothing.

Measured: tests/unit/test_record_eras.py (is_current), test_switchovers.py, tests/model_check pass; there is no end-to-end test of this order of events.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -179,7 +179,10 @@
             self._log_no_switchover(primary, target, "fence", None)
             await self._log.record_end(group.name, is_refused=True)
             return False
-        caught_up = await self._wait_caught_up(target, final)
+        # The store may have forgotten the record before the fence was set.
+        caught_up = await self._wait_caught_up(
+            target, final
+        ) and await self._log.is_current(group.name)
         chosen = target.name if caught_up else primary.name
         log.info(
             "primary fenced for switchover",
