--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -95,6 +95,14 @@
     async def release(self, lease: promotion.Lease) -> None:
         """Release the lease."""
 
+    def is_in_force(self, lease: promotion.Lease) -> bool:
+        """Return whether the store still knows what it did of the lease.
+
+        One that has come back from an older copy may not. It may have expired
+        nevertheless.
+        """
+        return True
+
     @abc.abstractmethod
     async def promote(
         self, group: str, endpoint: str, lease: promotion.Lease
@@ -117,6 +125,10 @@
             again then, if they had changed
         """
 
+    async def is_current(self, group: str) -> bool:
+        """Return whether the store still holds the promotion."""
+        return True
+
     @abc.abstractmethod
     async def record_end(self, group: str, is_refused: bool = False) -> None:
         """Record that the promotion took effect, or never will.
