Settle a group whose primary fails in the change of the era

Cause: a record counted as complete only once the group's primary had reported since the change, so a failover within the drill, or soon after it, waited for 16 s; a released member that the copy named again held takeovers up as well.

Change: a primary that led by its last report counts, unless an endpoint is leaving (a switchover may have made it step down), if all others follow its term without a fence. A member that this daemon knew as released, or has seen leave the record, stays released. What this does not cover is named in record_eras.py.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
@@ -7,9 +7,13 @@
 
 - a daemon that knew so has written the record in this era;
 - the time in which a request can take effect is over;
-- all endpoints follow one primary. A driver keeps the fences of all but the
-  endpoint that it promotes until that has taken effect, or has made the
-  primary step down.
+- all endpoints follow one primary, which may have failed meanwhile. A driver
+  keeps the fences of all but the endpoint that it promotes until that has
+  taken effect, or has made the primary step down.
+
+Not covered: within the seconds that the store has lost a driver stops the
+primary and all replicas but one that it does not reach, requests a promotion
+and dies, and the primary fails as well.
 """
 
 import math
@@ -121,11 +125,12 @@
         for endpoint in endpoints
         if endpoint.report is not None and endpoint.reported_at >= since
     ]
-    primary = promotion.find_primary(reports)
+    primary = promotion.find_primary(reports) or _find_failed(group, since)
     if (
         primary is None
-        or len(reports) < len(endpoints)
         or group.members.absent
+        or len({primary.endpoint, *(each.endpoint for each in reports)})
+        < len(endpoints)
         or any(report.term != primary.term for report in reports)
         or any(
             report.role is not Role.REPLICA
@@ -146,3 +151,20 @@
         )
     ]
     return len(replicas) >= UNFENCED_REPLICAS
+
+
+def _find_failed(
+    group: groups.Group, since: float
+) -> endpoint_messages.Report | None:
+    """Return the last report of a primary that has not reported since.
+
+    A driver may have made it step down after that, for a switchover, but then
+    an endpoint is leaving.
+    """
+    if group.list_leaving():
+        return None
+    return promotion.find_primary(
+        endpoint.report
+        for endpoint in group.endpoints.values()
+        if endpoint.report is not None and endpoint.reported_at < since
+    )
--- a/packages/fescuestile/src/fescuestile/group_members.py
+++ b/packages/fescuestile/src/fescuestile/group_members.py
@@ -58,6 +58,8 @@
         self._absent: dict[Member, Absence] = {}
         self._released: set[Member] = set()
         self._kept: frozenset[Member] = frozenset()
+        # Released members that the record has named before.
+        self._dropped: set[Member] = set()
 
     @property
     def is_loaded(self) -> bool:
@@ -100,6 +102,7 @@
         self._present[member.name] = member
         self._absent.pop(member, None)
         self._released.discard(member)
+        self._dropped.discard(member)
 
     def remove(self, name: str, now: float, has_left: bool) -> None:
         """Record that an endpoint is not in use any more.
@@ -136,10 +139,12 @@
         self.recorded = frozenset(recorded)
         if may_be_older:
             self._kept |= before
+            self._released |= self._dropped & self.recorded
         else:
             self._kept = frozenset()
             for member in before - self.recorded:
                 self._absent.pop(member, None)
+            self._dropped |= before - self.recorded
         self._released &= self.recorded | self._kept
         present = set(self._present.values())
         for member in self.recorded - present - self._released:
--- a/tests/unit/test_record_eras.py
+++ b/tests/unit/test_record_eras.py
@@ -201,6 +201,52 @@
     assert await records.load(group)
 
 
+async def test_a_primary_that_fails_in_the_change_is_replaced_soon(world):
+    """Its last report shows that it led, and no replica is fenced."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    report(group)
+    world.now += 0.1
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    world.now += 0.1
+    for name in ("r1", "r2"):
+        monitored_groups.add_report(group, name, 6)
+    await world.run(records, record_eras.RESTORE_SECONDS + 0.2)
+    assert await records.load(group)
+
+
+async def test_a_primary_that_failed_while_it_left_may_be_replaced_already(
+    world,
+):
+    """Guards against LOST: a switchover made it step down."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    report(group)
+    world.now += 0.1
+    group.put_endpoint(monitored_groups.make_entry("p", leaving=True), 4)
+    world.go_back("p", "r1", "r2")
+    await records.update()
+    world.now += 0.1
+    for name in ("r1", "r2"):
+        monitored_groups.add_report(group, name, 6)
+    await world.run(records, record_eras.RESTORE_SECONDS + 1.0)
+    assert not await records.load(group)
+
+
+async def test_a_released_member_does_not_come_back_with_the_copy(world):
+    """Guards against takeovers that wait for a member that is gone."""
+    world.put("p", "r1", "r2", "r3")
+    group, records = await world.start_loaded("p", "r1", "r2")
+    assert group.members.absent == 1
+    world.put("p", "r1", "r2")
+    assert await records.load(group)
+    world.go_back("p", "r1", "r2", "r3")
+    await records.update()
+    assert group.members.absent == 0
+    report(group)
+    await world.run(records, 12.0)
+    assert world.store.find("g").members == ALL
+
+
 @pytest.mark.parametrize(
     ("names", "role", "primary", "reported"),
     [
