--- a/tests/member_stores.py
+++ b/tests/member_stores.py
@@ -37,11 +37,11 @@
         self.fault = ""
         self._late = []
 
-    def put(self, group, members, pending=None):
+    def put(self, group, members, pending=None, replaced_term=0):
         """Write a record unconditionally; None for a malformed one."""
         revision = self.find(group).revision or 0
         self.records[group] = member_store.StoredMembers(
-            members, revision + 1, pending
+            members, revision + 1, pending, replaced_term
         )
 
     def find(self, group):
