Test what one replica shows, and writes that cross the change

Cause: tests/unit/test_record_eras.py passed without the rule that two recorded replicas are needed, and without the check of the era in which a record was written.

Change: a test for each.

--- a/tests/unit/test_record_eras.py
+++ b/tests/unit/test_record_eras.py
@@ -274,6 +274,41 @@
     assert not await records.load(group)
 
 
+@pytest.mark.parametrize("names", [("p", "r1"), ("p", "r1", "r3")])
+async def test_one_recorded_replica_shows_nothing(world, names):
+    """Guards against LOST: it may be the promotion's endpoint."""
+    world.put("p", "r1")
+    group, records = await world.start_loaded(*names)
+    world.go_back("p", "r1")
+    await records.update()
+    report(group)
+    await world.run(records, record_eras.RESTORE_SECONDS + 1.0)
+    assert group.members.absent == 0
+    assert not await records.load(group)
+
+
+async def test_a_record_that_crosses_the_change_is_written_again(
+    world, monkeypatch
+):
+    """Guards against LOST: the next copy lacks the member as well."""
+    group, records = await world.start_loaded("p", "r1", "r2")
+    world.go_back("p", "r1")
+    write = world.store.write
+
+    async def write_later(name, wanted):
+        monkeypatch.setattr(world.store, "write", write)
+        older = world.store.copy()
+        written = await write(name, wanted)
+        world.store.restore(older)
+        return member_stores.replace(written, era=world.store.era)
+
+    monkeypatch.setattr(world.store, "write", write_later)
+    await records.update()
+    assert group.members.recorded == make_members("p", "r1")
+    await world.run(records, 1.0)
+    assert world.store.find("g").members == ALL
+
+
 async def test_a_known_promotion_keeps_the_record_unsettled(world):
     """Guards against LOST: unaware daemons see fences lifted by others."""
     group, records = await world.start_loaded("p", "r1", "r2")
