--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,13 @@
     "malformed entry",
 )
 
+# Drawn apart from the others: the store comes back from an older copy.
+DRILL = "store goes back"
+DRILL_SHARE = 0.5
+# Share of the drills that come twice in a row, and the pause between them.
+TWICE_SHARE = 0.3
+TWICE_SECONDS = (0.5, 3.0)
+
 
 @dataclasses.dataclass(frozen=True)
 class Series:
@@ -73,7 +80,7 @@
     """Scheduled fault.
 
     :ivar at: seconds after the start of the run
-    :ivar kind: one of ``KINDS``
+    :ivar kind: one of ``KINDS`` or ``DRILL``
     :ivar seconds: duration
     :ivar pick: selects the target among the candidates for the kind
     """
@@ -103,6 +110,7 @@
         )
         at += source.expovariate(1 / 1.2)
     faults.extend(_draw_series(seed, seconds))
+    faults.extend(_draw_drills(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -120,3 +128,20 @@
         at += source.uniform(0.1, series.longest_gap)
         pick += not series.has_one_target
     return faults
+
+
+def _draw_drills(seed: int, seconds: float) -> list[Fault]:
+    """Return the drills of a run, over which the others come.
+
+    The others are those of a run without drills.
+    """
+    source = random.Random(f"drill {seed}")
+    if source.random() >= DRILL_SHARE:
+        return []
+    drills = []
+    at = source.uniform(2.0, max(2.1, seconds - 5.0))
+    for _ in range(2 if source.random() < TWICE_SHARE else 1):
+        away = round(source.uniform(0.2, 2.0), 2)
+        drills.append(Fault(round(at, 2), DRILL, away, source.randrange(1000)))
+        at += away + source.uniform(*TWICE_SECONDS)
+    return drills
