--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -53,6 +53,7 @@
     :ivar write_interval: seconds between two writes
     :cvar store_faults: share of the store's writes that get no answer
     :ivar hidden: members whose registry entries are missing
+    :ivar ghosts: endpoints that ended, but have an entry
     :ivar store: the platform's, with the record of the members
     :ivar acknowledged: writes that callers rely on
     :ivar promotions: how many took effect
@@ -71,6 +72,7 @@
         self.side: dict[str, int] = {}
         self.linked = True
         self.hidden = set()
+        self.ghosts: frozenset[str] = frozenset()
         self.store = group_daemons.Store(self.random, self.store_faults)
         self._stopped = []
         self._writes: set[asyncio.Task[None]] = set()
@@ -140,7 +142,7 @@
             and self.random.random() < HIDDEN_SHARE
         }
         for number, daemon in enumerate(self.daemons):
-            if self.random.random() < RESTART_SHARE and not daemon.is_cut_off:
+            if self.random.random() < RESTART_SHARE and daemon.reaches_store:
                 # Reads under way end by themselves.
                 self._stopped.append(daemon)
                 await daemon.stop()
--- a/tests/group_daemons.py
+++ b/tests/group_daemons.py
@@ -61,10 +61,14 @@
     """The platform's store; some of its answers are lost.
 
     :ivar fault_share: share of the writes that get no answer
+    :ivar is_away: whether it answers nobody
+    :ivar era: rises each time it goes back
     """
 
     def __init__(self, source, fault_share):
         super().__init__()
+        self.is_away = False
+        self.era = 0
         self._random = source
         self._fault_share = fault_share
 
@@ -83,6 +87,11 @@
             )
         raise errors.PlatformUnavailable("no answer", step="write")
 
+    def restore(self, kept):
+        """Come back from a copy of the records."""
+        self.records = dict(kept)
+        self.era += 1
+
     async def _call(self, name):
         await asyncio.sleep(self._random.uniform(*STORE_SECONDS))
 
@@ -96,13 +105,13 @@
 
     @property
     def heard_at(self):
-        if not self._daemon.is_cut_off:
+        if self._daemon.reaches_store:
             self._heard_at = time.monotonic()
         return self._heard_at
 
     async def refresh(self):
         self._daemon.read_registry()
-        return not self._daemon.is_cut_off
+        return self._daemon.reaches_store
 
 
 class Access(member_store.MemberStore):
@@ -111,21 +120,33 @@
     def __init__(self, daemon, store):
         self._daemon = daemon
         self._store = store
+        self._era = store.era
+
+    @property
+    def era(self):
+        """Era of the store's latest answer."""
+        return self._era
 
     async def read(self, group):
         await self._connect("read")
-        return await self._store.read(group)
+        found = await self._store.read(group)
+        self._era = self._store.era
+        return found
 
     async def list_all(self, allow_stale=False):
         await self._connect("list")
-        return await self._store.list_all(allow_stale)
+        found = await self._store.list_all(allow_stale)
+        self._era = self._store.era
+        return found
 
     async def write(self, group, wanted):
         await self._connect("write")
-        return await self._store.write(group, wanted)
+        written = await self._store.write(group, wanted)
+        self._era = self._store.era
+        return written
 
     async def _connect(self, step):
-        if self._daemon.is_cut_off:
+        if not self._daemon.reaches_store:
             await asyncio.sleep(CONNECT_SECONDS)
             raise errors.PlatformRefused("no connection", step=step)
 
@@ -169,14 +190,26 @@
             sampling.PositionSampler("d", "a", lambda name: None, LoopClock()),
         )
 
+    @property
+    def reaches_store(self):
+        """Whether calls to the store are answered."""
+        return not self.is_cut_off and not self._world.store.is_away
+
     async def start(self):
         """Start to keep the record up to date."""
         await self.records.start()
 
     def read_registry(self):
         """Learn the members whose entries are there."""
-        if self.is_cut_off:
+        if not self.reaches_store:
             return
+        world = self._world
+        primaries = {
+            name
+            for name, each in world.endpoints.items()
+            if each.role is Role.PRIMARY
+        }
+        named = [n for n in world.endpoints if n not in world.hidden]
         self._directory.put_endpoints(
             {
                 name: messages.EndpointEntry(
@@ -186,11 +219,10 @@
                     "a",
                     2,
                     False,
-                    each.role is Role.PRIMARY,
+                    name in primaries,
                     0,
                 )
-                for name, each in self._world.endpoints.items()
-                if name not in self._world.hidden
+                for name in (*named, *sorted(world.ghosts))
             },
             keep_missing=False,
         )
