--- a/tests/platform/test_review_drills.py
+++ b/tests/platform/test_drill_recovery.py
@@ -1,4 +1,4 @@
-"""Faults found in the review: service around a drill beside one failure."""
+"""Service around a drill of the store beside one other failure."""
 
 import asyncio
 
--- a/tests/unit/test_review_findings.py
+++ b/tests/unit/test_drill_recovery.py
@@ -1,4 +1,6 @@
-"""Faults found in the review of the store's eras; each test fails."""
+"""What a copy must not bring back, and how soon a group goes on after it."""
+
+import typing
 
 import pytest
 
@@ -7,6 +9,7 @@
 from fescuestile import group_members
 from fescuestile import promotion
 from fescuestile_daemon.relay import leases
+from fescuestile_platform import http
 from fescuestile_platform import promotions
 from tests import lease_stores
 from tests import member_stores
@@ -118,7 +121,9 @@
     manual.advance(leases.WAIT_SECONDS + 0.1)
     assert await manager.acquire() is not None
     requests = SentRequests()
-    promoter = promotions.PlatformPromoter(manager, requests, manual)
+    promoter = promotions.PlatformPromoter(
+        manager, typing.cast(http.HttpClient, requests), manual
+    )
     assert not promoter.is_in_force(former)
     assert await promoter.promote("g", "r1", former) is False
     assert requests.count == 0
