--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -132,9 +132,9 @@
 
     def remove_endpoint(self, name: str) -> None:
         """Remove an endpoint and close its connections."""
+        self._end_promotion()
         endpoint = self.endpoints.pop(name, None)
         if endpoint is not None:
-            self._end_promotion(endpoint)
             endpoint.close()
             self.leadership.set_plan(self.make_plan())
             self.members.remove(name, time.monotonic(), endpoint.has_left)
@@ -180,21 +180,15 @@
 
         An endpoint that only lacks its registry entry may still be promoted.
         """
-        now = time.monotonic()
-        pending = self.promotions.find(now)
-        if pending is not None and pending.endpoint in self.endpoints:
-            self._end_promotion(self.endpoints[pending.endpoint])
-            pending = self.promotions.find(now)
+        self._end_promotion()
+        pending = self.promotions.find(time.monotonic())
         return "" if pending is None else pending.endpoint
 
-    def _end_promotion(self, endpoint: endpoint_states.EndpointState) -> None:
-        """End the promotion of an endpoint whose run has ended."""
+    def _end_promotion(self) -> None:
+        """End the promotion if the run of its endpoint has ended."""
         pending = self.promotions.find(time.monotonic())
-        if (
-            pending is not None
-            and pending.endpoint == endpoint.name
-            and endpoint.has_ended(pending.started_at)
-        ):
+        endpoint = pending and self.endpoints.get(pending.endpoint)
+        if pending and endpoint and endpoint.has_ended(pending.started_at):
             self.promotions.end()
 
     def find_primary(self) -> endpoint_states.EndpointState | None:
