Keep the observation of a lease when an older answer follows

Cause: an answer that may be stale replaced the observation of a later revision, so that the next read of that began another wait of 4 s.

Change: an answer of an earlier era or revision is left out.

Measured: test_an_older_answer_does_not_restart_the_wait_for_a_lease failed before and passes.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -162,7 +162,16 @@
         """
         stored = await self._store.read(allow_stale=True)
         self.record_era(stored.era)
-        self._measure_observed(stored)
+        if not self._is_outdated(stored):
+            self._measure_observed(stored)
+
+    def _is_outdated(self, stored: StoredRecord) -> bool:
+        """Return whether a later revision has been observed."""
+        known = self._observation
+        return known is not None and (
+            (stored.era, stored.revision or 0)
+            < (known.stored.era, known.stored.revision or 0)
+        )
 
     def record_era(self, era: int) -> None:
         """Record the era of an answer of the store.
