Keep members released that this daemon took off the record

Cause: a daemon noted which members had left the record only when it read that; one that wrote it, or left the write out, took them for absent again when the store came back from an older copy, and no takeover was possible for up to 15 s.

Change: a record that is written counts like one that is read.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -238,7 +238,7 @@
                 and not group.promotions.is_over(time.monotonic())
                 and not self._lacks(group)
             ):
-                group.members.recorded = found.members
+                group.members.put_record(found.members)
                 self._stored[group.name] = found
 
     async def _record(self, group: groups.Group) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -157,5 +157,5 @@
             group=group.name,
             members=[f"{m.name} {m.started_at}" for m in sorted(wanted)],
         )
-        group.members.recorded = wanted
+        group.members.put_record(wanted)
         return True
--- a/packages/fescuestile/src/fescuestile/group_members.py
+++ b/packages/fescuestile/src/fescuestile/group_members.py
@@ -150,6 +150,11 @@
         for member in self.recorded - present - self._released:
             self._absent.setdefault(member, Absence(now, has_left=False))
 
+    def put_record(self, recorded: frozenset[Member]) -> None:
+        """Put the record that has just been written."""
+        self._dropped |= (self.recorded or frozenset()) - recorded
+        self.recorded = recorded
+
     def release(
         self,
         now: float,
