Forget no refusal of a promotion with the store

Cause: a promotion that was refused came back with an older copy of the record and held its group for another 12 s.

Change: the daemon that learnt of the refusal leaves it out of the copy.

Measured: test_a_refused_promotion_does_not_come_back_with_the_copy failed before and passes.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -375,7 +375,7 @@
         if pending is not None:
             if pending.repeated or not is_refused:
                 return
-            known.promotions.put(None, now)
+            known.promotions.refuse(now)
         stored = self._find_stored(group)
         if stored.era != self._store.era:
             return
--- a/packages/fescuestile/src/fescuestile/pending_promotions.py
+++ b/packages/fescuestile/src/fescuestile/pending_promotions.py
@@ -43,6 +43,7 @@
         self._pending: PendingPromotion | None = None
         self._seen_at = 0.0
         self._led: tuple[str, int] = ("", 0)
+        self._refused: set[str] = set()
 
     def put(
         self,
@@ -74,9 +75,22 @@
         :param replaced_term: as the record has it
         """
         self.replaced_term = max(self.replaced_term, replaced_term)
-        if pending is not None and self.find(now) is None:
+        if (
+            pending is not None
+            and pending.id not in self._refused
+            and self.find(now) is None
+        ):
             self.put(pending, now)
 
+    def refuse(self, now: float) -> None:
+        """Record that the request was refused, so that it has no effect.
+
+        :param now: monotonic seconds
+        """
+        if self._pending is not None:
+            self._refused.add(self._pending.id)
+        self.put(None, now)
+
     def end(self) -> None:
         """Record that the run of the endpoint has ended."""
         self._seen_at = -math.inf
