--- a/tests/unit/test_leadership.py
+++ b/tests/unit/test_leadership.py
@@ -6,8 +6,11 @@
 import pytest
 
 from fescuestile import endpoint_messages
+from fescuestile import pending_promotions
 from fescuestile import promotion
+from fescuestile_daemon.relay import ports
 from tests import fences
+from tests import member_stores
 
 Role = endpoint_messages.Role
 FORMER = "p"
@@ -38,8 +41,12 @@
 
 
 @pytest.fixture
-async def replaced():
-    dialer = Dialer()
+def dialer():
+    return Dialer()
+
+
+@pytest.fixture
+async def replaced(dialer):
     group = fences.make_group(dialer)
     await group.refresh(0.1)
     dialer.replace_primary()
@@ -70,6 +77,68 @@
     assert await confirm(replaced)
 
 
+def hide(group, *names):
+    """Let entries be missing; the record names their endpoints still."""
+    group.members.apply_record(
+        member_stores.make_members(*group.endpoints), time.monotonic()
+    )
+    for name in names:
+        group.remove_endpoint(name)
+
+
+class Reader(ports.RecordReader):
+    """Reads a record at once.
+
+    :ivar replaced_term: as it has it, None while it is unreadable
+    :ivar pending: endpoint whose promotion may take effect, empty for none
+    """
+
+    def __init__(self, replaced_term, pending=""):
+        self.replaced_term = replaced_term
+        self.pending = pending
+
+    async def load(self, group):
+        if self.replaced_term is None:
+            return False
+        pending = pending_promotions.PendingPromotion(self.pending, 1, "id")
+        group.promotions.put(
+            pending if self.pending else None,
+            time.monotonic(),
+            self.replaced_term,
+        )
+        return True
+
+
+@pytest.mark.parametrize(
+    "reader",
+    [None, Reader(None), Reader(1), Reader(0, NEXT)],
+    ids=["no store", "unreadable", "replaced", "pending"],
+)
+async def test_members_that_are_not_known_here_may_follow_a_later_term(
+    dialer, replaced, reader
+):
+    """Guards against STALE: two of three known endpoints confirm a term.
+
+    They are the former primary and its last follower; the third is silent.
+    The later primary, and a replica that confirms its writes, are hidden.
+    """
+    replaced.replication.record_reader = reader
+    hide(replaced, NEXT, "r4")
+    dialer.endpoints["r3"].reachable = False
+    assert not await confirm(replaced)
+
+
+async def test_a_record_without_a_promotion_confirms_the_known_ones(dialer):
+    """Guards against reads that fail while members are absent."""
+    group = fences.make_group(dialer)
+    await group.refresh(0.1)
+    group.replication.record_reader = Reader(0)
+    hide(group, NEXT, "r4")
+    dialer.endpoints["r3"].reachable = False
+    assert await confirm(group)
+    group.close()
+
+
 async def test_one_silent_endpoint_prevents_no_check():
     dialer = Dialer()
     group = fences.make_group(dialer)
