--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -238,7 +238,7 @@
                 and not group.promotions.is_over(time.monotonic())
                 and not self._lacks(group)
             ):
-                group.members.recorded = found.members
+                group.members.put_record(found.members)
                 self._stored[group.name] = found
 
     async def _record(self, group: groups.Group) -> None:
@@ -375,7 +375,7 @@
         if pending is not None:
             if pending.repeated or not is_refused:
                 return
-            known.promotions.put(None, now)
+            known.promotions.refuse(now)
         stored = self._find_stored(group)
         if stored.era != self._store.era:
             return
