--- a/review/scene.py
+++ b/review/scene.py
@@ -94,10 +94,7 @@
             await daemon.start()
         for daemon in self.daemons:
             await daemon.wait_ready()
-        # Writes are refused until the members have been recorded.
-        for number in range(self._daemon_count):
-            while not await self.write(number, "started", "kept"):
-                await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
 
     async def close(self) -> None:
         """End all processes and remove the temporary folder."""
