Split the requests of reports from the monitor

The code is moved, not changed; the unit tests of monitor, reports, takeovers, switchovers and leadership pass.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -12,7 +12,6 @@
 from fescuestile import endpoint_messages
 from fescuestile import failure_detection
 from fescuestile import promotion
-from fescuestile import promotion_order
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import groups
@@ -20,7 +19,9 @@
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import report_requests
 from fescuestile_daemon.relay import sampling
+from fescuestile_daemon.relay import successors
 from fescuestile_daemon.relay import takeover
 
 log = structlog.get_logger()
@@ -32,20 +33,9 @@
 # No takeover starts before a group has been without a primary, or with a
 # fenced endpoint, for this time: another daemon's promotion may be under way.
 SETTLE_SECONDS = 1.5
-# Longest age of a report that a decision uses.
-REPORT_VALID_SECONDS = 2.0
 # Longest wait for the reports on which a decision rests: several round trips
 # and the queue of a saturated endpoint.
 REFRESH_TIMEOUT_SECONDS = 0.15
-# Longest intervals between reports, in multiples of those of few daemons;
-# reports must not become too old for decisions.
-MAX_WATCHERS_FACTOR = 1.8
-SCARCE_FACTOR = 4.0
-# A group without a statement for this time has no work here.
-UNUSED_SECONDS = 3.0
-# An endpoint that leaves a request unanswered for this time counts as
-# unreachable; slow statements take a part of it.
-UNREACHABLE_SECONDS = 0.6
 
 
 class Reason(enum.StrEnum):
@@ -88,10 +78,10 @@
         self._clock = boot_clock
         self._random = source
         self._sampler = sampler
+        self._requests = report_requests.ReportRequests(relay_options)
         self._pauses = failure_detection.PauseDetector(boot_clock.now())
         self._task: asyncio.Task[None] | None = None
         self._takeovers: dict[str, asyncio.Task[None]] = {}
-        self._probes: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._seen_since: dict[tuple[str, Reason], float] = {}
         self._without_target: set[str] = set()
@@ -112,8 +102,7 @@
         self.stop_takeovers()
         if self._task is not None:
             self._task.cancel()
-        for task in self._probes.values():
-            task.cancel()
+        self._requests.close()
         takeovers = list(self._takeovers.values())
         if takeovers and seconds > 0:
             await asyncio.wait(takeovers, timeout=seconds)
@@ -141,7 +130,7 @@
             for endpoint in group.endpoints.values():
                 endpoint.pool.trim()
                 endpoint.refuse_late_work()
-                self._probe(group, endpoint, now)
+                self._requests.send_due(group, endpoint, now)
             if group.leadership.needs_sample():
                 self._sampler.sample(group)
             group.release_members()
@@ -160,90 +149,6 @@
             for endpoint in group.endpoints.values():
                 endpoint.reset_failure_detection()
 
-    def _probe(
-        self,
-        group: groups.Group,
-        endpoint: endpoint_states.EndpointState,
-        now: float,
-    ) -> None:
-        """Request a report from an endpoint if one is due."""
-        if endpoint.name in self._probes or not self._is_probe_due(
-            group, endpoint, now
-        ):
-            return
-        if endpoint.measure_unanswered(now) > UNREACHABLE_SECONDS:
-            # Its connections may be unresponsive while new ones work.
-            endpoint.pool.drop_idle()
-        task = asyncio.create_task(self._inspect(group, endpoint))
-        self._probes[endpoint.name] = task
-
-    def _is_probe_due(
-        self,
-        group: groups.Group,
-        endpoint: endpoint_states.EndpointState,
-        now: float,
-    ) -> bool:
-        """Return whether a report is to be requested from an endpoint."""
-        relay_options = self._options
-        report_age = now - endpoint.reported_at
-        if (
-            endpoint.admission.is_pacing_work
-            or group.has_unresponsive_endpoint(now)
-        ):
-            return report_age > relay_options.saturated_inspect_interval
-        factor = (
-            1.0
-            if group.list_leaving()
-            else self._compare_watchers(group, endpoint, now)
-        )
-        if group.find_primary() is endpoint:
-            idle = now - max(endpoint.answered_at, endpoint.reported_at)
-            return (
-                idle > factor * relay_options.idle_inspect_interval
-                or report_age > factor * relay_options.replica_inspect_interval
-            )
-        stalled = group.stalled_since
-        if (
-            stalled is not None
-            and now - stalled > factor * relay_options.idle_inspect_interval
-        ):
-            return report_age > relay_options.replication_timeout / 4
-        return report_age > factor * relay_options.replica_inspect_interval
-
-    def _compare_watchers(
-        self,
-        group: groups.Group,
-        endpoint: endpoint_states.EndpointState,
-        now: float,
-    ) -> float:
-        """Return how many times more daemons than a few watch an endpoint.
-
-        Each has some connections to it and asks for reports; the more do so,
-        the less often each needs to, least of all one without work there.
-        Where connections are scarce, one that is opened for a report only is
-        one less for work.
-        """
-        report = endpoint.report
-        connections = report.connections if report is not None else 0
-        factor = connections / self._options.few_connections
-        is_unused = now - group.used_at > UNUSED_SECONDS
-        if factor > 1 and (
-            is_unused
-            or (endpoint.pool.is_scarce and not endpoint.pool.has_idle)
-        ):
-            return SCARCE_FACTOR
-        return min(max(1.0, factor), MAX_WATCHERS_FACTOR)
-
-    async def _inspect(
-        self, group: groups.Group, endpoint: endpoint_states.EndpointState
-    ) -> None:
-        try:
-            await group.inspect(
-                endpoint, messages.Inspect(), self._options.inspect_timeout
-            )
-        finally:
-            self._probes.pop(endpoint.name, None)
-
     def _find_reason(
         self, group: groups.Group, now: float, unpaused: float
     ) -> Reason | None:
@@ -265,17 +170,17 @@
             return (
                 Reason.SILENT if self._reaches_majority(group, now) else None
             )
-        if group.is_stalled(now, unpaused) and self._has_successor(
+        if group.is_stalled(now, unpaused) and successors.has_successor(
             group, primary
         ):
             return Reason.NO_COMMITS
         if primary.entry.leaving:
-            target = self._find_target(group, primary)
+            target = successors.find_target(group, primary)
             self._log_target(group, primary, target)
             if target is not None:
                 return Reason.LEAVING
         fenced = any(
-            now - endpoint.reported_at < REPORT_VALID_SECONDS
+            now - endpoint.reported_at < successors.REPORT_VALID_SECONDS
             for endpoint in _list_left_fenced(group)
         )
         return self._debounce(
@@ -308,52 +213,12 @@
         """
         answering = sum(
             endpoint.has_answered
-            and endpoint.measure_unanswered(now) < UNREACHABLE_SECONDS
+            and endpoint.measure_unanswered(now)
+            < report_requests.UNREACHABLE_SECONDS
             for endpoint in group.endpoints.values()
         )
         return answering >= group.make_plan().majority
 
-    def _has_successor(
-        self, group: groups.Group, primary: endpoint_states.EndpointState
-    ) -> bool:
-        """Return whether a replica could safely replace a primary that works.
-
-        Otherwise a takeover only makes it step down for a while.
-        """
-        chosen = promotion.choose_promotion(
-            group.make_plan(),
-            {report.endpoint: report for report in group.list_reports()},
-            primary.name,
-            absent=group.members.absent,
-            ended=group.members.ended,
-            leaving=group.list_leaving(),
-            pending=group.pending_promotion,
-        )
-        return chosen not in (None, primary.name)
-
-    def _find_target(
-        self, group: groups.Group, primary: endpoint_states.EndpointState
-    ) -> endpoint_states.EndpointState | None:
-        """Return the replica with the longest log, for a switchover."""
-        now = time.monotonic()
-        pending = group.pending_promotion
-        candidates = [
-            endpoint
-            for endpoint in group.list_candidates()
-            if endpoint is not primary
-            and pending in ("", endpoint.name)
-            and endpoint.report is not None
-            and endpoint.report.role is Role.REPLICA
-            and now - endpoint.reported_at < REPORT_VALID_SECONDS
-        ]
-        return max(
-            candidates,
-            key=lambda e: (
-                promotion_order.make_log_key(e.report) if e.report else (0, 0)
-            ),
-            default=None,
-        )
-
     def _log_target(
         self,
         group: groups.Group,
@@ -453,7 +318,7 @@
         if reason is Reason.LEFT_FENCED:
             await self._unfence(group, replacement.holds_lease)
         elif reason is Reason.LEAVING and primary is not None:
-            target = self._find_target(group, primary)
+            target = successors.find_target(group, primary)
             if target is None or not await replacement.switch_over(
                 primary, target
             ):
--- a/tests/unit/test_report_intervals.py
+++ b/tests/unit/test_report_intervals.py
@@ -27,7 +27,7 @@
 
 
 def is_probe_due(group_monitor, group, name):
-    return group_monitor._is_probe_due(
+    return group_monitor._requests.is_due(
         group, group.endpoints[name], time.monotonic()
     )
 
