Report a plan as in force once callers are served by it

Cause: a daemon reported the revisions that its configuration actor had applied. A declaration waits for the report, so a caller could come between the two.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
@@ -178,7 +178,6 @@
         self._parts.link_pool.add_classes(control_messages.CLASSES)
         return fleet_status.FleetStatus(
             self._parts.membership,
-            self._parts.plans,
             self._parts.group_snapshots,
             self._parts.link_pool,
             self._parts.time_source,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/fleet_status.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/fleet_status.py
@@ -8,7 +8,6 @@
 from fescuestile import clock
 from fescuestile import errors
 from fescuestile import members
-from fescuestile import plans
 from fescuestile import snapshots
 from fescuestile_api import fescuestile_pb2 as pb
 from fescuestile_daemon import control_messages
@@ -30,7 +29,6 @@
     def __init__(
         self,
         membership: published.Published[members.MembershipSnapshot],
-        revisions: published.Published[dict[str, plans.PlanRevision]],
         group_snapshots: snapshot_store.SnapshotStore,
         link_pool: links.Links,
         time_source: clock.Clock,
@@ -41,7 +39,6 @@
         :param on_drain: starts this daemon's drain for an operator
         """
         self._membership = membership
-        self._revisions = revisions
         self._group_snapshots = group_snapshots
         self._links = link_pool
         self._clock = time_source
@@ -76,14 +73,9 @@
         :param database: database of the endpoints, empty for all
         """
         now = self._clock.now()
-        names = (
-            [database] if database else self._group_snapshots.list_databases()
-        )
-        found = (self._group_snapshots.get(name) for name in sorted(names))
         return [
             _describe(group.plan.database, view, now)
-            for group in found
-            if group is not None
+            for group in self._list_groups(database)
             for view in group.endpoints.values()
         ]
 
@@ -137,12 +129,22 @@
     def _list_in_force(
         self, database: str
     ) -> tuple[control_messages.RevisionInForce, ...]:
+        """Return the revisions by which this daemon serves callers."""
         return tuple(
-            control_messages.RevisionInForce(name, revision.revision)
-            for name, revision in sorted(self._revisions.get().items())
-            if database in ("", name)
+            control_messages.RevisionInForce(
+                group.plan.database, group.revision.revision
+            )
+            for group in self._list_groups(database)
         )
 
+    def _list_groups(self, database: str) -> list[snapshots.GroupSnapshot]:
+        """Return the snapshot of a database, of all if its name is empty."""
+        names = (
+            [database] if database else self._group_snapshots.list_databases()
+        )
+        found = (self._group_snapshots.get(name) for name in sorted(names))
+        return [group for group in found if group is not None]
+
     async def _reply_status(
         self, peer: str, message: control_messages.StatusQuery
     ) -> None:
