End a lease by the test's clock, not beside the machine's load

The lease now ends by a clock of the test when the promotion is requested, which is what the test is about. What it asserts is unchanged.

--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -21,6 +21,8 @@
 Role = endpoint_messages.Role
 NAMES = ("p", "r1", "r2")
 
+LEASE_SECONDS = 60.0
+
 
 class World(fences.Dialer, ports.Promoter):
     """A group of three endpoints and its promoter."""
@@ -34,15 +36,14 @@
         self.sends_requests = True
         self.accepts_requests: bool | None = True
         self.takes_effect = True
-        self.lease_seconds = 60.0
+        self.time_source: clock.Clock = clock.BootClock()
         self.group = fences.make_group(self)
 
     async def delay(self, endpoint):
         await asyncio.sleep(0 if endpoint.reachable else 3600)
 
     async def acquire(self):
-        until = clock.BootClock().now() + self.lease_seconds
-        return promotion.Lease("d", 1, until)
+        return promotion.Lease("d", 1, self.time_source.now() + LEASE_SECONDS)
 
     async def release(self, lease):
         pass
@@ -78,7 +79,7 @@
             self,
             fences.LocalLog(self.group),
             await self.acquire(),
-            clock.BootClock(),
+            self.time_source,
         )
 
     async def replace(self, name="p"):
@@ -86,6 +87,16 @@
         return await replacement.replace_failed(self.group.endpoints[name])
 
 
+class LeaseEndClock(clock.Clock):
+    """Stands still until a promotion is requested, then ends the lease."""
+
+    def __init__(self, world):
+        self._world = world
+
+    def now(self):
+        return LEASE_SECONDS if self._world.promoted else 0.0
+
+
 @pytest.fixture
 def world():
     return World()
@@ -227,7 +238,7 @@
 @pytest.mark.usefixtures("brief_timeout")
 async def test_fences_that_outlive_the_lease_are_logged(world):
     world.takes_effect = False
-    world.lease_seconds = takeover.FENCE_TIMEOUT_SECONDS + 0.05
+    world.time_source = LeaseEndClock(world)
     line = (await replace_logged(world))["fences left in place"]
     assert (line["group"], line["term"], line["token"]) == ("g", 2, 1)
     assert line["fenced"].keys() == {"r1", "r2"}
