--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
@@ -9,6 +9,7 @@
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay import reachability
 
 Kind = messages.Kind
 
@@ -85,7 +86,7 @@
             left = pending.remaining
             if (
                 left < attempts.MIN_REMAINING_SECONDS
-                or pending.group.is_unreachable()
+                or reachability.is_unreachable(pending.group)
             ):
                 return messages.Outcome(Kind.BUSY, detail="no primary")
             await pending.group.wait_change(min(left, POLL_SECONDS))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -220,16 +220,6 @@
             sum(not endpoint.has_left for endpoint in self.endpoints.values())
         )
 
-    def is_unreachable(self) -> bool:
-        """Return whether too few endpoints answer for a check or a write."""
-        now = time.monotonic()
-        answering = sum(
-            endpoint.has_answered
-            and endpoint.measure_unanswered(now) < self.options.isolated_after
-            for endpoint in self.endpoints.values()
-        )
-        return answering < min(self.count_confirming(), len(self.endpoints))
-
     def has_unresponsive_endpoint(self, now: float) -> bool:
         """Return whether an endpoint is unresponsive for ``suspect_after``."""
         return any(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -20,6 +20,7 @@
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import reachability
 from fescuestile_daemon.relay import sampling
 from fescuestile_daemon.relay import takeover
 
@@ -263,7 +264,9 @@
         )
         if primary.has_answered and unresponsive:
             return (
-                Reason.SILENT if self._reaches_majority(group, now) else None
+                Reason.SILENT
+                if reachability.reaches_majority(group, UNREACHABLE_SECONDS)
+                else None
             )
         if group.is_stalled(now, unpaused) and self._has_successor(
             group, primary
@@ -301,18 +304,6 @@
         since = self._seen_since.setdefault(key, now)
         return reason if now - since > seconds else None
 
-    def _reaches_majority(self, group: groups.Group, now: float) -> bool:
-        """Return whether a majority answers this daemon.
-
-        Otherwise this daemon itself may be cut off.
-        """
-        answering = sum(
-            endpoint.has_answered
-            and endpoint.measure_unanswered(now) < UNREACHABLE_SECONDS
-            for endpoint in group.endpoints.values()
-        )
-        return answering >= group.make_plan().majority
-
     def _has_successor(
         self, group: groups.Group, primary: endpoint_states.EndpointState
     ) -> bool:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -16,6 +16,7 @@
 from fescuestile_daemon.relay import monitor
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import reachability
 from fescuestile_daemon.relay import sampling
 from fescuestile_daemon.relay import sessions
 
@@ -151,7 +152,9 @@
             for name, group in self.directory.groups.items()
             if group.endpoints and name in self.directory.table.groups
         ]
-        unreachable = sum(group.is_unreachable() for group in groups)
+        unreachable = sum(
+            reachability.is_unreachable(group) for group in groups
+        )
         return bool(groups) and unreachable * 2 > len(groups)
 
     def open_session(
