--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
@@ -19,6 +19,7 @@
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import reachability
 from fescuestile_daemon.relay import report_requests
 from fescuestile_daemon.relay import sampling
 from fescuestile_daemon.relay import successors
@@ -168,7 +169,11 @@
         )
         if primary.has_answered and unresponsive:
             return (
-                Reason.SILENT if self._reaches_majority(group, now) else None
+                Reason.SILENT
+                if reachability.reaches_majority(
+                    group, report_requests.UNREACHABLE_SECONDS
+                )
+                else None
             )
         if group.is_stalled(now, unpaused) and successors.has_successor(
             group, primary
@@ -206,19 +211,6 @@
         since = self._seen_since.setdefault(key, now)
         return reason if now - since > seconds else None
 
-    def _reaches_majority(self, group: groups.Group, now: float) -> bool:
-        """Return whether a majority answers this daemon.
-
-        Otherwise this daemon itself may be cut off.
-        """
-        answering = sum(
-            endpoint.has_answered
-            and endpoint.measure_unanswered(now)
-            < report_requests.UNREACHABLE_SECONDS
-            for endpoint in group.endpoints.values()
-        )
-        return answering >= group.make_plan().majority
-
     def _log_target(
         self,
         group: groups.Group,
