--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 import structlog
@@ -46,7 +47,8 @@
         :param header: era that it names, by default that of the store
         """
         text = header or self.header
-        era = self._eras.record({} if text is None else {"store-era": text})
+        headers = {} if text is None else {"store-era": text}
+        era = self._eras.record(headers, time.monotonic())
         if era is None:
             raise errors.PlatformUnavailable("earlier era", step="list")
         return era
