End the lease when a header may have hidden a copy

LeaseManager.record_era returned early on an equal era, so the lease went on, and another daemon could take it over at once from what the copy says.

For 4 s after such a change an object of this era is taken over only if it has been there unchanged, a write that crosses the change gives no lease, and the next token is above the former one.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -13,6 +13,7 @@
 import abc
 import asyncio
 import dataclasses
+import math
 import secrets
 
 import structlog
@@ -130,6 +131,13 @@
         self._users = 0
         self._observation: _Observation | None = None
         self._era = 0
+        # Changes of the era, also to the same one.
+        self._changes = 0
+        # Boot seconds until which the store may lack a lease of this era.
+        self._forgotten_until = -math.inf
+        # Highest token acquired here, and the one at the latest change.
+        self._highest_token = 0
+        self._ended_token = 0
         self._era_changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -178,9 +186,23 @@
 
         A lease of a former era ends.
         """
-        if era <= self._era:
+        if era > self._era:
+            self.start_era(era)
+
+    def start_era(self, era: int) -> None:
+        """Record that the store has, or may have, gone back to a copy.
+
+        The lease ends.
+
+        :param era: era since then, which may be the one before
+        """
+        if era < self._era:
             return
+        if era == self._era:
+            self._forgotten_until = self._clock.now() + WAIT_SECONDS
         self._era = era
+        self._changes += 1
+        self._ended_token = self._highest_token
         self._era_changed.set()
         if self._lease is not None:
             log.warning(
@@ -195,7 +217,7 @@
 
         It may have expired nevertheless.
         """
-        return lease.era == self._era
+        return lease.era == self._era and lease.token > self._ended_token
 
     @property
     def lease(self) -> promotion.Lease | None:
@@ -235,7 +257,8 @@
             == (held.era, held.token)
         ):
             return await self._write(stored, held.token)
-        return await self._write(stored, _make_token(stored))
+        token = max(_make_token(stored), self._highest_token + 1)
+        return await self._write(stored, token)
 
     def _is_own(self, record: Record) -> bool:
         return record.claim.startswith(self._process)
@@ -247,10 +270,14 @@
         may have been forgotten or overwritten.
         """
         record = stored.record
-        if record.era == stored.era and (
-            stored.revision is None
-            or not record.holder
-            or self._is_own(record)
+        if (
+            record.era == stored.era
+            and self._clock.now() >= self._forgotten_until
+            and (
+                stored.revision is None
+                or not record.holder
+                or self._is_own(record)
+            )
         ):
             return True
         return self._measure_observed(stored) > WAIT_SECONDS
@@ -269,6 +296,7 @@
         self, stored: StoredRecord, token: int
     ) -> promotion.Lease | None:
         sent_at = self._clock.now()
+        changes = self._changes
         record = Record(self._daemon, token, self._make_claim(), stored.era)
         written: StoredRecord | None
         try:
@@ -283,12 +311,13 @@
         if written is None:
             return None
         self.record_era(written.era)
-        if not written.era == stored.era == self._era:
+        if changes != self._changes or written.era != stored.era:
             # Its condition was a revision of a former era.
             return None
         self._lease = promotion.Lease(
             self._daemon, token, sent_at + LEASE_SECONDS, self._era
         )
+        self._highest_token = max(self._highest_token, token)
         log.info("lease acquired", token=token, revision=written.revision)
         return self._lease
 
