Ask again when a quick failure hides the record of a switchover

After the fence a switchover reads the record once more, and sends no request if the store does not answer: it may have gone back. One refused or reset call was enough for that.

A call that fails within 0.5 s is repeated once now. A silent one takes 1 s and is not: with two of them the lease of 3.5 s could end, and its fences would stay.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -327,7 +327,7 @@
         if not self._store.era:
             return True
         try:
-            found = await self._store.read(group)
+            found = await self._read(group)
         except errors.PlatformUnavailable as error:
             log.warning("record not read", group=group, detail=str(error))
             return False
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from fescuestile import errors
 from fescuestile import group_members
 from fescuestile_daemon.relay import directory
 from fescuestile_daemon.relay import groups
@@ -15,6 +16,9 @@
 # A malformed record is replaced after this time: an endpoint that the
 # registry has not named by then is gone.
 MALFORMED_SECONDS = group_members.MISSING_SECONDS
+# A call that fails sooner is repeated; after a longer one, another might
+# outlast the lease, and fences would stay.
+QUICK_FAILURE_SECONDS = 0.5
 
 
 class RecordCopies:
@@ -81,6 +85,20 @@
         """Return the record that was last read or written."""
         return self._stored.get(group, member_store.NO_RECORD)
 
+    async def _read(self, group: str) -> member_store.StoredMembers:
+        """Read a record, and once again if that fails quickly.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+        began_at = time.monotonic()
+        try:
+            return await self._store.read(group)
+        except errors.PlatformUnavailable as error:
+            if time.monotonic() - began_at > QUICK_FAILURE_SECONDS:
+                raise
+            log.info("record read again", group=group, detail=str(error))
+        return await self._store.read(group)
+
     def _apply(
         self, group: groups.Group, stored: member_store.StoredMembers
     ) -> bool:
