Keep fencing tokens below 2^63

A token is the era above 32 bits for a revision, so a garbled Store-Era from 2^31 on, up to the 18 digits that were accepted, gave one that a receiver with signed 64-bit integers can't hold or takes for a lower one.

A revision takes its 32 bits at most.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -35,6 +35,10 @@
 # Bits of a token below the era: more revisions than a copy can lack, and few
 # enough that a JSON reader which decodes numbers as floats keeps them all.
 REVISION_BITS = 32
+# Tokens fit into a signed 64-bit integer up to this era, with room for some
+# that are counted on by ones.
+MAX_ERA = (1 << (63 - REVISION_BITS)) - 2
+TOKEN_LIMIT = (MAX_ERA + 1) << REVISION_BITS
 # Pause before an object that could not be read is observed again.
 RETRY_SECONDS = 0.5
 
@@ -350,4 +354,5 @@
     token = stored.record.token + 1
     if not stored.era:
         return token
-    return max(token, (stored.era << REVISION_BITS) + (stored.revision or 0))
+    revision = min(stored.revision or 0, (1 << REVISION_BITS) - 1)
+    return max(token, (stored.era << REVISION_BITS) + revision)
