Write a forgotten request again before the next driver reads

A request that has had no effect in 3 s may take effect later; its driver gives up then. If the store has gone back within an era meanwhile, only that driver could notice, at its next read, and another that read the older record first lifted the fences.

The driver reads the record once more when it gives up, a call for each such takeover, and PromotionLog.is_current writes again what the store has forgotten, at once rather than within a second.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -321,18 +321,21 @@
     async def is_current(self, group: str) -> bool:
         """Return whether the store still holds the promotion.
 
-        It has not come back from an older copy then, so that whoever reads
-        the record after that sees the fences that were set before.
+        It has not come back from a copy then, so that whoever reads the record
+        later sees the fences set before. Otherwise what is known is rewritten.
         """
         if not self._store.era:
             return True
         try:
             found = await self._read(group)
+            stored = self._find_stored(group)
+            if (found.era, found.pending) == (stored.era, stored.pending):
+                return True
+            # The next driver must not miss the promotion.
+            await self._record(self._directory.groups[group])
         except errors.PlatformUnavailable as error:
             log.warning("record not read", group=group, detail=str(error))
-            return False
-        stored = self._find_stored(group)
-        return (found.era, found.pending) == (stored.era, stored.pending)
+        return False
 
     async def _write_pending(
         self, group: groups.Group, wanted: member_store.StoredMembers
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
@@ -140,6 +140,9 @@
             if has_effect is False:
                 await self._log.record_end(self._group.name, is_refused=True)
             await self._unfence()
+            if has_effect is None:
+                # Whoever drives next decides by the record.
+                await self._log.is_current(self._group.name)
         return bool(has_effect)
 
     async def switch_over(
--- a/tests/unit/test_repeated_reads.py
+++ b/tests/unit/test_repeated_reads.py
@@ -36,3 +36,13 @@
     monkeypatch.setattr(world.store, "read", read_later)
     assert await records.is_current("g") is results[-1]
     assert len(results) == calls
+
+
+async def test_a_forgotten_request_is_written_again_at_once(world):
+    """Guards against LOST: the next driver lifts the fences."""
+    _, records = await world.start_loaded("p", "r1", "r2")
+    assert await records.record_request("g", "r1")
+    pending = world.store.find("g").pending
+    world.go_back("p", "r1", "r2")
+    assert not await records.is_current("g")
+    assert world.store.find("g").pending == pending
