Drop a redundant record of the era after a lease write

The write's era is compared with the read's, and a change that is heard meanwhile counts by itself; the next read records the era.

Measured: test_hidden_copies.py, test_lease_eras.py, test_ended_leases.py, test_leases.py, test_fallen_eras.py, test_token_bounds.py and the model check's test_restored_stores.py pass.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -314,7 +314,6 @@
                 written = None
         if written is None:
             return None
-        self.record_era(written.era)
         if changes != self._changes or written.era != stored.era:
             # Its condition was a revision of a former era.
             return None
