Give the model check of restored stores seeds that promote

The simulated daemons draw other delays since, which read the record beside members that are missing. No promise is broken, but two of the four seeds promoted nobody any more, which the test asks of each. Four seeds that promote take their place; the others are played on, also beside members that nobody recorded.

--- a/tests/model_check/test_restored_stores.py
+++ b/tests/model_check/test_restored_stores.py
@@ -6,7 +6,9 @@
 from tests import restored_stores
 from tests import virtual_time
 
-SEEDS = tuple(range(4))
+# Promotions take effect in these, and in the others by chance.
+SEEDS = (2, 4, 5, 6)
+OTHER_SEEDS = (0, 1, 3)
 
 
 def play(seed, hides_unrecorded=False):
@@ -30,7 +32,16 @@
     assert len(world.acknowledged) > 20
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", OTHER_SEEDS)
+def test_it_breaks_none_if_nobody_is_promoted(seed):
+    """Guards against LOST and STALE: most takeovers are given up."""
+    world = play(seed)
+    assert world.drills
+    assert world.reads > 20
+    assert len(world.acknowledged) > 20
+
+
+@pytest.mark.parametrize("seed", [*OTHER_SEEDS, *SEEDS])
 def test_it_breaks_none_beside_members_that_nobody_recorded(seed):
     """Guards against LOST and STALE: replicas join meanwhile."""
     assert play(seed, hides_unrecorded=True).drills
