Count no confirmation of a member that may have started again

A replica that a driver has fenced starts again under its id, without its fence and log, seconds before its registry entry says so. A daemon that reaches the former primary took its reports for those of the recorded run and acknowledged writes that the promoted endpoint lacks. Nothing on the wire names the run but the connection, which ends with it.

A position counts only if it came on a known connection. An answer on a known one makes known all that were opened before its request was sent; reports use the oldest one. Without a known one, those that are open become known once the lease is free, or at endpoints that the daemon has not known before once all replicas, two at least, report no fence, and once the record, read after that, names no pending promotion.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
@@ -266,7 +266,9 @@
                 endpoint.pool.release(connection)
             else:
                 endpoint.pool.discard(connection)
-        self.record_outcome(pending, endpoint, outcome, minimum, started)
+        self.record_outcome(
+            pending, endpoint, connection, outcome, minimum, started
+        )
         return outcome
 
     async def confirm_write(
@@ -310,6 +312,7 @@
         self,
         pending: PendingStatement,
         endpoint: endpoint_states.EndpointState,
+        connection: ports.EndpointConnection,
         outcome: messages.Outcome,
         minimum: positions.Position | None,
         started: float,
@@ -319,7 +322,11 @@
         :param minimum: position that the endpoint's log had to hold
         :param started: monotonic seconds at which the statement was sent
         """
-        pending.group.replication.record_position(endpoint, outcome.position)
+        if outcome.kind is Kind.DONE:
+            endpoint.run.record_answer(connection, started)
+            pending.group.replication.record_position(
+                endpoint, outcome.position
+            )
         match outcome.kind:
             case Kind.DONE:
                 endpoint.record_answer(time.monotonic() - started)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
@@ -25,6 +25,7 @@
     :ivar table: routes in force
     :ivar endpoints_loaded: the registry has been read at least once
     :ivar record_reader: reads the groups' records, None without a store
+    :ivar promoter: knows whether a takeover is under way, None without one
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self.table = EMPTY_TABLE
         self.endpoints_loaded = False
         self.record_reader: ports.RecordReader | None = None
+        self.promoter: ports.Promoter | None = None
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
@@ -177,6 +179,7 @@
                 name, self._dialer, self._options, self._clock
             )
             group.replication.record_reader = self.record_reader
+            group.replication.runs.promoter = self.promoter
         return group
 
     def _apply_limits(self, group: groups.Group) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
@@ -11,6 +11,7 @@
 from fescuestile import positions
 from fescuestile import routes
 from fescuestile_daemon.relay import admission_controller
+from fescuestile_daemon.relay import endpoint_runs
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import options
 from fescuestile_daemon.relay import pool
@@ -62,6 +63,7 @@
     :ivar is_displaced: another endpoint answers at its address
     :ivar has_answered: it has answered at least once
     :ivar held: latest position that its log was seen to hold
+    :ivar run: connections on which it may confirm writes
     :ivar dropped_at: monotonic seconds at which its registry entry was missed,
         None while there is an entry
     :ivar leaving_since: boot-time seconds at which its entry was first seen to
@@ -108,6 +110,7 @@
         self.answered_at = time.monotonic()
         self.has_answered = False
         self.held = positions.START
+        self.run = endpoint_runs.EndpointRun()
         self.unanswered_since: float | None = None
         self.refused_since: float | None = None
         self.is_displaced = False
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -281,6 +281,7 @@
             endpoint.record_failure()
             return None
         if report is not None:
+            endpoint.run.record_answer(connection, sent_at)
             self._apply_report(endpoint, report, requested_at)
         return report
 
@@ -384,9 +385,7 @@
         self,
     ) -> typing.Iterator[endpoint_states.EndpointState]:
         """Yield the endpoints that accept new work."""
-        for endpoint in self.endpoints.values():
-            if not endpoint.entry.leaving:
-                yield endpoint
+        yield from (e for e in self.endpoints.values() if not e.entry.leaving)
 
     def list_leaving(self) -> list[str]:
         """Return the names of the endpoints that are leaving."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leases.py
@@ -202,6 +202,25 @@
         """The lease as of its latest renewal, None without one."""
         return self._lease
 
+    async def is_free(self) -> bool:
+        """Return whether no daemon holds the lease, this one included.
+
+        :raises PlatformUnavailable: the store did not answer
+        """
+        if self._is_held():
+            return False
+        stored = await self._store.read()
+        self.record_era(stored.era)
+        return (
+            stored.era == self._era
+            and not self._is_held()
+            and self._may_acquire(stored)
+        )
+
+    def _is_held(self) -> bool:
+        held = self._lease
+        return held is not None and held.expires_at > self._clock.now()
+
     async def acquire(self) -> promotion.Lease | None:
         """Acquire or renew the lease.
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -162,6 +162,7 @@
             and now >= self._load_at
             and not self._is_loaded()
         ):
+            await self._inspect_unread(self._list())
             stored = await self._store.list_all()
             self._notice_era()
             none = dataclasses.replace(
@@ -170,7 +171,7 @@
             self._load_at = now + LOAD_DELAY_SECONDS
             for group in self._list():
                 if not self._is_read(group):
-                    self._apply(group, stored.get(group.name, none))
+                    self._apply_first(group, stored.get(group.name, none))
         if not self._list_changed():
             self._record_at = math.inf
             return
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
@@ -73,6 +73,7 @@
             record_store, self.directory, registry, random.Random()
         )
         self.directory.record_reader = self._records
+        self.directory.promoter = promoter
         self._monitor = monitor.Monitor(
             self.directory,
             promoter,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -111,7 +111,8 @@
 
         :param values: session values that the statement needs
         :param inspects: whether it is for a status report, for which one
-            connection above the cap may be opened
+            connection above the cap may be opened, and the oldest is used:
+            its answer shows that the endpoint has not started again since
         :param holds: whether it is kept for a transaction
         :returns: the connection, or why none could be opened
         """
@@ -125,7 +126,7 @@
     ) -> ports.EndpointConnection | messages.Outcome:
         requested_at = time.monotonic()
         while not self._closed and (self.accepts_work or inspects):
-            connection = self._pop_idle(values)
+            connection = self._pop_idle(values, inspects)
             if connection is not None:
                 return connection
             left: float | None = None
@@ -217,11 +218,16 @@
         self.wake_all()
 
     def _pop_idle(
-        self, values: typing.Mapping[str, str] | None
+        self, values: typing.Mapping[str, str] | None, oldest: bool
     ) -> ports.EndpointConnection | None:
         while self._idle:
             chosen = len(self._idle) - 1
-            if values is not None:
+            if oldest:
+                chosen = min(
+                    range(len(self._idle)),
+                    key=lambda index: self._idle[index].opened_at,
+                )
+            elif values is not None:
                 for index in range(chosen, -1, -1):
                     if self._idle[index].values == values:
                         chosen = index
@@ -250,6 +256,7 @@
                 connection.close()
                 return messages.Outcome(messages.Kind.BUSY, detail="left")
             opened = True
+            connection.opened_at = time.monotonic()
             self._observer.on_dial_ended(None)
             return connection
         except TimeoutError:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -1,6 +1,7 @@
 """Interfaces of the relay to endpoints, callers and the platform."""
 
 import abc
+import math
 import time
 import typing
 
@@ -18,12 +19,14 @@
     :ivar values: session values set on it
     :ivar prepared: prepared statements on it, by name
     :ivar used_at: monotonic seconds of its last answer
+    :ivar opened_at: monotonic seconds at which it had been opened
     """
 
     endpoint: str
     values: dict[str, str]
     prepared: dict[str, messages.Shape]
     used_at: float
+    opened_at: float = math.inf
 
     @property
     @abc.abstractmethod
@@ -84,6 +87,13 @@
         """Return whether a request for a promotion could be sent now."""
         return True
 
+    async def is_idle(self) -> bool:
+        """Return whether no daemon is replacing a primary.
+
+        :returns: False also when that is not known
+        """
+        return True
+
     @abc.abstractmethod
     async def acquire(self) -> promotion.Lease | None:
         """Acquire or renew the lease.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -1,5 +1,7 @@
 """One daemon's copies of the records of the groups' members."""
 
+import asyncio
+import collections.abc
 import time
 
 import structlog
@@ -15,6 +17,8 @@
 # A malformed record is replaced after this time: an endpoint that the
 # registry has not named by then is gone.
 MALFORMED_SECONDS = group_members.MISSING_SECONDS
+# Longest wait for the first connections before the records are read.
+OPEN_SECONDS = 0.2
 
 
 class RecordCopies:
@@ -33,6 +37,8 @@
         self._malformed_since: dict[str, float] = {}
         # Records as they were last read or written.
         self._stored: dict[str, member_store.StoredMembers] = {}
+        # Monotonic seconds since which a group was seen without a fence.
+        self._unfenced_at: dict[str, float] = {}
 
     def _is_read(self, group: groups.Group) -> bool:
         stored = self._stored.get(group.name)
@@ -81,6 +87,40 @@
         """Return the record that was last read or written."""
         return self._stored.get(group, member_store.NO_RECORD)
 
+    async def _inspect_unread(
+        self, listed: collections.abc.Iterable[groups.Group]
+    ) -> None:
+        """Find the groups without a fence before their records are read."""
+        unread = [group for group in listed if not self._is_read(group)]
+        # Opens the connections.
+        await asyncio.gather(
+            *(group.refresh(OPEN_SECONDS) for group in unread)
+        )
+        began_at = time.monotonic()
+        unfenced = await asyncio.gather(
+            *(group.replication.runs.is_unfenced() for group in unread)
+        )
+        self._unfenced_at = {
+            group.name: began_at
+            for group, is_unfenced in zip(unread, unfenced, strict=True)
+            if is_unfenced
+        }
+
+    def _apply_first(
+        self, group: groups.Group, stored: member_store.StoredMembers
+    ) -> None:
+        """Apply a record that was read after the group was inspected.
+
+        Without a fence and a pending promotion its endpoints confirm writes.
+        """
+        unfenced_at = self._unfenced_at.get(group.name)
+        if (
+            self._apply(group, stored)
+            and unfenced_at is not None
+            and self._is_settled(group, stored)
+        ):
+            group.replication.runs.trust(unfenced_at)
+
     def _apply(
         self, group: groups.Group, stored: member_store.StoredMembers
     ) -> bool:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -4,7 +4,9 @@
 the longest of their logs. In two cases a primary acknowledges a write that is
 lost: a replica that nobody has recorded yet receives it, or one whose fence a
 promotion has lifted before it learns the new term. So a recorded member has to
-hold the write, and then no other endpoint may be a later primary.
+hold the write, and then no other endpoint may be a later primary. A member
+that starts again has lost its fence before its registry entry says so, so its
+connection has to be known, see ``endpoint_runs``.
 """
 
 import asyncio
@@ -18,6 +20,7 @@
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import messages
 from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay import run_checks
 
 if typing.TYPE_CHECKING:
     from fescuestile_daemon.relay import groups
@@ -56,11 +59,13 @@
     Writes that wait at the same time share the queries.
 
     :ivar record_reader: reads the group's record, None without a store
+    :ivar runs: checks of members that may have started again
     """
 
     def __init__(self, group: "groups.Group") -> None:
         """Start without queries."""
         self.record_reader: ports.RecordReader | None = None
+        self.runs = run_checks.RunChecks(group)
         self._group = group
         # Keys in order of their arrival, in which they are settled.
         self._waiters: dict[_Waiter, None] = {}
@@ -99,8 +104,15 @@
         group = self._group
         if not group.replicated:
             return True
-        members = self.list_members(primary)
-        if not any(self._responds(member) for member in members):
+        members = [
+            member
+            for member in self.list_members(primary)
+            if self._responds(member)
+        ]
+        if not members:
+            return False
+        if self.runs.has_failed and all(m.run.is_unknown for m in members):
+            self._check_runs()
             return False
         pending = group.pending_promotion
         if pending not in ("", primary):
@@ -166,7 +178,13 @@
         endpoint: endpoint_states.EndpointState,
         position: positions.Position | None,
     ) -> None:
-        """Record that an endpoint's log holds a position."""
+        """Record that an endpoint's log holds a position.
+
+        The log of a run that may not be the recorded one does not count.
+        """
+        if endpoint.run.is_unknown and self.record_reader is not None:
+            self.runs.request(self.record_reader)
+            return
         if position is not None and position > endpoint.held:
             endpoint.held = position
             self.check_waiters()
@@ -239,7 +257,12 @@
                 ):
                     self._read_record()
                 waiter.missed = True
-            pending = {*self._queries.values(), *self._list_reading()}
+            self._check_runs()
+            pending = {
+                *self._queries.values(),
+                *self._list_reading(),
+                *self.runs.list_running(),
+            }
             if pending:
                 await asyncio.wait(
                     pending,
@@ -264,6 +287,11 @@
             endpoint, messages.Inspect(), self._group.options.inspect_timeout
         )
 
+    def _check_runs(self) -> None:
+        """Check soon whether all members may confirm writes."""
+        if self.record_reader is not None:
+            self.runs.request(self.record_reader, READ_INTERVAL_SECONDS)
+
     def _list_reading(self) -> list[asyncio.Task[None]]:
         reading = self._reading
         return [] if reading is None or reading.done() else [reading]
@@ -286,6 +314,7 @@
 
     def close(self) -> None:
         """Cancel the queries."""
+        self.runs.close()
         for task in (self._task, self._reading, *self._queries.values()):
             if task is not None:
                 task.cancel()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/transactions.py
@@ -238,7 +238,7 @@
         else:
             endpoint.pool.discard(connection)
         self._attempts.record_outcome(
-            pending, endpoint, outcome, minimum, time.monotonic()
+            pending, endpoint, connection, outcome, minimum, time.monotonic()
         )
         return outcome
 
@@ -334,7 +334,7 @@
                 refused=outcome.kind is Kind.BUSY,
             )
         self._attempts.record_outcome(
-            pending, endpoint, outcome, None, started
+            pending, endpoint, connection, outcome, None, started
         )
         return outcome
 
--- /dev/null
+++ b/tests/unit/test_endpoint_runs.py
@@ -0,0 +1,81 @@
+"""Tests of which connections show a run that may confirm writes."""
+
+import types
+
+import pytest
+
+from fescuestile import clock
+from fescuestile_daemon.relay import endpoint_runs
+from fescuestile_daemon.relay import leases
+from tests import lease_stores
+
+
+def make_connection(opened_at):
+    return types.SimpleNamespace(opened_at=opened_at)
+
+
+@pytest.fixture
+def run():
+    """Return a run of which connections opened until 10.0 are known."""
+    made = endpoint_runs.EndpointRun()
+    made.trust(10.0)
+    return made
+
+
+def test_a_first_connection_is_unknown():
+    run = endpoint_runs.EndpointRun()
+    assert not run.record_answer(make_connection(1.0), 2.0)
+    assert run.is_unknown
+    assert not run.has_been_known
+
+
+def test_an_answer_on_a_known_connection_vouches_for_earlier_ones(run):
+    assert run.record_answer(make_connection(9.0), 12.0)
+    assert run.record_answer(make_connection(11.0), 13.0)
+    assert not run.is_unknown
+
+
+def test_an_answer_to_an_earlier_request_vouches_for_nothing(run):
+    """Guards against LOST: the endpoint may have ended after the request."""
+    assert run.record_answer(make_connection(9.0), 12.0)
+    assert not run.record_answer(make_connection(12.5), 14.0)
+    assert run.is_unknown
+
+
+def test_an_unknown_connection_vouches_for_none(run):
+    assert not run.record_answer(make_connection(11.0), 20.0)
+    assert not run.record_answer(make_connection(12.0), 21.0)
+
+
+async def test_the_lease_is_free_while_nobody_holds_it():
+    store, manual = lease_stores.MemoryStore(), clock.ManualClock()
+    first = leases.LeaseManager(store, "d1", manual)
+    second = leases.LeaseManager(store, "d2", manual)
+    assert await first.is_free()
+    assert await second.acquire() is not None
+    assert not await first.is_free()
+    assert not await second.is_free()
+    await second.release()
+    assert await first.is_free()
+    assert await second.is_free()
+
+
+async def test_the_lease_of_a_daemon_that_has_ended_becomes_free():
+    store, manual = lease_stores.MemoryStore(), clock.ManualClock()
+    first = leases.LeaseManager(store, "d1", manual)
+    second = leases.LeaseManager(store, "d2", manual)
+    assert await second.acquire() is not None
+    assert not await first.is_free()
+    manual.advance(leases.LEASE_SECONDS + 0.1)
+    assert not await first.is_free()
+    manual.advance(leases.CLOCK_DRIFT_SECONDS)
+    assert await first.is_free()
+
+
+async def test_a_lease_of_a_former_era_is_not_free():
+    """Guards against LOST: the store may have forgotten a later holder."""
+    store, manual = lease_stores.MemoryStore(), clock.ManualClock()
+    manager = leases.LeaseManager(store, "d1", manual)
+    assert await manager.is_free()
+    store.restore(store.copy())
+    assert not await manager.is_free()
