Wait for a promotion that another one in the copy hides

A daemon counted as having written again when the copy held a promotion, although an earlier one than it knows. It now waits until the record holds the one that it knows, or until that can have no effect.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -69,11 +69,21 @@
             and all(
                 name in self._directory.groups
                 and self._is_read(self._directory.groups[name])
-                and not self._lacks(self._directory.groups[name])
+                and self._holds_all(self._directory.groups[name])
                 for name in known
             )
         )
 
+    def _holds_all(self, group: groups.Group) -> bool:
+        """Return whether the record holds all that is known here.
+
+        In an older copy another promotion may be pending.
+        """
+        pending = group.promotions.find(time.monotonic())
+        return not self._lacks(group) and (
+            pending is None or pending == self._stored[group.name].pending
+        )
+
     async def settle_all(self, era: int) -> bool:
         """Read all records again and settle them.
 
--- a/tests/unit/test_restorations.py
+++ b/tests/unit/test_restorations.py
@@ -125,6 +125,21 @@
     assert group.pending_promotion == "r1"
 
 
+async def test_an_earlier_promotion_in_the_copy_does_not_hide_a_later_one(
+    world,
+):
+    """Guards against LOST: the record holds one promotion only."""
+    group, records = await world.start("d1")
+    _, drivers = await world.start("d2")
+    assert await drivers.record_request("g", "r2")
+    older = world.store.copy()
+    await drivers.record_end("g", is_refused=True)
+    assert await drivers.record_request("g", "r1")
+    world.store.restore(older)
+    await world.run_all(3.0, drivers, records)
+    assert not await records.load(group) or group.pending_promotion == "r1"
+
+
 async def test_a_replaced_term_that_another_daemon_knows_is_read_first(world):
     """Guards against LOST: a silent endpoint has been promoted already.
 
