Notice an era without checking in steps

The check of the records slept in steps of 0.2 s to notice a change of the era soon. The check now waits for 1 s, or until a reading notices the change, as the writes that need a record do.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import math
 import random
@@ -142,10 +143,11 @@
 
     async def _wait_check(self) -> None:
         """Wait for the next check, which a change of the era brings on."""
-        left = CHECK_SECONDS if self._is_idle() else LOAD_CHECK_SECONDS
-        while left > 0.0 and self._store.era == self._eras.era:
-            await asyncio.sleep(min(left, LOAD_CHECK_SECONDS))
-            left -= LOAD_CHECK_SECONDS
+        seconds = CHECK_SECONDS if self._is_idle() else LOAD_CHECK_SECONDS
+        self._era_noticed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._era_noticed.wait()
 
     def _is_idle(self) -> bool:
         """Return whether nothing is to be read or written soon."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -1,5 +1,6 @@
 """One daemon's copies of the records of the groups' members."""
 
+import asyncio
 import time
 
 import structlog
@@ -30,6 +31,7 @@
         self._store = store
         self._directory = routes
         self._eras = record_eras.RecordEras()
+        self._era_noticed = asyncio.Event()
         self._malformed_since: dict[str, float] = {}
         # Records as they were last read or written.
         self._stored: dict[str, member_store.StoredMembers] = {}
@@ -125,6 +127,7 @@
         """Note the era in which the store has answered last."""
         before = self._eras.era
         if self._eras.notice(self._store.era, time.monotonic()):
+            self._era_noticed.set()
             log.info(
                 "records of members to be read again",
                 era=self._eras.era,
