Write a missing record again soon after a start

A daemon that had read a record within 2.5 s of its start and then found it missing after a drill took the missing one for read, without keeping its members, and never wrote it again. It now keeps them at once and writes them after the 2.5 s.

The new test fails without the change (no record after 12 s).

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -202,12 +202,13 @@
             self._malformed_since.pop(group.name, None)
         if stored.members is None or stored.revision is None:
             # Nothing is known but what this daemon has seen.
+            is_loaded = group.members.is_loaded
+            if is_loaded and stored.members is not None and not is_current:
+                group.members.apply_record((), now, may_be_older=True)
             if not group.members.is_settled(now):
                 return False
-            if not group.members.is_loaded:
+            if not is_loaded:
                 group.members.apply_record((), now)
-            elif stored.members is not None and not is_current:
-                group.members.apply_record((), now, may_be_older=True)
             return True
         if not is_current or (before is not None and before.era < stored.era):
             group.members.apply_record(stored.members, now, may_be_older=True)
