Settle the first record of a new store

A group with one replica had no takeover for 16 s after the first start, as if the store had gone back: no report shows that its replica is not fenced for a promotion. A record that is missing in the first era that a daemon sees is now settled 2 s later, if that daemon knows nothing of the group. An older copy lacks a record only if that was first written seconds before, and the daemons that have read it write it again.

The known-red test_the_first_era_of_a_new_store_is_no_drill[names0] failed before and passes. Guards: a record that is written again, that is known here, that goes missing in a later era or is malformed is not settled (test_new_records, 6 tests). The model check starts with a record and does not cover this.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
@@ -121,7 +121,10 @@
         self, group: groups.Group, stored: member_store.StoredMembers
     ) -> bool:
         """Return whether something may be decided on a record."""
-        return self._eras.is_settled(group, stored, time.monotonic())
+        now = time.monotonic()
+        return self._eras.is_settled(
+            group, stored, now
+        ) or self._eras.is_settled_as_new(group, stored, now)
 
     def _notice_era(self) -> None:
         """Note the era in which the store has answered last."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
@@ -7,6 +7,8 @@
 
 - a daemon that knew so has written the record in this era;
 - all daemons have written again what they know, see ``restorations``;
+- it is missing in the first era that this daemon sees, and nobody who knows
+  it has written it again;
 - the time in which a request can take effect is over;
 - all endpoints follow one primary, which may have failed meanwhile. A driver
   keeps the fences of all but the endpoint that it promotes until that has
@@ -51,6 +53,7 @@
     def __init__(self) -> None:
         """Start before the first era."""
         self.era = 0
+        self._is_first = False
         self._since = -math.inf
         self._steady: set[str] = set()
         self._settled: set[str] = set()
@@ -65,6 +68,7 @@
         """
         if era <= self.era:
             return False
+        self._is_first = not self.era
         self.era, self._since = era, now
         self._steady.clear()
         self._settled.clear()
@@ -77,6 +81,31 @@
         """
         return now - self._since > RESTORE_SECONDS
 
+    def is_settled_as_new(
+        self,
+        group: groups.Group,
+        stored: member_store.StoredMembers,
+        now: float,
+    ) -> bool:
+        """Return whether nobody has ever recorded anything of a group.
+
+        A copy is a few seconds old, so it lacks the record only if that was
+        first written within these. All daemons that have read it since write
+        it again.
+
+        :param now: monotonic seconds
+        """
+        return (
+            self._is_first
+            and stored.era == self.era
+            and stored.revision is None
+            and self.is_restored(now)
+            and not group.members.recorded
+            and not group.members.forgotten
+            and group.promotions.find(now) is None
+            and not group.promotions.find_replaced_term(now)
+        )
+
     def is_settled(
         self,
         group: groups.Group,
