--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
@@ -6,6 +6,9 @@
 is decided on a record before one of these shows that no promotion is missing:
 
 - a daemon that knew so has written the record in this era;
+- all daemons have written again what they know, see ``restorations``;
+- it is missing in the first era that this daemon sees, and nobody who knows
+  it has written it again;
 - the time in which a request can take effect is over;
 - all endpoints follow one primary, which may have failed meanwhile. A driver
   keeps the fences of all but the endpoint that it promotes until that has
@@ -50,9 +53,12 @@
     def __init__(self) -> None:
         """Start before the first era."""
         self.era = 0
+        self._is_first = False
         self._since = -math.inf
         self._steady: set[str] = set()
         self._settled: set[str] = set()
+        # Era in which each group's record was first settled here.
+        self._first_settled: dict[str, int] = {}
 
     def notice(self, era: int, now: float) -> bool:
         """Record the era of the store.
@@ -62,6 +68,7 @@
         """
         if era <= self.era:
             return False
+        self._is_first = not self.era
         self.era, self._since = era, now
         self._steady.clear()
         self._settled.clear()
@@ -74,6 +81,31 @@
         """
         return now - self._since > RESTORE_SECONDS
 
+    def is_settled_as_new(
+        self,
+        group: groups.Group,
+        stored: member_store.StoredMembers,
+        now: float,
+    ) -> bool:
+        """Return whether nobody has ever recorded anything of a group.
+
+        A copy is a few seconds old, so it lacks the record only if that was
+        first written within these. All daemons that have read it since write
+        it again.
+
+        :param now: monotonic seconds
+        """
+        return (
+            self._is_first
+            and stored.era == self.era
+            and stored.revision is None
+            and self.is_restored(now)
+            and not group.members.recorded
+            and not group.members.forgotten
+            and group.promotions.find(now) is None
+            and not group.promotions.find_replaced_term(now)
+        )
+
     def is_settled(
         self,
         group: groups.Group,
@@ -87,6 +119,7 @@
         if stored.era != self.era:
             return False
         if stored.settled_era == self.era or group.name in self._settled:
+            self._first_settled.setdefault(group.name, self.era)
             return True
         if (
             group.name not in self._steady
@@ -99,15 +132,37 @@
             is_steady and self.is_restored(now)
         ):
             return False
+        self._settle(group, now, "steady" if is_steady else "time")
+        return True
+
+    def settle_restored(self, group: groups.Group, now: float) -> None:
+        """Settle a record into which all daemons have written again.
+
+        :param now: monotonic seconds
+        """
+        if group.name not in self._settled:
+            self._settle(group, now, "restored")
+
+    def _settle(self, group: groups.Group, now: float, evidence: str) -> None:
         self._settled.add(group.name)
+        self._first_settled.setdefault(group.name, self.era)
         log.info(
             "record settled",
             group=group.name,
             era=self.era,
-            steady=is_steady,
+            evidence=evidence,
             seconds=round(now - self._since, 1),
         )
-        return True
+
+    def list_known(self) -> set[str]:
+        """Return the groups whose records were settled in a former era.
+
+        This process knows each promotion that was requested since then by its
+        daemon, also before its start.
+        """
+        return {
+            name for name, era in self._first_settled.items() if era < self.era
+        }
 
 
 def _is_steady(
