Wait for a recorded change of endpoints before the next

A driver that had learnt two changes of the endpoints fenced a majority of the newest plan, while a daemon that had learnt neither confirmed writes by a majority of the oldest: both need not meet, and the write was lost.

The revision of the endpoints is now an entry of the group's log, which a watching daemon has the primary append. Endpoints that hold it refuse fences by an earlier one, reports of it count for no daemon that knows an earlier one only, and the next change of the endpoints is refused as not run until a majority holds the record under one term.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/control.py
@@ -13,6 +13,7 @@
 from fescuestile import configuration
 from fescuestile import gossip_messages
 from fescuestile import members
+from fescuestile import plan_records
 from fescuestile import plans
 from fescuestile import ports
 from fescuestile import probes
@@ -49,6 +50,7 @@
 
     :ivar membership: published here, like plans, keys and the leaving
         set
+    :ivar record_use: subscribes to the state of a group, by database
     :ivar on_drain: starts the daemon's drain, for an operator or because
         its host is leaving; called on the event loop
     """
@@ -65,6 +67,9 @@
     time_source: clock.Clock
     on_drain: collections.abc.Callable[[str], None]
     transport_security: security.TransportSecurity
+    record_use: collections.abc.Callable[
+        [str], collections.abc.Awaitable[None]
+    ]
     switchover: operator_server.Switchover = operator_server.refuse_switchover
     random_source: random.Random = dataclasses.field(
         default_factory=random.Random
@@ -104,7 +109,10 @@
             parts.platform, self.status, self.announce, parts.random_source
         )
         self.changes = plan_changes.PlanChanges(
-            parts.platform, parts.time_source, parts.random_source
+            parts.platform,
+            parts.time_source,
+            parts.random_source,
+            self._is_recorded,
         )
         self.trail = audit.AuditTrail(parts.platform, parts.random_source)
         self._operators = operator_server.OperatorServer(
@@ -174,6 +182,13 @@
             accept=configuration_actor.is_well_formed,
         )
 
+    async def _is_recorded(self, plan: plans.Plan) -> bool:
+        """Return whether a group has recorded the endpoints of a plan."""
+        await self._parts.record_use(plan.database)
+        snapshot = self._parts.group_snapshots.get(plan.database)
+        views = snapshot.endpoints if snapshot else {}
+        return plan_records.is_recorded(plan, views)
+
     def _make_fleet_status(self) -> fleet_status.FleetStatus:
         self._parts.link_pool.add_classes(control_messages.CLASSES)
         return fleet_status.FleetStatus(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_adapter.py
@@ -115,10 +115,12 @@
         return await self._request(command, timeout + REPLY_GRACE_SECONDS)
 
     async def fence(
-        self, term: int, driver: str, timeout: float
+        self, term: int, driver: str, revision: int, timeout: float
     ) -> ports.ReportReply:
         """Have the endpoint promise a term to a driver."""
-        command = endpoint_messages.Fence(self.next_id(), term, driver)
+        command = endpoint_messages.Fence(
+            self.next_id(), term, driver, revision
+        )
         return await self._request(command, timeout)
 
     async def promote(
@@ -137,6 +139,15 @@
         )
         return await self._request(command, timeout)
 
+    async def record_revision(
+        self, term: int, revision: int, timeout: float
+    ) -> ports.ReportReply:
+        """Have the term's primary record a revision of the endpoints."""
+        command = endpoint_messages.RecordRevision(
+            self.next_id(), term, revision
+        )
+        return await self._request(command, timeout)
+
     async def subscribe(
         self, interval: float
     ) -> collections.abc.AsyncIterator[Report]:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_actor.py
@@ -217,8 +217,10 @@
             for name, observed in state.reports.items()
             if observed.age <= failure_detection.MAX_REPORT_AGE_SECONDS
         }
-        actions = failover.find_missing_follows(
-            group.owned.revision.plan, fresh
+        plan = group.owned.revision.plan
+        actions: tuple[failover_steps.Action, ...] = (
+            *failover.find_missing_follows(plan, fresh),
+            *failover.find_missing_record(plan, fresh),
         )
         if actions:
             self._perform(Decision(state.database, actions))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/failover_runner.py
@@ -281,14 +281,17 @@
         database: str,
         action: failover_steps.SendFence
         | failover_steps.SendPromote
-        | failover_steps.SendFollow,
+        | failover_steps.SendFollow
+        | failover_steps.SendRecord,
         connection: ports.EndpointConnection,
     ) -> ports.ReportReply:
         timeout = self._parts.step_timeout
         own_id = self._parts.own_id
         match action:
             case failover_steps.SendFence():
-                return await connection.fence(action.term, own_id, timeout)
+                return await connection.fence(
+                    action.term, own_id, action.revision, timeout
+                )
             case failover_steps.SendPromote():
                 return await connection.promote(action.term, own_id, timeout)
             case failover_steps.SendFollow():
@@ -297,6 +300,10 @@
                 return await connection.follow(
                     action.term, primary.name, primary.address, timeout
                 )
+            case failover_steps.SendRecord():
+                return await connection.record_revision(
+                    action.term, action.revision, timeout
+                )
 
 
 def _make_event(
@@ -309,4 +316,6 @@
             return failover_steps.PromoteReplied(action.term, report)
         case failover_steps.SendFollow():
             return failover_steps.FollowReplied(action.term, report)
-    raise TypeError(f"expected a fence, promote or follow, got {action!r}")
+        case failover_steps.SendRecord():
+            return failover_steps.ReportReceived(report)
+    raise TypeError(f"expected a command to an endpoint, got {action!r}")
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/plan_changes.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/plan_changes.py
@@ -40,6 +40,9 @@
 Prepare = collections.abc.Callable[
     [configuration.PlanObject | None], configuration.PrepareResult
 ]
+IsRecorded = collections.abc.Callable[
+    [plans.Plan], collections.abc.Awaitable[bool]
+]
 RevisionsResult = expression.Result[
     tuple[plans.PlanRevision, ...], errors.FescuestileError
 ]
@@ -51,6 +54,10 @@
     After a write without a response, the plan is read back and searched
     for the change id. If it is absent, the write is retried with the same
     change id, which the platform applies at most once.
+
+    Endpoints are added or removed only once the group has recorded the last
+    such change: majorities of a plan and of the one after the next need not
+    overlap.
     """
 
     def __init__(
@@ -58,11 +65,17 @@
         platform: ports.Platform,
         time_source: clock.Clock,
         random_source: random.Random,
+        is_recorded: IsRecorded,
     ) -> None:
-        """Initialize with the platform that stores the plans."""
+        """Initialize with the platform that stores the plans.
+
+        :param is_recorded: returns whether a group has recorded the
+            endpoints of a plan
+        """
         self._platform = platform
         self._clock = time_source
         self._random = random_source
+        self._is_recorded = is_recorded
 
     async def declare(
         self, plan: plans.Plan, change: configuration.Change
@@ -187,6 +200,11 @@
                 )
             )
         if stored_plan is not None:
+            unrecorded = await self._check_recorded(
+                stored_plan.current.plan, content.current.plan
+            )
+            if unrecorded is not None:
+                return expression.Error(unrecorded)
             archived = await self._archive(stored_plan.current)
             if archived.is_error():
                 return expression.Error(archived.error)
@@ -205,6 +223,21 @@
             AppliedChange(prepared.ok.revision, False, content.current)
         )
 
+    async def _check_recorded(
+        self, current: plans.Plan, changed: plans.Plan
+    ) -> errors.NotRun | None:
+        """Return an error if a change of the endpoints has to wait."""
+        if changed.endpoints_revision == current.endpoints_revision:
+            return None
+        if await self._is_recorded(current):
+            return None
+        return errors.NotRun(
+            f"a majority of {current.database} has not recorded its endpoints "
+            f"of revision {current.endpoints_revision} yet",
+            configuration.STEP,
+            field="endpoints",
+        )
+
     async def _read(
         self, database: str
     ) -> expression.Result[
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/server.py
@@ -44,6 +44,7 @@
                 time_source=self.daemon.time_source,
                 on_drain=self.begin_drain,
                 transport_security=self.daemon.security,
+                record_use=self.daemon.interest_manager.record_use,
                 switchover=self.daemon.switchovers.switch_over_with_retries,
             )
         )
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_log.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_log.py
@@ -29,11 +29,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
-    """Log entry with all changes of one transaction."""
+    """Log entry with all changes of one transaction.
+
+    :ivar revision: revision of the group's endpoints that it records, 0 for
+        none
+    """
 
     position: positions.Position
     changes: tuple[Change, ...] = ()
     rows: tuple[RequestRow, ...] = ()
+    revision: int = 0
 
 
 class Log:
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_server.py
@@ -278,7 +278,9 @@
         if isinstance(message, endpoint_messages.Fence):
             term = state.term
             now = time.monotonic()
-            verdict = state.fence(message.term, message.driver, now)
+            verdict = state.fence(
+                message.term, message.driver, now, message.revision
+            )
             if state.term != term:
                 endpoint.replication_client.stop()
         elif isinstance(message, endpoint_messages.Promote):
@@ -289,6 +291,11 @@
             verdict = state.follow(message.term, message.primary)
             if previous != (state.term, state.primary):
                 endpoint.replication_client.follow(message.address)
+        elif isinstance(message, endpoint_messages.RecordRevision):
+            last = state.log.last
+            verdict = state.record_revision(message.term, message.revision)
+            if last != state.log.last:
+                endpoint.changed.notify()
         if before != (state.term, state.primary, state.role):
             endpoint.changed.notify()
         return endpoint.report(message.id, verdict)
--- a/packages/fescuestile-standins/src/fescuestile_standins/endpoint_store.py
+++ b/packages/fescuestile-standins/src/fescuestile_standins/endpoint_store.py
@@ -94,18 +94,23 @@
 
 
 class Store:
-    """Values and request rows, built by applying the log's entries."""
+    """Values and request rows, built by applying the log's entries.
+
+    :ivar revision: latest revision of the group's endpoints, 0 for none
+    """
 
     def __init__(self) -> None:
         """Initialize without values."""
         self._values: dict[str, str] = {}
         self._rows: dict[str, StoredRow] = {}
+        self.revision = 0
 
     def copy(self) -> "Store":
         """Return an independent copy."""
         other = Store()
         other._values = self._values.copy()
         other._rows = self._rows.copy()
+        other.revision = self.revision
         return other
 
     def apply(self, entry: endpoint_log.Entry) -> None:
@@ -114,6 +119,7 @@
             self._values[change.key] = change.value
         for row in entry.rows:
             self._rows[row.request_id] = StoredRow(row, entry.position)
+        self.revision = max(self.revision, entry.revision)
 
     def find_row(self, request_id: str) -> StoredRow | None:
         """Return the row of a request id, None if there is none."""
--- a/packages/fescuestile/src/fescuestile/configuration.py
+++ b/packages/fescuestile/src/fescuestile/configuration.py
@@ -173,6 +173,7 @@
         return expression.Ok(repeated)
     if held is not None:
         return _conflict("declare", plan.database, held)
+    plan = dataclasses.replace(plan, endpoints_revision=0)
     return _prepare(None, plan, change, "declare")
 
 
@@ -314,6 +315,11 @@
                 field="endpoints",
             )
         )
+    number = held.current.revision + 1
+    last_changed = held.current.plan.endpoints_revision
+    plan = dataclasses.replace(
+        plan, endpoints_revision=number if changed else last_changed
+    )
     return _prepare(held, plan, change, action)
 
 
--- a/packages/fescuestile/src/fescuestile/confirmation.py
+++ b/packages/fescuestile/src/fescuestile/confirmation.py
@@ -69,10 +69,15 @@
     def observe(self, report: endpoint_messages.Report) -> bool:
         """Apply an endpoint's report.
 
+        One that holds a later revision of the endpoints does not count: the
+        majorities of that revision's successor need not meet those here.
+
         :returns: whether the confirmed position advanced
         """
         if report.endpoint not in self._plan.endpoint_by_name:
             return False
+        if report.revision > self._plan.endpoints_revision:
+            return False
         self._reports[report.endpoint] = report
         if not acknowledges(report, positions.Position(report.last.term, 0)):
             return False
--- a/packages/fescuestile/src/fescuestile/endpoint_codec.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_codec.py
@@ -19,6 +19,7 @@
         endpoint_messages.Fence,
         endpoint_messages.Promote,
         endpoint_messages.Follow,
+        endpoint_messages.RecordRevision,
         endpoint_messages.Report,
     )
 )
--- a/packages/fescuestile/src/fescuestile/endpoint_messages.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_messages.py
@@ -160,13 +160,17 @@
     """Request the promise of a term to one driver.
 
     It is granted for a term above the one promised before, or for the same
-    term and driver again. A fenced endpoint refuses all commands of lower
-    terms.
+    term and driver again, unless the endpoint's log holds a later revision
+    of the group's endpoints than the driver knows. A fenced endpoint refuses
+    all commands of lower terms.
+
+    :ivar revision: revision of the plan that the driver's endpoints are from
     """
 
     id: int
     term: int
     driver: str
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,12 +195,26 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordRevision:
+    """Append a revision of the group's endpoints to the primary's log.
+
+    The primary of the term appends it once, and none below the one that its
+    log holds. It replicates like a write.
+    """
+
+    id: int
+    term: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """Status report of an endpoint.
 
     :ivar id: id of the command it replies to, also on pushed reports
-    :ivar verdict: DONE, or TERM_REFUSED for a refused Fence or Promote
+    :ivar verdict: DONE, or TERM_REFUSED for a refused Fence, Promote or
+        RecordRevision
     :ivar term: term that it promised and works under
     :ivar driver: driver that it promised the term to
     :ivar primary: name of the primary that it follows or is, or empty
@@ -209,6 +227,8 @@
     :ivar running: number of statements that run now
     :ivar followed: term of the primary that it follows, also while it is
         fenced; 0 when not reported
+    :ivar revision: latest revision of the group's endpoints that its log
+        holds, 0 for none
     """
 
     id: int
@@ -224,6 +244,7 @@
     connections: int = 0
     running: int = 0
     followed: int = 0
+    revision: int = 0
 
     @property
     def history(self) -> positions.TermHistory:
--- a/packages/fescuestile/src/fescuestile/failover.py
+++ b/packages/fescuestile/src/fescuestile/failover.py
@@ -304,7 +304,7 @@
         term = driver.term
         if driver.step is steps.Step.FENCING:
             return tuple(
-                steps.SendFence(name, term)
+                steps.SendFence(name, term, self.plan.endpoints_revision)
                 for name in names
                 if name not in driver.grants
             )
@@ -368,5 +368,20 @@
     )
 
 
+def find_missing_record(
+    plan: plans.Plan, reports: typing.Mapping[str, Report]
+) -> tuple[steps.SendRecord, ...]:
+    """Return a command for the primary if its log lacks the plan's endpoints.
+
+    :param reports: latest report of each endpoint, by name
+    """
+    primaries = [r for r in reports.values() if r.role is Role.PRIMARY]
+    primary = max(primaries, key=_find_term, default=None)
+    revision = plan.endpoints_revision
+    if primary is None or primary.revision >= revision:
+        return ()
+    return (steps.SendRecord(primary.endpoint, primary.term, revision),)
+
+
 def _find_term(report: Report) -> int:
     return report.term
--- a/packages/fescuestile/src/fescuestile/failover_steps.py
+++ b/packages/fescuestile/src/fescuestile/failover_steps.py
@@ -151,10 +151,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendFence:
-    """Request an endpoint's promise of the term."""
+    """Request an endpoint's promise of the term.
+
+    :ivar revision: revision that the driver's endpoints are from
+    """
 
     endpoint: str
     term: int
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,6 +178,15 @@
     primary: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendRecord:
+    """Have the primary record the revision of the group's endpoints."""
+
+    endpoint: str
+    term: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Publish:
     """Announce the new primary to all daemons.
@@ -202,5 +215,5 @@
     target: str = ""
 
 
-Action = SendFence | SendPromote | SendFollow | Publish | Abandon
+Action = SendFence | SendPromote | SendFollow | SendRecord | Publish | Abandon
 Transition = tuple[Driver, tuple[Action, ...]]
--- a/packages/fescuestile/src/fescuestile/groups.py
+++ b/packages/fescuestile/src/fescuestile/groups.py
@@ -102,6 +102,7 @@
             role=report.role,
             term=report.term,
             history=report.history,
+            revision=report.revision,
             reported_at=reported_at,
         )
         self._clear_ended_term()
--- a/packages/fescuestile/src/fescuestile/plans.py
+++ b/packages/fescuestile/src/fescuestile/plans.py
@@ -65,12 +65,16 @@
     :ivar endpoints: its endpoints
     :ivar ranks: ranks, most urgent first
     :ivar kinds: kinds of work
+    :ivar endpoints_revision: revision that last added or removed an endpoint,
+        0 for none; set when a change is prepared, never by operators, so that
+        plans of the same content are equal
     """
 
     database: str
     endpoints: tuple[Endpoint, ...]
     ranks: tuple[Rank, ...]
     kinds: tuple[Kind, ...]
+    endpoints_revision: int = dataclasses.field(default=0, compare=False)
 
     @functools.cached_property
     def kind_by_name(self) -> dict[str, Kind]:
--- a/packages/fescuestile/src/fescuestile/ports.py
+++ b/packages/fescuestile/src/fescuestile/ports.py
@@ -86,9 +86,12 @@
 
     @abc.abstractmethod
     async def fence(
-        self, term: int, driver: str, timeout: float
+        self, term: int, driver: str, revision: int, timeout: float
     ) -> ReportReply:
-        """Have the endpoint promise a term to a driver."""
+        """Have the endpoint promise a term to a driver.
+
+        :param revision: revision that the driver's endpoints are from
+        """
 
     @abc.abstractmethod
     async def promote(
@@ -102,6 +105,12 @@
     ) -> ReportReply:
         """Make the endpoint a replica of a primary."""
 
+    @abc.abstractmethod
+    async def record_revision(
+        self, term: int, revision: int, timeout: float
+    ) -> ReportReply:
+        """Have the term's primary record a revision of the endpoints."""
+
     @abc.abstractmethod
     def next_id(self) -> int:
         """Return an id for the next command."""
--- a/packages/fescuestile/src/fescuestile/read_confirmation.py
+++ b/packages/fescuestile/src/fescuestile/read_confirmation.py
@@ -64,7 +64,8 @@
         """Record an endpoint's reply to a round.
 
         Replies to earlier rounds than the latest one of this endpoint are
-        ignored, and so are those of endpoints that lost their state.
+        ignored, and so are those of endpoints that lost their state or hold
+        a later revision of the endpoints than the plan.
 
         :param round_: number of the round
         """
@@ -73,6 +74,8 @@
             return
         if report.role is endpoint_messages.Role.REJOINING:
             return
+        if report.revision > self._plan.endpoints_revision:
+            return
         self._responses[report.endpoint] = _Response(round_, report.term)
 
     def is_confirmed(
--- a/packages/fescuestile/src/fescuestile/snapshots.py
+++ b/packages/fescuestile/src/fescuestile/snapshots.py
@@ -17,6 +17,7 @@
     :ivar role: role that it reported
     :ivar term: term that it promised
     :ivar history: terms of its log with its last position
+    :ivar revision: revision of the group's endpoints that its log holds
     :ivar reported_at: monotonic seconds of this daemon's clock at the last
         report
     :ivar current_at: monotonic seconds at which it last held all that
@@ -36,6 +37,7 @@
     owner: str = ""
     expected_wait: float = 0.0
     leaving: bool = False
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -71,6 +71,18 @@
     When the platform is back
     Then a caller of daemon "d0" can write
 
+  @invariant_2
+  Scenario: A second change of the endpoints waits until the first is recorded
+    Given endpoint "werkstatt-db-2" is frozen
+    When an operator leaves endpoint "werkstatt-db-3" out of revision 1
+    Then revision 2 is in force on all daemons within 2 seconds
+    When an operator applies a plan to revision 2
+    Then the change is refused as not run
+    When endpoint "werkstatt-db-2" wakes
+    And an operator applies a plan to revision 2
+    Then revision 3 is in force on all daemons within 5 seconds
+    And a caller's write still succeeds
+
   @invariant_9
   Scenario: Exit codes of the command line
     Given the plan is written to "plan.ini"
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -33,6 +33,25 @@
         world.context["reply"] = error
 
 
+@given(parsers.parse('endpoint "{name}" is frozen'))
+def freeze_endpoint(world, name):
+    world.fleet.groups[worlds.DATABASE].endpoints[name].freeze()
+
+
+@when(parsers.parse('endpoint "{name}" wakes'))
+def resume_endpoint(world, name):
+    world.fleet.groups[worlds.DATABASE].endpoints[name].resume()
+
+
+@when(
+    parsers.parse(
+        'an operator leaves endpoint "{name}" out of revision {base:d}'
+    )
+)
+def leave_endpoint_out(world, name, base):
+    world.run(world.apply(world.daemons[0], base, "leave-out", without=name))
+
+
 @then(
     parsers.parse(
         "revision {revision:d} is in force on all daemons within "
