Wait for a report in groups of one endpoint

A daemon that still counted a group as one endpoint confirmed writes and current reads by the primary's answer alone. An answer does not say which revision of the endpoints the primary's log holds, so after two recorded changes the daemon could confirm a write that the promoted endpoint lacks.

In a group of one the answer no longer counts without a report, which the owner asks for with the write; current reads ask already.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/owner.py
@@ -336,7 +336,8 @@
         names = group.revision.plan.endpoint_by_name if group else ()
         for name in names:
             watch = self._watches.get((database, name))
-            if watch is not None and name != primary:
+            # In a group of one the answer does not count without a report.
+            if watch is not None and (name != primary or len(names) == 1):
                 watch.request_report(position)
 
     async def _report_waits(self) -> None:
--- a/packages/fescuestile/src/fescuestile/confirmation.py
+++ b/packages/fescuestile/src/fescuestile/confirmation.py
@@ -90,6 +90,9 @@
     ) -> None:
         """Count the primary's answer to a write as its acknowledgement.
 
+        An answer does not say which revision of the endpoints its primary
+        knows, so in a group of one it does not count without a report.
+
         :param position: position of the write, in the primary's term
         """
         known = self._answers.get(primary, positions.START)
@@ -117,7 +120,8 @@
     def _find_held_index(self, name: str, term: int) -> int:
         """Return the last index that an endpoint holds in a term, or 0."""
         answered = self._answers.get(name, positions.START)
-        index = answered.index if answered.term == term else 0
+        counts = answered.term == term and len(self._plan.endpoints) > 1
+        index = answered.index if counts else 0
         report = self._reports.get(name)
         if report and acknowledges(report, positions.Position(term, 0)):
             index = max(index, report.last.index)
--- a/packages/fescuestile/src/fescuestile/read_confirmation.py
+++ b/packages/fescuestile/src/fescuestile/read_confirmation.py
@@ -102,7 +102,9 @@
             if response.round >= ticket.first_round and response.term == term
         }
         known = self._plan.endpoint_by_name
-        if endpoints_check_term:
+        # An answer does not say which revision of the endpoints its primary
+        # knows, so it does not count alone.
+        if endpoints_check_term and len(self._plan.endpoints) > 1:
             names.add(primary)
         elif primary not in names:
             return False
--- a/tests/unit/test_plan_records.py
+++ b/tests/unit/test_plan_records.py
@@ -11,6 +11,7 @@
 from fescuestile import failover
 from fescuestile import failover_steps
 from fescuestile import plan_records
+from fescuestile import plans
 from fescuestile import positions
 from fescuestile import read_confirmation
 from fescuestile_standins import endpoint_state
@@ -192,3 +193,28 @@
     rounds.set_plan(PLAN)
     rounds.observe(number, build_report(2))
     assert rounds.is_confirmed(ticket, 3, NAMES[0])
+
+
+def make_single(revision):
+    return plans.Plan("one", PLAN.endpoints[:1], (), (), revision)
+
+
+def test_an_answer_alone_confirms_no_write_in_a_group_of_one():
+    """Guards against a daemon that does not know that the group has grown."""
+    tracker = confirmation.ConfirmationTracker(make_single(1))
+    tracker.record_answer(NAMES[0], Position(3, 5))
+    assert tracker.confirmed == positions.START
+    assert not tracker.observe(build_report(1))
+    tracker.set_plan(make_single(2))
+    assert tracker.observe(build_report(1))
+
+
+def test_an_answer_alone_confirms_no_read_in_a_group_of_one():
+    rounds = read_confirmation.LeadershipRounds(make_single(1))
+    ticket = rounds.begin_read()
+    number = rounds.begin_round() or 0
+    rounds.observe(number, build_report(1))
+    assert not rounds.is_confirmed(ticket, 3, NAMES[0])
+    rounds.set_plan(make_single(2))
+    rounds.observe(number, build_report(1))
+    assert rounds.is_confirmed(ticket, 3, NAMES[0])
