--- a/packages/fescuestile/src/fescuestile/confirmation.py
+++ b/packages/fescuestile/src/fescuestile/confirmation.py
@@ -69,10 +69,15 @@
     def observe(self, report: endpoint_messages.Report) -> bool:
         """Apply an endpoint's report.
 
+        One that holds a later revision of the endpoints does not count: the
+        majorities of that revision's successor need not meet those here.
+
         :returns: whether the confirmed position advanced
         """
         if report.endpoint not in self._plan.endpoint_by_name:
             return False
+        if report.revision > self._plan.endpoints_revision:
+            return False
         self._reports[report.endpoint] = report
         if not acknowledges(report, positions.Position(report.last.term, 0)):
             return False
@@ -85,6 +90,9 @@
     ) -> None:
         """Count the primary's answer to a write as its acknowledgement.
 
+        An answer does not say which revision of the endpoints its primary
+        knows, so in a group of one it does not count without a report.
+
         :param position: position of the write, in the primary's term
         """
         known = self._answers.get(primary, positions.START)
@@ -112,7 +120,8 @@
     def _find_held_index(self, name: str, term: int) -> int:
         """Return the last index that an endpoint holds in a term, or 0."""
         answered = self._answers.get(name, positions.START)
-        index = answered.index if answered.term == term else 0
+        counts = answered.term == term and len(self._plan.endpoints) > 1
+        index = answered.index if counts else 0
         report = self._reports.get(name)
         if report and acknowledges(report, positions.Position(term, 0)):
             index = max(index, report.last.index)
--- a/packages/fescuestile/src/fescuestile/read_confirmation.py
+++ b/packages/fescuestile/src/fescuestile/read_confirmation.py
@@ -74,7 +74,8 @@
         """Record an endpoint's reply to a round.
 
         Replies to earlier rounds than the latest one of this endpoint are
-        ignored, and so are those of endpoints that lost their state.
+        ignored, and so are those of endpoints that lost their state or hold
+        a later revision of the endpoints than the plan.
 
         :param round_: number of the round
         """
@@ -83,6 +84,8 @@
             return
         if report.role is endpoint_messages.Role.REJOINING:
             return
+        if report.revision > self._plan.endpoints_revision:
+            return
         self._responses[report.endpoint] = _Response(round_, report.term)
 
     def is_confirmed(
@@ -109,7 +112,9 @@
             if response.round >= ticket.first_round and response.term == term
         }
         known = self._plan.endpoint_by_name
-        if endpoints_check_term:
+        # An answer does not say which revision of the endpoints its primary
+        # knows, so it does not count alone.
+        if endpoints_check_term and len(self._plan.endpoints) > 1:
             names.add(primary)
         elif primary not in names:
             return False
