--- a/tests/unit/test_drill_recovery.py
+++ b/tests/unit/test_drill_recovery.py
@@ -14,7 +14,7 @@
 from tests import lease_stores
 from tests import member_stores
 from tests import monitored_groups
-from tests.unit import test_record_eras as record_worlds
+from tests import record_worlds
 
 Role = endpoint_messages.Role
 make_members = member_stores.make_members
--- a/tests/unit/test_new_records.py
+++ b/tests/unit/test_new_records.py
@@ -4,7 +4,7 @@
 
 from fescuestile_daemon.relay import record_eras
 from tests import member_stores
-from tests.unit import test_record_eras as record_worlds
+from tests import record_worlds
 
 # Well before a request of a former era can have no effect any more.
 EARLY_SECONDS = record_eras.FORGOTTEN_SECONDS - 4.0
--- a/tests/unit/test_repeated_reads.py
+++ b/tests/unit/test_repeated_reads.py
@@ -3,12 +3,12 @@
 import pytest
 
 from fescuestile import errors
-from tests.unit import test_record_eras
+from tests import record_worlds
 
 
 @pytest.fixture
 def world(monkeypatch):
-    made = test_record_eras.World(monkeypatch)
+    made = record_worlds.World(monkeypatch)
     made.put("p", "r1", "r2")
     return made
 
--- a/tests/unit/test_restorations.py
+++ b/tests/unit/test_restorations.py
@@ -7,7 +7,7 @@
 from fescuestile_daemon.relay import record_eras
 from tests import member_stores
 from tests import monitored_groups
-from tests.unit import test_record_eras as record_worlds
+from tests import record_worlds
 
 Role = endpoint_messages.Role
 ALL = record_worlds.ALL
