Show a write lost when an empty log is fenced under a former entry

A driver that does not reach the primary counts the fence of a member that has started again without its log as that of the recorded member, until the registry names the new start. So no member seems absent, and the replica that lagged is promoted while the primary lives and holds the write. Suspected in docs/design/platform.md (Not covered), now shown.

--- a/tests/platform/test_restarted_members.py
+++ b/tests/platform/test_restarted_members.py
@@ -71,3 +71,12 @@
         if not group.successions:
             assert row in ("new", None)
         await asyncio.sleep(0.02)
+
+
+async def test_a_member_without_its_log_is_no_evidence_for_a_takeover(
+    world, group, dialer
+):
+    """Guards against LOST: the primary is alive and has the write."""
+    await restart_holder(world, group, dialer)
+    await asyncio.sleep(TAKEOVER_SECONDS)
+    assert group.lost == [], [each.endpoint for each in group.successions]
