Show the calls that scarce connections cost without any work

The same: each report of a replica opens a connection, which only a reading of the lease and of the record makes known. A group that nobody uses costs a daemon two calls each 1.6 s.

Calls of large deployments were not measured.

--- a/tests/platform/test_scarce_connections.py
+++ b/tests/platform/test_scarce_connections.py
@@ -14,6 +14,8 @@
 # Until the daemon knows that connections are scarce.
 SETTLE_SECONDS = 4.0
 WRITES = 5
+# Calls in this time, beside those of a group that nobody uses.
+QUIET_SECONDS = 8.0
 
 
 @pytest.fixture
@@ -58,3 +60,15 @@
     world.store.faults.status = 503
     answers = await write(world, WRITES)
     assert [a for a in answers if not a.startswith("COMPLETE")] == []
+
+
+async def test_scarce_connections_cost_no_calls(world, scarce):
+    """Guards against a price: idle connections are closed and opened."""
+    del world.store.calls[:]
+    await asyncio.sleep(QUIET_SECONDS)
+    read = [
+        url
+        for _, url in world.store.calls
+        if "/leases" in url or "/members" in url
+    ]
+    assert read == []
