Check runs of endpoints for groups with writes only

Found by review; cost calls to the store. Where connections are scarce a daemon closes idle ones soon, so each report of a replica came on a new connection, and each was made known by a reading of the lease and one of the record, also in groups that nobody used: 10 calls in 8 s.

Reports bring a check on only if a write was to be confirmed within 3 s. A write that waits brings it on as before.

test_scarce_connections_cost_no_calls failed 2 of 2 before and passes; the files of restarted, joining and replicated writes pass (17, and one known red that passed).

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -32,6 +32,8 @@
 # A write that a member holds is settled by reports within this time, or else
 # by the record.
 REPORT_SECONDS = 0.1
+# A group without a write for this time needs no members that confirm one.
+UNUSED_SECONDS = 3.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -74,6 +76,8 @@
         self._queries: dict[str, asyncio.Task[None]] = {}
         self._reading: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
+        # Monotonic seconds at which a write was last to be confirmed.
+        self._wanted_at = -math.inf
         # Monotonic seconds at which the latest readings began.
         self.read_at = self._unread_at = -math.inf
 
@@ -106,6 +110,7 @@
         group = self._group
         if not group.replicated:
             return True
+        self._wanted_at = time.monotonic()
         members = [
             member
             for member in self.list_members(primary)
@@ -185,7 +190,8 @@
         The log of a run that may not be the recorded one does not count.
         """
         if endpoint.run.is_unknown and self.record_reader is not None:
-            self.runs.request(self.record_reader)
+            if time.monotonic() - self._wanted_at < UNUSED_SECONDS:
+                self.runs.request(self.record_reader)
             return
         if position is not None and position > endpoint.held:
             endpoint.held = position
