Let a replaced idle connection count as the one before it

A connection that replaces the last one, which this daemon has closed itself because it was idle, keeps that one's time. It doesn't if a connection was lost or could not be opened in between. Of two idle ones the older is kept. A start between the two is not noticed, which the module says.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_runs.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_runs.py
@@ -4,6 +4,10 @@
 takeover under way does not know of. Its registry entry shows the new start
 seconds later. A connection ends with the run that it was opened to, so an
 answer on a known one vouches for all that were opened before the request.
+
+A connection that replaces one which this daemon closed while it was idle
+counts as that one, so a start in between is not noticed: where connections
+are scarce, all daemons close theirs after each use.
 """
 
 import math
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import time
 import typing
 
@@ -55,6 +56,9 @@
             collections.deque()
         )
         self._open = 0
+        # When the last connection had been opened, if it was closed here
+        # because it was idle: the next one takes its place.
+        self._replaced_opened_at = math.inf
         self._closed = False
         self.cap = cap
         self.accepts_work = True
@@ -168,7 +172,9 @@
         self._wake_next()
         scarce = self.usage >= self._options.plenty_below
         if scarce and len(self._idle) > 1:
-            self.discard(self._idle.pop(0))
+            newest = max(self._idle, key=lambda each: each.opened_at)
+            self._idle.remove(newest)
+            self.discard(newest)
 
     def discard(self, connection: ports.EndpointConnection) -> None:
         """Close an acquired connection whose state is unknown."""
@@ -180,10 +186,21 @@
     def trim(self) -> None:
         """Close connections that have been idle for too long."""
         oldest = time.monotonic() - self._find_idle_limit()
-        for connection in list(self._idle):
-            if connection.closed or connection.used_at < oldest:
-                self._idle.remove(connection)
-                self.discard(connection)
+        ended = [
+            connection
+            for connection in self._idle
+            if connection.closed or connection.used_at < oldest
+        ]
+        was_lost = any(connection.closed for connection in ended)
+        for connection in ended:
+            self._idle.remove(connection)
+            self.discard(connection)
+        if ended and not self._open:
+            self._replaced_opened_at = (
+                math.inf
+                if was_lost
+                else min(connection.opened_at for connection in ended)
+            )
 
     def _find_idle_limit(self) -> float:
         """Return for how many seconds a connection may be idle.
@@ -242,6 +259,8 @@
         self._open += 1
         opened = False
         delay = self._options.redial_delay
+        replaced_opened_at = self._replaced_opened_at
+        self._replaced_opened_at = math.inf
         self._observer.on_dial_started()
         try:
             async with asyncio.timeout(self._options.dial_timeout):
@@ -251,12 +270,13 @@
                 if connection.kind is messages.Kind.TOO_MANY_CONNECTIONS:
                     delay = self._options.refused_delay
                     self.usage = 1.0
+                    self._replaced_opened_at = replaced_opened_at
                 return connection
             if self._closed:
                 connection.close()
                 return messages.Outcome(messages.Kind.BUSY, detail="left")
             opened = True
-            connection.opened_at = time.monotonic()
+            connection.opened_at = min(time.monotonic(), replaced_opened_at)
             self._observer.on_dial_ended(None)
             return connection
         except TimeoutError:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
@@ -19,7 +19,8 @@
     :ivar values: session values set on it
     :ivar prepared: prepared statements on it, by name
     :ivar used_at: monotonic seconds of its last answer
-    :ivar opened_at: monotonic seconds at which it had been opened
+    :ivar opened_at: monotonic seconds at which it had been opened, or the
+        one that it replaces after this daemon closed that because it was idle
     """
 
     endpoint: str
