Name once how many unfenced replicas rule a promotion out

record_eras and run_checks each had the constant with the same reason. Nothing else changes; model check of changing groups and eight unit files pass.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
@@ -383,7 +383,9 @@
         self,
     ) -> typing.Iterator[endpoint_states.EndpointState]:
         """Yield the endpoints that accept new work."""
-        yield from (e for e in self.endpoints.values() if not e.entry.leaving)
+        for endpoint in self.endpoints.values():
+            if not endpoint.entry.leaving:
+                yield endpoint
 
     def list_leaving(self) -> list[str]:
         """Return the names of the endpoints that are leaving."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
@@ -39,9 +39,6 @@
 RESTORE_SECONDS = 2.0
 # A request under a lease of a former era is sent, and takes effect, within.
 FORGOTTEN_SECONDS = leases.WAIT_SECONDS + pending_promotions.PENDING_SECONDS
-# Recorded replicas without a fence that show that none is fenced for a
-# promotion: one of them may be the promotion's endpoint.
-UNFENCED_REPLICAS = 2
 
 
 class RecordEras:
@@ -205,7 +202,7 @@
             in recorded
         )
     ]
-    return len(replicas) >= UNFENCED_REPLICAS
+    return len(replicas) >= promotion.UNFENCED_REPLICAS
 
 
 def _find_failed(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
@@ -33,7 +33,7 @@
 # by the record.
 REPORT_SECONDS = 0.1
 # A group without a write for this time needs no members that confirm one.
-UNUSED_SECONDS = 3.0
+UNWRITTEN_SECONDS = 3.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -190,7 +190,7 @@
         The log of a run that may not be the recorded one does not count.
         """
         if endpoint.run.is_unknown and self.record_reader is not None:
-            if time.monotonic() - self._wanted_at < UNUSED_SECONDS:
+            if time.monotonic() - self._wanted_at < UNWRITTEN_SECONDS:
                 self.runs.request(self.record_reader)
             return
         if position is not None and position > endpoint.held:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/run_checks.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/run_checks.py
@@ -8,6 +8,7 @@
 import structlog
 
 from fescuestile import endpoint_messages
+from fescuestile import promotion
 from fescuestile_daemon.relay import endpoint_states
 from fescuestile_daemon.relay import ports
 
@@ -21,9 +22,6 @@
 DELAY_SECONDS = 0.02
 # Shortest interval between two checks while no write waits for one.
 INTERVAL_SECONDS = 1.0
-# Replicas without a fence that show that none is fenced for a promotion: one
-# of them may be the promotion's endpoint.
-UNFENCED_REPLICAS = 2
 
 
 class RunChecks:
@@ -139,7 +137,7 @@
         await group.refresh(group.options.inspect_timeout)
         primary = group.find_primary()
         replicas = [e for e in group.endpoints.values() if e is not primary]
-        return len(replicas) >= UNFENCED_REPLICAS and all(
+        return len(replicas) >= promotion.UNFENCED_REPLICAS and all(
             replica.report is not None
             and replica.reported_at >= began_at
             and replica.report.role is endpoint_messages.Role.REPLICA
--- a/packages/fescuestile/src/fescuestile/promotion.py
+++ b/packages/fescuestile/src/fescuestile/promotion.py
@@ -17,6 +17,9 @@
 
 Report = endpoint_messages.Report
 Role = endpoint_messages.Role
+# Replicas without a fence that show that none is fenced for a promotion: one
+# of them may be the promotion's endpoint.
+UNFENCED_REPLICAS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
