Share the platform tests' group, dialer and set-up

Ten files made the same group or dialer, and the two tests of test_drill_recovery the same served copy. Files with slow promotions add that to the shared group.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 import pytest_asyncio
 
+from tests.platform.standins import cuts
 from tests.platform.standins import world as worlds
 
 
@@ -12,6 +13,12 @@
     return 2, 2
 
 
+@pytest.fixture
+def dialer():
+    """Reaches endpoints until it is cut off; for ``dialers``."""
+    return cuts.CutDialer()
+
+
 @pytest.fixture
 def dialers():
     """How the first daemons reach endpoints, by default directly."""
@@ -43,3 +50,9 @@
     await made.start()
     yield made
     await made.close()
+
+
+@pytest.fixture
+def group(world):
+    """Return the first group of the world."""
+    return world.groups["g0"]
--- a/tests/platform/test_drill_leaving.py
+++ b/tests/platform/test_drill_leaving.py
@@ -31,11 +31,6 @@
     return True
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 @pytest_asyncio.fixture
 async def readers(world):
     """Yield clients that read through both daemons."""
--- a/tests/platform/test_drill_recovery.py
+++ b/tests/platform/test_drill_recovery.py
@@ -23,19 +23,27 @@
     return True
 
 
+@pytest.fixture
+def writers(world, group):
+    return wire_writers.Writers(world, group)
+
+
+async def take_served_copy(world, writers):
+    """Return a copy of the store, taken a second after writes are served."""
+    writers.start(0, 1)
+    await writers.wait_served(3.0)
+    await asyncio.sleep(1.0)
+    return drills.take_copy(world.store)
+
+
 @pytest.mark.parametrize("has_drill", [False, True])
 async def test_a_silent_replica_and_a_drill_stop_writes_no_longer(
-    world, has_drill
+    world, group, writers, has_drill
 ):
     """One replica confirms writes; the other was silent before the drill."""
-    group = world.groups["g0"]
-    writers = wire_writers.Writers(world, group)
-    writers.start(0, 1)
     loop = asyncio.get_running_loop()
     async with builders.running(writers):
-        await writers.wait_served(3.0)
-        await asyncio.sleep(1.0)
-        older = drills.take_copy(world.store)
+        older = await take_served_copy(world, writers)
         silent = next(
             each
             for each in group.endpoints.values()
@@ -57,17 +65,12 @@
 
 @pytest.mark.parametrize("has_drill", [False, True])
 async def test_a_takeover_cut_short_by_a_drill_leaves_no_fences_for_long(
-    world, has_drill
+    world, group, writers, has_drill
 ):
     """The primary is back when its takeover has stopped the replicas."""
-    group = world.groups["g0"]
-    writers = wire_writers.Writers(world, group)
-    writers.start(0, 1)
     loop = asyncio.get_running_loop()
     async with builders.running(writers):
-        await writers.wait_served(3.0)
-        await asyncio.sleep(1.0)
-        older = drills.take_copy(world.store)
+        older = await take_served_copy(world, writers)
         primary = group.primary
         primary.faults.dark = True
         async with asyncio.timeout(8.0):
--- a/tests/platform/test_drill_writes.py
+++ b/tests/platform/test_drill_writes.py
@@ -35,10 +35,9 @@
 
 
 @pytest.fixture
-def group(world):
-    made = world.groups["g0"]
-    made.promotion_delay_seconds = PROMOTION_SECONDS
-    return made
+def group(group):
+    group.promotion_delay_seconds = PROMOTION_SECONDS
+    return group
 
 
 @pytest.fixture
--- a/tests/platform/test_hidden_members.py
+++ b/tests/platform/test_hidden_members.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from tests.platform.standins import cuts
 from tests.platform.standins import line_server
 
 # Staleness that the route allows.
@@ -20,11 +19,6 @@
     return 1, 1
 
 
-@pytest.fixture
-def dialer():
-    return cuts.CutDialer()
-
-
 @pytest.fixture
 def dialers(dialer):
     return (dialer,)
@@ -35,11 +29,6 @@
     return ("a", "b", "c", "a", "b")
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 def get_known(world):
     """Return what the daemon knows of the group."""
     return world.daemons[0].node.directory.groups["g0"]
--- a/tests/platform/test_late_promotions.py
+++ b/tests/platform/test_late_promotions.py
@@ -18,11 +18,6 @@
     return 1, 2
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 @pytest_asyncio.fixture
 async def writers(world, group):
     """Yield clients that write through both daemons."""
--- a/tests/platform/test_partial_views.py
+++ b/tests/platform/test_partial_views.py
@@ -17,11 +17,6 @@
     return 1, 1
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 @pytest.fixture
 def replicas(group):
     return list(group.endpoints.values())[1:]
--- a/tests/platform/test_replicated_writes.py
+++ b/tests/platform/test_replicated_writes.py
@@ -17,11 +17,6 @@
     return 1, 2
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 @pytest.fixture
 def replicas(group):
     return [e for e in group.endpoints.values() if e is not group.primary]
--- a/tests/platform/test_restarted_members.py
+++ b/tests/platform/test_restarted_members.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from tests.platform.standins import cuts
 from tests.platform.standins import line_server
 
 # Staleness that the route allows.
@@ -22,21 +21,11 @@
     return 1, 1
 
 
-@pytest.fixture
-def dialer():
-    return cuts.CutDialer()
-
-
 @pytest.fixture
 def dialers(dialer):
     return [dialer]
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 async def write(world, text):
     client = await world.connect("primary")
     lines = await client.query(text)
--- a/tests/platform/test_restarted_replicas.py
+++ b/tests/platform/test_restarted_replicas.py
@@ -5,7 +5,6 @@
 import pytest
 import pytest_asyncio
 
-from tests.platform.standins import cuts
 from tests.platform.standins import writers as wire_writers
 
 # Until a primary that is out of reach is suspected and all are fenced.
@@ -25,22 +24,15 @@
     return 1, 2
 
 
-@pytest.fixture
-def dialer():
-    """Return how the first daemon reaches endpoints, until it is cut off."""
-    return cuts.CutDialer()
-
-
 @pytest.fixture
 def dialers(dialer):
     return [dialer]
 
 
 @pytest.fixture
-def group(world):
-    made = world.groups["g0"]
-    made.promotion_delay_seconds = PROMOTION_SECONDS
-    return made
+def group(group):
+    group.promotion_delay_seconds = PROMOTION_SECONDS
+    return group
 
 
 @pytest_asyncio.fixture
--- a/tests/platform/test_scarce_connections.py
+++ b/tests/platform/test_scarce_connections.py
@@ -23,11 +23,6 @@
     return 1, 1
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 @pytest_asyncio.fixture
 async def scarce(world, group):
     """Hold connections as the other daemons of a large deployment do."""
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -33,11 +33,6 @@
     return builders.ONE_GROUP
 
 
-@pytest.fixture
-def group(world):
-    return world.groups["g0"]
-
-
 def list_era_warnings(lines):
     """Return the warnings that name an era."""
     return [
