Split the relay's modules into packages

Cause: 36 modules stood in one flat folder, thirteen layers deep, with a circle of eight; parts for tenants, gateways and limits need a place. Change: moves alone, into core, endpoints, groups, records, takeovers, statements, peers and assembly, without a circle between packages; the tests' folders follow. RecordReader moves from ports to groups, which ends the circle of ports and groups.

--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""Builds and runs the relay of one daemon."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -7,19 +7,19 @@
 import structlog
 
 from fescuestile import clock
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import execution
-from fescuestile_daemon.relay import member_records
-from fescuestile_daemon.relay import member_store
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import monitor
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import reachability
-from fescuestile_daemon.relay import restorations
-from fescuestile_daemon.relay import sampling
-from fescuestile_daemon.relay import sessions
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.peers import sampling
+from fescuestile_daemon.relay.records import member_records
+from fescuestile_daemon.relay.records import member_store
+from fescuestile_daemon.relay.records import restorations
+from fescuestile_daemon.relay.statements import execution
+from fescuestile_daemon.relay.statements import sessions
+from fescuestile_daemon.relay.takeovers import monitor
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/__init__.py
@@ -0,0 +1,1 @@
+"""What all parts of the relay share: messages, ports, options."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/events.py
@@ -8,7 +8,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import routes
-from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay.core import messages
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
@@ -6,10 +6,7 @@
 import typing
 
 from fescuestile import promotion
-from fescuestile_daemon.relay import messages
-
-if typing.TYPE_CHECKING:
-    from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay.core import messages
 
 
 class EndpointConnection(abc.ABC):
@@ -150,23 +147,6 @@
         """
 
 
-class RecordReader(abc.ABC):
-    """Reads the record of a group's members."""
-
-    @property
-    def heard_at(self) -> float:
-        """Monotonic seconds at which the latest answered call began."""
-        return time.monotonic()
-
-    @abc.abstractmethod
-    async def load(self, group: "groups.Group") -> bool:
-        """Read the record of a group and apply it to the group.
-
-        :returns: False when the store did not answer, or nothing can be
-            decided on the record
-        """
-
-
 class Registry(abc.ABC):
     """The registry of endpoints, of which each daemon keeps a copy."""
 
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints of a group: their connections, admission and health."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_runs.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_runs.py
@@ -12,7 +12,7 @@
 
 import math
 
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import ports
 
 
 class EndpointRun:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
@@ -10,12 +10,12 @@
 from fescuestile import endpoint_choice
 from fescuestile import positions
 from fescuestile import routes
-from fescuestile_daemon.relay import admission_controller
-from fescuestile_daemon.relay import endpoint_runs
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import pool
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import admission_controller
+from fescuestile_daemon.relay.endpoints import endpoint_runs
+from fescuestile_daemon.relay.endpoints import pool
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -8,9 +8,9 @@
 import time
 import typing
 
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of endpoints: primaries, leadership, freshness, replication."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -7,11 +7,12 @@
 
 from fescuestile import clock
 from fescuestile import routes
-from fescuestile_daemon.relay import former_runs
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import former_runs
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.groups import record_readers
 
 log = structlog.get_logger()
 
@@ -38,7 +39,7 @@
         self.groups: dict[str, groups.Group] = {}
         self.table = EMPTY_TABLE
         self.endpoints_loaded = False
-        self.record_reader: ports.RecordReader | None = None
+        self.record_reader: record_readers.RecordReader | None = None
         self.promoter: ports.Promoter | None = None
         self._dialer = dialer
         self._options = relay_options
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/former_runs.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/former_runs.py
@@ -4,8 +4,8 @@
 
 import structlog
 
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.endpoints import endpoint_states
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/groups.py
@@ -12,14 +12,14 @@
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import promotion
-from fescuestile_daemon.relay import changes
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import leadership
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import replication
+from fescuestile_daemon.relay.core import changes
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import leadership
+from fescuestile_daemon.relay.groups import replication
 
 Role = endpoint_messages.Role
 # Longest age of a report from which the primary is determined.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/leadership.py
@@ -12,11 +12,11 @@
 from fescuestile import plans
 from fescuestile import positions
 from fescuestile import read_confirmation
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.endpoints import endpoint_states
 
 if typing.TYPE_CHECKING:
-    from fescuestile_daemon.relay import groups
+    from fescuestile_daemon.relay.groups import groups
 
 Role = endpoint_messages.Role
 # Fresh positions are sampled for this long after the last read that needed
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/reachability.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/reachability.py
@@ -6,7 +6,7 @@
 
 import time
 
-from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay.groups import groups
 
 
 def is_unreachable(group: groups.Group) -> bool:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/replication.py
@@ -17,13 +17,13 @@
 
 from fescuestile import group_members
 from fescuestile import positions
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import run_checks
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import record_readers
+from fescuestile_daemon.relay.groups import run_checks
 
 if typing.TYPE_CHECKING:
-    from fescuestile_daemon.relay import groups
+    from fescuestile_daemon.relay.groups import groups
 
 # Pause before endpoints that did not settle a write are queried again.
 POLL_SECONDS = 0.02
@@ -68,7 +68,7 @@
 
     def __init__(self, group: "groups.Group") -> None:
         """Start without queries."""
-        self.record_reader: ports.RecordReader | None = None
+        self.record_reader: record_readers.RecordReader | None = None
         self.runs = run_checks.RunChecks(group)
         self._group = group
         # Keys in order of their arrival, in which they are settled.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/report_requests.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/report_requests.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import groups
 
 # Longest intervals between reports, in multiples of those of few daemons;
 # reports must not become too old for decisions.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/run_checks.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/run_checks.py
@@ -9,11 +9,12 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import promotion
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import record_readers
 
 if typing.TYPE_CHECKING:
-    from fescuestile_daemon.relay import groups
+    from fescuestile_daemon.relay.groups import groups
 
 log = structlog.get_logger()
 
@@ -53,7 +54,7 @@
 
     def request(
         self,
-        reader: ports.RecordReader,
+        reader: record_readers.RecordReader,
         interval: float = INTERVAL_SECONDS,
     ) -> None:
         """Start a check if an endpoint has answered on an unknown connection.
@@ -82,7 +83,7 @@
             )
         ]
 
-    async def _check(self, reader: ports.RecordReader) -> None:
+    async def _check(self, reader: record_readers.RecordReader) -> None:
         await asyncio.sleep(DELAY_SECONDS)
         unknown = self._list_unknown()
         if not unknown:
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What daemons tell each other."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/sampling.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/sampling.py
@@ -11,7 +11,7 @@
 from fescuestile import clock
 from fescuestile import freshness
 from fescuestile import position_sharing
-from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay.groups import groups
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/__init__.py
@@ -0,0 +1,1 @@
+"""What the store keeps of the groups: members, leases, copies."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/member_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/member_records.py
@@ -26,12 +26,13 @@
 from fescuestile import errors
 from fescuestile import group_members
 from fescuestile import pending_promotions
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import member_store
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import record_copies
-from fescuestile_daemon.relay import restorations
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.groups import record_readers
+from fescuestile_daemon.relay.records import member_store
+from fescuestile_daemon.relay.records import record_copies
+from fescuestile_daemon.relay.records import restorations
 
 log = structlog.get_logger()
 
@@ -49,7 +50,7 @@
 
 
 class MemberRecords(
-    record_copies.RecordCopies, ports.PromotionLog, ports.RecordReader
+    record_copies.RecordCopies, ports.PromotionLog, record_readers.RecordReader
 ):
     """Reads the records for this daemon and keeps them up to date."""
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_copies.py
@@ -8,10 +8,10 @@
 
 from fescuestile import errors
 from fescuestile import group_members
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import member_store
-from fescuestile_daemon.relay import record_eras
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.records import member_store
+from fescuestile_daemon.relay.records import record_eras
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_eras.py
@@ -27,9 +27,9 @@
 from fescuestile import group_members
 from fescuestile import pending_promotions
 from fescuestile import promotion
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import leases
-from fescuestile_daemon.relay import member_store
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.records import leases
+from fescuestile_daemon.relay.records import member_store
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/restorations.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/restorations.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from fescuestile_daemon.relay import record_copies
+from fescuestile_daemon.relay.records import record_copies
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' sessions, statements and transactions."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -7,15 +7,15 @@
 from fescuestile import errors
 from fescuestile import positions
 from fescuestile import routes
-from fescuestile_daemon.relay import admission_controller
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import replay
-from fescuestile_daemon.relay import sessions
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import admission_controller
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.statements import replay
+from fescuestile_daemon.relay.statements import sessions
 
 Kind = messages.Kind
 # Statements with less time left are not sent: this is about one round trip
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/choice.py
@@ -5,11 +5,11 @@
 
 from fescuestile import endpoint_choice
 from fescuestile import positions
-from fescuestile_daemon.relay import attempts
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import reachability
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.statements import attempts
 
 Kind = messages.Kind
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -6,14 +6,14 @@
 
 from fescuestile import read_confirmation
 from fescuestile import routes
-from fescuestile_daemon.relay import attempts
-from fescuestile_daemon.relay import choice
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import sessions
-from fescuestile_daemon.relay import transactions
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.statements import attempts
+from fescuestile_daemon.relay.statements import choice
+from fescuestile_daemon.relay.statements import sessions
+from fescuestile_daemon.relay.statements import transactions
 
 Kind = messages.Kind
 Verb = messages.Verb
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/replay.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/replay.py
@@ -6,9 +6,9 @@
 import typing
 
 from fescuestile import positions
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import sessions
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.statements import sessions
 
 Verb = messages.Verb
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -9,10 +9,10 @@
 from fescuestile import positions
 from fescuestile import read_confirmation
 from fescuestile import routes
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import groups
 
 Kind = messages.Kind
 State = messages.State
@@ -62,7 +62,7 @@
 
 
 class Executor:
-    """Runs statements that need an endpoint; see ``relay.execution``."""
+    """Runs statements that need an endpoint; see ``execution``."""
 
     def find_route(self, database: str) -> routes.Route | None:
         """Return the route in force for a database."""
--- /dev/null
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of failed primaries and their replacement."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/monitor.py
@@ -12,18 +12,18 @@
 from fescuestile import endpoint_messages
 from fescuestile import failure_detection
 from fescuestile import promotion
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import member_records
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import reachability
-from fescuestile_daemon.relay import report_requests
-from fescuestile_daemon.relay import sampling
-from fescuestile_daemon.relay import successors
-from fescuestile_daemon.relay import takeover
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.groups import report_requests
+from fescuestile_daemon.relay.peers import sampling
+from fescuestile_daemon.relay.records import member_records
+from fescuestile_daemon.relay.takeovers import successors
+from fescuestile_daemon.relay.takeovers import takeover
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/promotion_requests.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/promotion_requests.py
@@ -8,10 +8,10 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import promotion
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import groups
 
 log = structlog.get_logger()
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/successors.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/successors.py
@@ -5,8 +5,8 @@
 from fescuestile import endpoint_messages
 from fescuestile import promotion
 from fescuestile import promotion_order
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import groups
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import groups
 
 Role = endpoint_messages.Role
 # Longest age of a report that a decision uses.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/takeover.py
@@ -9,12 +9,12 @@
 from fescuestile import endpoint_messages
 from fescuestile import promotion
 from fescuestile import promotion_order
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import events
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import promotion_requests
+from fescuestile_daemon.relay.core import events
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.takeovers import promotion_requests
 
 log = structlog.get_logger()
 
--- a/tests/changing_group.py
+++ b/tests/changing_group.py
@@ -13,8 +13,8 @@
 from fescuestile import endpoint_messages
 from fescuestile import positions
 from fescuestile import promotion
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import takeover
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.takeovers import takeover
 from tests import fences
 from tests import group_daemons
 from tests import member_stores
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -10,7 +10,7 @@
 
 from fescuestile import admission
 from fescuestile import errors
-from fescuestile_daemon.relay import admission_controller
+from fescuestile_daemon.relay.endpoints import admission_controller
 
 DAEMONS = 35
 SLOTS = 4
--- a/tests/fences.py
+++ b/tests/fences.py
@@ -8,10 +8,10 @@
 from fescuestile import endpoint_messages
 from fescuestile import pending_promotions
 from fescuestile import positions
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import groups
 from tests import builders
 
 Role = endpoint_messages.Role
--- a/tests/late_orders.py
+++ b/tests/late_orders.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from fescuestile import endpoint_messages
-from fescuestile_daemon.relay import monitor
+from fescuestile_daemon.relay.takeovers import monitor
 from tests import changing_group
 
 Role = endpoint_messages.Role
--- a/tests/lease_stores.py
+++ b/tests/lease_stores.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from fescuestile import errors
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 
 
 class MemoryStore(leases.LeaseStore):
--- a/tests/member_stores.py
+++ b/tests/member_stores.py
@@ -5,8 +5,8 @@
 
 from fescuestile import errors
 from fescuestile import group_members
-from fescuestile_daemon.relay import member_store
-from fescuestile_daemon.relay import restorations
+from fescuestile_daemon.relay.records import member_store
+from fescuestile_daemon.relay.records import restorations
 
 
 def make_members(*names):
--- a/tests/model_check/test_changing_groups.py
+++ b/tests/model_check/test_changing_groups.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fescuestile import group_members
-from fescuestile_daemon.relay import member_records
-from fescuestile_daemon.relay import replication
+from fescuestile_daemon.relay.groups import replication
+from fescuestile_daemon.relay.records import member_records
 from tests import changing_group
 from tests import cut_zones
 from tests import group_rounds
--- a/tests/model_check/test_takeovers.py
+++ b/tests/model_check/test_takeovers.py
@@ -14,8 +14,8 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import promotion
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import takeover
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.takeovers import takeover
 from tests import fences
 from tests import virtual_time
 
--- a/tests/monitored_groups.py
+++ b/tests/monitored_groups.py
@@ -5,14 +5,14 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import member_records
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import monitor
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import sampling
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.peers import sampling
+from fescuestile_daemon.relay.records import member_records
+from fescuestile_daemon.relay.takeovers import monitor
 from tests import builders
 from tests import member_stores
 
--- a/tests/platform/standins/cuts.py
+++ b/tests/platform/standins/cuts.py
@@ -3,8 +3,8 @@
 import asyncio
 import typing
 
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
 from fescuestile_platform import endpoints
 
 POLL_SECONDS = 0.01
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -8,7 +8,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import positions
-from fescuestile_daemon.relay import messages
+from fescuestile_daemon.relay.core import messages
 from fescuestile_platform import codec
 
 Kind = messages.Kind
--- a/tests/platform/test_joining_replicas.py
+++ b/tests/platform/test_joining_replicas.py
@@ -5,7 +5,7 @@
 import pytest
 import pytest_asyncio
 
-from fescuestile_daemon.relay import member_records
+from fescuestile_daemon.relay.records import member_records
 from tests.platform.standins import writers as wire_writers
 
 # Until a primary that is out of reach is suspected and all are fenced.
--- a/tests/record_worlds.py
+++ b/tests/record_worlds.py
@@ -4,8 +4,8 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import directory
 from tests import member_stores
 from tests import monitored_groups
 
--- a/tests/unit/test_changes.py
+++ b/tests/relay/core/test_changes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fescuestile_daemon.relay import changes
+from fescuestile_daemon.relay.core import changes
 
 
 async def test_tasks_are_woken_in_the_order_of_their_arrival():
--- a/tests/unit/test_channel_pool.py
+++ b/tests/relay/endpoints/test_channel_pool.py
@@ -6,12 +6,12 @@
 import time
 
 from fescuestile import clock
-from fescuestile_daemon.relay import admission_controller
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import pool
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import admission_controller
+from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.endpoints import pool
 
 ENTRY = messages.EndpointEntry(
     "i-1", "g", "127.0.0.1:1", "a", 4, False, False, 0
--- a/tests/unit/test_endpoint_runs.py
+++ b/tests/relay/endpoints/test_endpoint_runs.py
@@ -5,8 +5,8 @@
 import pytest
 
 from fescuestile import clock
-from fescuestile_daemon.relay import endpoint_runs
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.endpoints import endpoint_runs
+from fescuestile_daemon.relay.records import leases
 from tests import lease_stores
 
 
--- a/tests/unit/test_gate.py
+++ b/tests/relay/endpoints/test_gate.py
@@ -12,7 +12,7 @@
 
 from fescuestile import admission
 from fescuestile import errors
-from fescuestile_daemon.relay import admission_controller
+from fescuestile_daemon.relay.endpoints import admission_controller
 from tests import virtual_time
 
 SLOTS = 4
--- a/tests/unit/test_lagging_replicas.py
+++ b/tests/relay/endpoints/test_lagging_replicas.py
@@ -7,10 +7,10 @@
 
 from fescuestile import clock
 from fescuestile import positions
-from fescuestile_daemon.relay import endpoint_states
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import endpoint_states
 from tests import virtual_time
 
 READ_INTERVAL_SECONDS = 0.005
--- a/tests/unit/test_group_members.py
+++ b/tests/relay/groups/test_group_members.py
@@ -8,8 +8,8 @@
 from fescuestile import clock
 from fescuestile import errors
 from fescuestile import group_members
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import directory
 from tests import member_stores
 from tests import monitored_groups
 
--- a/tests/unit/test_group_size.py
+++ b/tests/relay/groups/test_group_size.py
@@ -7,9 +7,9 @@
 
 from fescuestile import clock
 from fescuestile import endpoint_messages
-from fescuestile_daemon.relay import groups
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import groups
 from tests import builders
 from tests import fences
 
--- a/tests/unit/test_leadership.py
+++ b/tests/relay/groups/test_leadership.py
@@ -10,7 +10,7 @@
 from fescuestile import group_members
 from fescuestile import pending_promotions
 from fescuestile import promotion
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.groups import record_readers
 from tests import fences
 from tests import member_stores
 
@@ -95,7 +95,7 @@
         group.remove_endpoint(name)
 
 
-class Reader(ports.RecordReader):
+class Reader(record_readers.RecordReader):
     """Reads a record.
 
     :ivar replaced_term: as it has it, None while it is unreadable
--- a/tests/unit/test_replication.py
+++ b/tests/relay/groups/test_replication.py
@@ -8,7 +8,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import pending_promotions
 from fescuestile import positions
-from fescuestile_daemon.relay import ports
+from fescuestile_daemon.relay.groups import record_readers
 from tests import member_stores
 from tests import monitored_groups
 
@@ -33,7 +33,7 @@
     )
 
 
-class Reader(ports.RecordReader):
+class Reader(record_readers.RecordReader):
     """Answers at once.
 
     :ivar readable: whether the record can be read
--- a/tests/unit/test_restored_registry.py
+++ b/tests/relay/groups/test_restored_registry.py
@@ -8,8 +8,8 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import group_members
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import directory
 from tests import builders
 from tests import monitored_groups
 
--- a/tests/unit/test_position_sharing.py
+++ b/tests/relay/peers/test_position_sharing.py
@@ -11,7 +11,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import position_sharing
 from fescuestile import positions
-from fescuestile_daemon.relay import sampling
+from fescuestile_daemon.relay.peers import sampling
 from tests import fences
 
 Role = endpoint_messages.Role
--- a/tests/unit/test_drill_recovery.py
+++ b/tests/relay/records/test_drill_recovery.py
@@ -8,7 +8,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import group_members
 from fescuestile import promotion
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 from fescuestile_platform import http
 from fescuestile_platform import promotions
 from tests import lease_stores
--- a/tests/unit/test_ended_leases.py
+++ b/tests/relay/records/test_ended_leases.py
@@ -5,12 +5,12 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import promotion
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 from fescuestile_platform import http
 from fescuestile_platform import promotions
 from tests import lease_stores
 from tests import monitored_groups
-from tests.unit import test_takeover
+from tests.relay.takeovers import test_takeover
 
 Role = endpoint_messages.Role
 
--- a/tests/unit/test_hidden_copies.py
+++ b/tests/relay/records/test_hidden_copies.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fescuestile import clock
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 from fescuestile_platform import http
 from fescuestile_platform import promotions
 from fescuestile_platform import store
--- a/tests/unit/test_lease_eras.py
+++ b/tests/relay/records/test_lease_eras.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fescuestile import clock
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 from tests import lease_stores
 
 WAIT_SECONDS = leases.LEASE_SECONDS + leases.CLOCK_DRIFT_SECONDS
--- a/tests/unit/test_new_records.py
+++ b/tests/relay/records/test_new_records.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescuestile_daemon.relay import record_eras
+from fescuestile_daemon.relay.records import record_eras
 from tests import member_stores
 from tests import record_worlds
 
--- a/tests/unit/test_restorations.py
+++ b/tests/relay/records/test_restorations.py
@@ -4,7 +4,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import errors
-from fescuestile_daemon.relay import record_eras
+from fescuestile_daemon.relay.records import record_eras
 from tests import member_stores
 from tests import monitored_groups
 from tests import record_worlds
--- a/tests/unit/test_token_bounds.py
+++ b/tests/relay/records/test_token_bounds.py
@@ -6,7 +6,7 @@
 import structlog.testing
 
 from fescuestile import clock
-from fescuestile_daemon.relay import leases
+from fescuestile_daemon.relay.records import leases
 from fescuestile_platform import eras
 from fescuestile_platform import http
 from fescuestile_platform import promotions
--- a/tests/unit/test_expired_leases.py
+++ b/tests/relay/takeovers/test_expired_leases.py
@@ -3,14 +3,14 @@
 import pytest
 
 from fescuestile import clock
-from fescuestile_daemon.relay import leases
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import takeover
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.records import leases
+from fescuestile_daemon.relay.takeovers import takeover
 from fescuestile_platform import promotions
 from tests import fences
 from tests import lease_stores
-from tests.unit import test_ended_leases
-from tests.unit import test_takeover
+from tests.relay.records import test_ended_leases
+from tests.relay.takeovers import test_takeover
 
 
 class SlowLog(fences.LocalLog):
--- a/tests/unit/test_monitor.py
+++ b/tests/relay/takeovers/test_monitor.py
@@ -9,8 +9,8 @@
 from fescuestile import clock
 from fescuestile import endpoint_messages
 from fescuestile import promotion
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import monitor
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.takeovers import monitor
 from tests import member_stores
 from tests import monitored_groups
 
--- a/tests/unit/test_pending_promotions.py
+++ b/tests/relay/takeovers/test_pending_promotions.py
@@ -10,10 +10,10 @@
 from fescuestile import pending_promotions
 from fescuestile import plans
 from fescuestile import promotion
-from fescuestile_daemon.relay import directory
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import monitor
-from fescuestile_daemon.relay import options
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
+from fescuestile_daemon.relay.groups import directory
+from fescuestile_daemon.relay.takeovers import monitor
 from tests import builders
 from tests import member_stores
 from tests import monitored_groups
--- a/tests/unit/test_takeover.py
+++ b/tests/relay/takeovers/test_takeover.py
@@ -12,10 +12,10 @@
 from fescuestile import group_members
 from fescuestile import pending_promotions
 from fescuestile import promotion
-from fescuestile_daemon.relay import messages
-from fescuestile_daemon.relay import ports
-from fescuestile_daemon.relay import promotion_requests
-from fescuestile_daemon.relay import takeover
+from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.takeovers import promotion_requests
+from fescuestile_daemon.relay.takeovers import takeover
 from tests import fences
 
 Role = endpoint_messages.Role
--- a/tests/restored_stores.py
+++ b/tests/restored_stores.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 
-from fescuestile_daemon.relay import member_store
+from fescuestile_daemon.relay.records import member_store
 from tests import late_orders
 
 # Share of the rounds that begin after the store has gone back, and of those in
