Identify tenants by their keys and keep connections of one tenant

Cause: the second field of CONNECT was discarded and tenants of the configuration were ignored, so every statement of such a deployment ran for an unknown caller. Change: a table of tenants by the hash of their keys, checked at CONNECT and at the start of each operation; endpoints are told the tenant's name; a connection belongs to one tenant, and the one idle for longest makes room for another's.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -7,6 +7,7 @@
 import structlog
 
 from fescuestile import clock
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import events
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
@@ -163,22 +164,29 @@
         return bool(groups) and unreachable * 2 > len(groups)
 
     def open_session(
-        self, database: str, caller: ports.Caller
+        self, database: str, caller: ports.Caller, key: str = ""
     ) -> sessions.Session | messages.Outcome:
         """Accept a caller.
 
+        :param key: key that names the caller's tenant
         :returns: the session, or why the caller was refused
         """
         if not self._accepting:
             return messages.Outcome(messages.Kind.BUSY, detail="stopping")
         if not self.directory.is_complete:
             return messages.Outcome(messages.Kind.BUSY, detail="starting")
-        if self.directory.find_route(database) is None:
+        route = self.directory.find_route(database)
+        if route is None:
             return messages.Outcome(
                 messages.Kind.UNKNOWN_DATABASE, detail=database
             )
+        key_hash = tenants.hash_key(key)
+        if self.directory.find_tenant(route, key_hash) is None:
+            return messages.Outcome(
+                messages.Kind.UNKNOWN_KEY, detail="unknown key"
+            )
         session = sessions.Session(
-            database, caller, self._execution, self._clock
+            database, caller, self._execution, self._clock, key_hash
         )
         self.sessions.add(session)
         return session
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/messages.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/messages.py
@@ -72,6 +72,7 @@
     UNPREPARED = "unprepared"
     MALFORMED = "malformed"
     UNKNOWN_DATABASE = "unknown database"
+    UNKNOWN_KEY = "unknown key"
     # The transaction was rolled back and has no effect.
     ABORTED = "aborted"
     # It ran:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
@@ -6,6 +6,7 @@
 import typing
 
 from fescuestile import promotion
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
 
 
@@ -13,6 +14,7 @@
     """A connection to an endpoint; commands run in order.
 
     :ivar endpoint: id of the endpoint
+    :ivar tenant: tenant whose statements run on it
     :ivar values: session values set on it
     :ivar prepared: prepared statements on it, by name
     :ivar used_at: monotonic seconds of its last answer
@@ -21,6 +23,7 @@
     """
 
     endpoint: str
+    tenant: str = tenants.ANONYMOUS
     values: dict[str, str]
     prepared: dict[str, messages.Shape]
     used_at: float
@@ -58,10 +61,11 @@
 
     @abc.abstractmethod
     async def dial(
-        self, entry: messages.EndpointEntry
+        self, entry: messages.EndpointEntry, tenant: str = tenants.ANONYMOUS
     ) -> EndpointConnection | messages.Outcome:
         """Open a connection.
 
+        :param tenant: tenant whose statements run on it
         :returns: the connection, or why it could not be opened
         """
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
@@ -110,6 +111,7 @@
         values: typing.Mapping[str, str] | None = None,
         inspects: bool = False,
         holds: bool = False,
+        tenant: str = tenants.ANONYMOUS,
     ) -> ports.EndpointConnection | messages.Outcome:
         """Acquire a connection, preferably one with given session values.
 
@@ -118,28 +120,35 @@
             connection above the cap may be opened, and the oldest is used:
             its answer shows that the endpoint has not started again since
         :param holds: whether it is kept for a transaction
+        :param tenant: tenant whose statements run on it; a status report
+            uses a connection of any tenant
         :returns: the connection, or why none could be opened
         """
-        connection = await self._find_connection(values, inspects)
+        connection = await self._find_connection(values, inspects, tenant)
         if holds and isinstance(connection, ports.EndpointConnection):
             self._held.add(connection)
         return connection
 
     async def _find_connection(
-        self, values: typing.Mapping[str, str] | None, inspects: bool
+        self,
+        values: typing.Mapping[str, str] | None,
+        inspects: bool,
+        tenant: str,
     ) -> ports.EndpointConnection | messages.Outcome:
         requested_at = time.monotonic()
         while not self._closed and (self.accepts_work or inspects):
-            connection = self._pop_idle(values, inspects)
+            connection = self._pop_idle(values, inspects, tenant)
             if connection is not None:
                 return connection
             left: float | None = None
+            if self._open >= self.cap and not inspects:
+                self._evict_idle()
             if self._may_dial() or (inspects and self._open <= self.cap):
                 left = (
                     requested_at + self._find_dial_delay() - time.monotonic()
                 )
                 if left <= 0:
-                    return await self._dial()
+                    return await self._dial(tenant)
             await self._wait(left)
         detail = "endpoint left" if self._closed else "the endpoint is leaving"
         return messages.Outcome(messages.Kind.BUSY, detail=detail)
@@ -235,17 +244,26 @@
         self.wake_all()
 
     def _pop_idle(
-        self, values: typing.Mapping[str, str] | None, oldest: bool
+        self,
+        values: typing.Mapping[str, str] | None,
+        oldest: bool,
+        tenant: str,
     ) -> ports.EndpointConnection | None:
-        while self._idle:
-            chosen = len(self._idle) - 1
+        while True:
+            usable = [
+                index
+                for index, connection in enumerate(self._idle)
+                if oldest or connection.tenant == tenant
+            ]
+            if not usable:
+                return None
+            chosen = usable[-1]
             if oldest:
                 chosen = min(
-                    range(len(self._idle)),
-                    key=lambda index: self._idle[index].opened_at,
+                    usable, key=lambda index: self._idle[index].opened_at
                 )
             elif values is not None:
-                for index in range(chosen, -1, -1):
+                for index in reversed(usable):
                     if self._idle[index].values == values:
                         chosen = index
                         break
@@ -253,9 +271,17 @@
             if not connection.closed:
                 return connection
             self._open -= 1
-        return None
 
-    async def _dial(self) -> ports.EndpointConnection | messages.Outcome:
+    def _evict_idle(self) -> None:
+        """Close the connection that has been idle for longest."""
+        if self._idle:
+            oldest = min(self._idle, key=lambda each: each.used_at)
+            self._idle.remove(oldest)
+            self.discard(oldest)
+
+    async def _dial(
+        self, tenant: str
+    ) -> ports.EndpointConnection | messages.Outcome:
         self._open += 1
         opened = False
         delay = self._options.redial_delay
@@ -264,7 +290,7 @@
         self._observer.on_dial_started()
         try:
             async with asyncio.timeout(self._options.dial_timeout):
-                connection = await self._dialer.dial(self._entry)
+                connection = await self._dialer.dial(self._entry, tenant)
             if isinstance(connection, messages.Outcome):
                 self._observer.on_dial_ended(connection)
                 if connection.kind is messages.Kind.TOO_MANY_CONNECTIONS:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -7,6 +7,7 @@
 
 from fescuestile import clock
 from fescuestile import routes
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
@@ -60,6 +61,12 @@
         """Return the route in force for a database."""
         return self.table.routes.get(database)
 
+    def find_tenant(
+        self, route: routes.Route, key_hash: bytes
+    ) -> tenants.Tenant | None:
+        """Return who calls on a route, None for an unknown key."""
+        return self.table.find_tenant(route, key_hash)
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route; create it if it is new."""
         return self._get_group(route.group)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -173,7 +173,9 @@
         try:
             async with asyncio.timeout(seconds):
                 connection = await endpoint.pool.acquire(
-                    pending.session.values, holds=holds
+                    pending.session.values,
+                    holds=holds,
+                    tenant=pending.session.tenant,
                 )
         except TimeoutError:
             return messages.Outcome(Kind.BUSY, detail="no free connection")
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -6,6 +6,7 @@
 
 from fescuestile import read_confirmation
 from fescuestile import routes
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import events
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
@@ -28,6 +29,11 @@
     def find_route(self, database: str) -> routes.Route | None:
         """Return the route in force for a database."""
 
+    def find_tenant(
+        self, route: routes.Route, key_hash: bytes
+    ) -> tenants.Tenant | None:
+        """Return who calls on a route, None for an unknown key."""
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route."""
 
@@ -63,6 +69,12 @@
         """Return the route in force for a database."""
         return self._directory.find_route(database)
 
+    def find_tenant(
+        self, route: routes.Route, key_hash: bytes
+    ) -> tenants.Tenant | None:
+        """Return who calls on a route, None for an unknown key."""
+        return self._directory.find_tenant(route, key_hash)
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route."""
         return self._directory.find_group(route)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -9,6 +9,7 @@
 from fescuestile import positions
 from fescuestile import read_confirmation
 from fescuestile import routes
+from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.endpoints import endpoint_states
@@ -34,6 +35,7 @@
     :ivar answered: whether one of its statements has succeeded
     :ivar wrote: whether one of its writes was sent
     :ivar failed: whether only COMMIT and ROLLBACK are accepted
+    :ivar is_admitted: whether it was counted against its tenant's limit
     """
 
     route: routes.Route
@@ -46,6 +48,7 @@
     answered: bool = False
     wrote: bool = False
     failed: bool = False
+    is_admitted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +71,19 @@
         """Return the route in force for a database."""
         raise NotImplementedError
 
+    def find_tenant(
+        self, route: routes.Route, key_hash: bytes
+    ) -> tenants.Tenant | None:
+        """Return who calls on a route, None for an unknown key."""
+        raise NotImplementedError
+
+    async def admit(self, session: "Session") -> messages.Outcome | None:
+        """Count an operation against its tenant's limit.
+
+        :returns: the refusal of one above the limit, else None
+        """
+        return None
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route."""
         raise NotImplementedError
@@ -100,6 +116,8 @@
     :ivar values: session values acknowledged to the caller
     :ivar prepared: prepared statements acknowledged to the caller, by name
     :ivar last_write: position of its last confirmed write
+    :ivar tenant: tenant of the operation in progress
+    :ivar key_hash: hash of the caller's key
     """
 
     def __init__(
@@ -108,8 +126,11 @@
         caller: ports.Caller,
         executor: Executor,
         boot_clock: clock.Clock,
+        key_hash: bytes = b"",
     ) -> None:
         """Start without session state or transaction."""
+        self.key_hash = key_hash
+        self.tenant = tenants.ANONYMOUS
         self.database = database
         self.values: dict[str, str] = {}
         self.prepared: dict[str, messages.Shape] = {}
@@ -235,6 +256,8 @@
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
+        if not self._identify(route):
+            return self._refuse_key()
         self._transaction = Transaction(
             route=route,
             group=self._executor.find_group(route),
@@ -258,7 +281,8 @@
     async def _execute(self, arrival: Arrival) -> messages.Outcome:
         transaction = self._transaction
         if transaction is not None:
-            outcome = await self._executor.run_in_transaction(
+            refusal = await self._admit_transaction(transaction)
+            outcome = refusal or await self._executor.run_in_transaction(
                 self, transaction, arrival
             )
             if arrival.statement.verb is Verb.COMMIT:
@@ -269,7 +293,31 @@
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
-        return await self._executor.run_single(self, route, arrival)
+        if not self._identify(route):
+            return self._refuse_key()
+        refusal = await self._executor.admit(self)
+        return refusal or await self._executor.run_single(self, route, arrival)
+
+    def _identify(self, route: routes.Route) -> bool:
+        """Find the tenant of an operation that begins.
+
+        :returns: False if the caller's key is not in force
+        """
+        tenant = self._executor.find_tenant(route, self.key_hash)
+        if tenant is not None:
+            self.tenant = tenant.name
+        return tenant is not None
+
+    def _refuse_key(self) -> messages.Outcome:
+        return messages.Outcome(Kind.UNKNOWN_KEY, detail="unknown key")
+
+    async def _admit_transaction(
+        self, transaction: Transaction
+    ) -> messages.Outcome | None:
+        if transaction.is_admitted:
+            return None
+        transaction.is_admitted = True
+        return await self._executor.admit(self)
 
     def _abandon(self) -> None:
         transaction, self._transaction = self._transaction, None
--- a/packages/fescuestile/src/fescuestile/routes.py
+++ b/packages/fescuestile/src/fescuestile/routes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from fescuestile import tenants
+
 
 class Consistency(enum.Enum):
     """Which writes a read on a route must see."""
@@ -23,6 +25,7 @@
     :ivar timeout: seconds that one statement may take
     :ivar target_latency: seconds within which an operation should end
     :ivar level: index of its rank, 0 for the most urgent
+    :ivar public: whether callers need no key
     """
 
     database: str
@@ -32,6 +35,7 @@
     timeout: float
     target_latency: float
     level: int
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,9 +60,21 @@
     :ivar groups: limits by group
     :ivar idle_transaction: seconds after which an idle transaction may be
         rolled back
+    :ivar tenant_table: tenants, none where callers need no keys
     """
 
     version: int
     routes: dict[str, Route]
     groups: dict[str, GroupLimits]
     idle_transaction: float
+    tenant_table: tenants.TenantTable = dataclasses.field(
+        default_factory=tenants.TenantTable
+    )
+
+    def find_tenant(
+        self, route: Route, key_hash: bytes
+    ) -> tenants.Tenant | None:
+        """Return who calls on a route, None for an unknown key."""
+        if route.public or not self.tenant_table:
+            return tenants.Tenant(tenants.ANONYMOUS)
+        return self.tenant_table.find(key_hash)
--- a/tests/fences.py
+++ b/tests/fences.py
@@ -70,7 +70,7 @@
 
     endpoints: dict[str, Endpoint]
 
-    async def dial(self, entry):
+    async def dial(self, entry, tenant=""):
         """Connect at once."""
         return Connection(self, self.endpoints[entry.id])
 
--- a/tests/group_daemons.py
+++ b/tests/group_daemons.py
@@ -42,13 +42,13 @@
         self.unreachable = set()
         self._random = world.random
 
-    async def dial(self, entry):
+    async def dial(self, entry, tenant=""):
         if entry.id not in self.endpoints:
             await asyncio.sleep(self._random.uniform(0.001, 0.02))
             return messages.Outcome(
                 messages.Kind.BUSY, detail="Connection refused"
             )
-        return await super().dial(entry)
+        return await super().dial(entry, tenant)
 
     async def delay(self, endpoint):
         await asyncio.sleep(self._random.uniform(0.001, 0.02))
--- a/tests/monitored_groups.py
+++ b/tests/monitored_groups.py
@@ -23,7 +23,7 @@
 class NoDialer(ports.Dialer):
     """Opens no connections."""
 
-    async def dial(self, entry):
+    async def dial(self, entry, tenant=""):
         return messages.Outcome(messages.Kind.LOST, detail="no network")
 
 
--- a/tests/platform/standins/cuts.py
+++ b/tests/platform/standins/cuts.py
@@ -26,11 +26,11 @@
             await asyncio.sleep(POLL_SECONDS)
 
     async def dial(
-        self, entry: messages.EndpointEntry
+        self, entry: messages.EndpointEntry, tenant: str = ""
     ) -> ports.EndpointConnection | messages.Outcome:
         """Open a connection, which hangs while the endpoint is cut off."""
         await self.wait_reachable(entry.id)
-        opened = await super().dial(entry)
+        opened = await super().dial(entry, tenant)
         if isinstance(opened, messages.Outcome):
             return opened
         return _CutConnection(self, opened)
--- a/tests/relay/endpoints/test_channel_pool.py
+++ b/tests/relay/endpoints/test_channel_pool.py
@@ -56,7 +56,7 @@
         self.dials = 0
         self.refused = 0
 
-    async def dial(self, entry):
+    async def dial(self, entry, tenant=""):
         self.dials += 1
         await asyncio.sleep(0.001)
         if self.open >= self.limit:
--- a/tests/relay/endpoints/test_lagging_replicas.py
+++ b/tests/relay/endpoints/test_lagging_replicas.py
@@ -17,7 +17,7 @@
 
 
 class NoDialer(ports.Dialer):
-    async def dial(self, entry):
+    async def dial(self, entry, tenant=""):
         raise NotImplementedError
 
 
