Forward work to one gateway for each group and zone

Each daemon opened its own connections to each endpoint and asked it for reports, so both grew with the number of daemons. Daemons now forward to the daemon that rendezvous hashing selects for the group and zone, and only gateways and daemons with recent work of a group watch it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -7,6 +7,7 @@
 import structlog
 
 from fescuestile import clock
+from fescuestile import position_sharing
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import events
 from fescuestile_daemon.relay.core import messages
@@ -14,7 +15,12 @@
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.groups import directory
 from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.peers import forwarding
+from fescuestile_daemon.relay.peers import gateway_table
+from fescuestile_daemon.relay.peers import links
 from fescuestile_daemon.relay.peers import sampling
+from fescuestile_daemon.relay.peers import serving
+from fescuestile_daemon.relay.peers import versions
 from fescuestile_daemon.relay.records import member_records
 from fescuestile_daemon.relay.records import member_store
 from fescuestile_daemon.relay.records import restorations
@@ -69,9 +75,21 @@
         self.sessions: set[sessions.Session] = set()
         self._options = relay_options
         self._clock = boot_clock
-        self._execution = execution.StatementExecutor(
+        local = execution.StatementExecutor(
             self.directory, relay_options, self.recorder, zone
         )
+        self._gateways = gateway_table.GatewayTable(
+            name, zone, self.directory, relay_options
+        )
+        self.directory.duties = self._gateways
+        self.versions = versions.ConfigurationVersions(self.directory)
+        self._execution = forwarding.ForwardingExecutor(
+            local, self._gateways, self.versions, self.recorder, name
+        )
+        self._server = serving.StatementServer(
+            local, self.directory, self.versions, boot_clock, self.recorder
+        )
+        self._links: links.PeerLinks | None = None
         self.sampler = sampling.PositionSampler(
             name, zone, self.directory.groups.get, boot_clock
         )
@@ -95,6 +113,18 @@
         self._failed_probes = 0
         self._accepting = True
 
+    def set_links(
+        self, peer_links: links.PeerLinks, own: position_sharing.Peer
+    ) -> None:
+        """Forward to other daemons, and serve what they forward.
+
+        :param own: this daemon as it is registered
+        """
+        self._links = peer_links
+        peer_links.set_handler(self._server)
+        self._gateways.set_links(peer_links, own)
+        self._execution.set_links(peer_links)
+
     async def start(self) -> None:
         """Start to monitor the endpoints."""
         await self._monitor.start()
@@ -151,7 +181,8 @@
         """Return whether most groups' primaries are unreachable.
 
         Groups that the configuration does not name are left out: their
-        entries may be another writer's.
+        entries may be another writer's. One that another daemon serves for
+        this one is reachable.
         """
         groups = [
             group
@@ -159,7 +190,9 @@
             if group.endpoints and name in self.directory.table.groups
         ]
         unreachable = sum(
-            reachability.is_unreachable(group) for group in groups
+            reachability.is_unreachable(group)
+            and not self._gateways.is_served_elsewhere(group)
+            for group in groups
         )
         return bool(groups) and unreachable * 2 > len(groups)
 
@@ -203,6 +236,8 @@
         """
         started = time.monotonic()
         self._stopping = True
+        if self._links is not None:
+            self._links.announce_leaving()
         self._monitor.stop_takeovers()
         log.info("daemon stopping", sessions=len(self.sessions), grace=grace)
         loop = asyncio.get_running_loop()
@@ -210,8 +245,11 @@
             elapsed = time.monotonic() - started
             if elapsed > grace * ACCEPT_SHARE:
                 self._accepting = False
-                if not self.sessions:
+                self._server.refuse_new()
+                if not (self.sessions or self._server.is_busy):
                     break
+            if elapsed > grace * TRANSACTION_SHARE:
+                self._server.close_transactions()
             share = min(1.0, elapsed / SPREAD_SECONDS) * POLL_SECONDS
             for session in list(self.sessions):
                 if session.busy:
@@ -226,6 +264,7 @@
             await asyncio.sleep(POLL_SECONDS)
         for session in list(self.sessions):
             session.close()
+        self._server.close_transactions()
         if self._isolation is not None:
             self._isolation.cancel()
         left = grace * TAKEOVER_SHARE - (time.monotonic() - started)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
@@ -11,6 +11,11 @@
         daemon may open; a deployment has four daemons
     :ivar min_connections: lower bound of the connections that one daemon
         may open to an endpoint, whatever its share
+    :ivar gateway_share: share of an endpoint's connections that the gateway
+        of its zone may open
+    :ivar remote_gateway_share: share that the gateway of another zone may
+        open; with three zones the rest, a tenth, is for daemons that reach
+        no gateway
     :ivar plenty_below: below this share of an endpoint's connections in
         use, idle ones are kept for ``idle_connection``
     :ivar scarce_above: from this share on, none stays idle for longer than
@@ -79,6 +84,8 @@
 
     connection_share: float = 0.25
     min_connections: int = 2
+    gateway_share: float = 0.6
+    remote_gateway_share: float = 0.15
     plenty_below: float = 0.5
     scarce_above: float = 0.8
     idle_connection: float = 5.0
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -36,6 +36,8 @@
     :ivar usage: share of the endpoint's connections that all daemons use
     :ivar failed_until: monotonic seconds until which, after a failed
         attempt, none is opened as long as another one is open
+    :ivar is_retaining: whether idle connections are kept, because this
+        daemon uses the endpoint for others, too
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._closed = False
         self.cap = cap
         self.accepts_work = True
+        self.is_retaining = False
         self.usage = 0.0
         self.failed_until = 0.0
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -1,5 +1,6 @@
 """Routes and endpoints in force in this daemon."""
 
+import collections
 import time
 import typing
 
@@ -12,11 +13,14 @@
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.groups import former_runs
+from fescuestile_daemon.relay.groups import group_duties
 from fescuestile_daemon.relay.groups import groups
 from fescuestile_daemon.relay.groups import record_readers
 
 log = structlog.get_logger()
 
+# Tables before the one in force that are kept to compare versions with.
+FORMER_TABLES = 2
 EMPTY_TABLE = routes.RouteTable(0, {}, {}, 3.0)
 
 
@@ -28,6 +32,7 @@
     :ivar endpoints_loaded: the registry has been read at least once
     :ivar record_reader: reads the groups' records, None without a store
     :ivar promoter: knows whether a takeover is under way, None without one
+    :ivar duties: limits the connections to the endpoints
     """
 
     def __init__(
@@ -42,6 +47,10 @@
         self.endpoints_loaded = False
         self.record_reader: record_readers.RecordReader | None = None
         self.promoter: ports.Promoter | None = None
+        self.duties = group_duties.GroupDuties()
+        self._former_tables: collections.deque[routes.RouteTable] = (
+            collections.deque(maxlen=FORMER_TABLES)
+        )
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
@@ -71,6 +80,13 @@
         """Return the group of a route; create it if it is new."""
         return self._get_group(route.group)
 
+    def find_table(self, version: int) -> routes.RouteTable | None:
+        """Return the table of a version, None for one that is not kept."""
+        for table in (self.table, *self._former_tables):
+            if table.version == version:
+                return table
+        return None
+
     def put_routes(self, table: routes.RouteTable) -> bool:
         """Put a table in force if its version is newer.
 
@@ -84,9 +100,10 @@
             before=self.table.version,
             routes=len(table.routes),
         )
+        self._former_tables.append(self.table)
         self.table = table
         for group in self.groups.values():
-            self._apply_limits(group)
+            self.apply_limits(group)
         return True
 
     def put_endpoints(
@@ -127,7 +144,7 @@
                     known=known is not None,
                 )
             self._put_endpoint(group, entry, is_copied)
-            self._apply_limits(group)
+            self.apply_limits(group)
         now = time.monotonic()
         for group in self.groups.values():
             for name, endpoint in list(group.endpoints.items()):
@@ -164,7 +181,7 @@
         if known is not None and known.entry.started_at != entry.started_at:
             self._former_runs.record(known, has_restarted=True)
         endpoint = group.put_endpoint(
-            entry, self._compute_connection_limit(entry.group)
+            entry, self._compute_connection_limit(group, entry)
         )
         if is_copied and endpoint is known:
             # A claim of the copy does not outweigh what it reported since.
@@ -190,16 +207,26 @@
             group.replication.runs.promoter = self.promoter
         return group
 
-    def _apply_limits(self, group: groups.Group) -> None:
+    def apply_limits(self, group: groups.Group) -> None:
+        """Apply the limits in force to a group and its endpoints."""
         limits = self.table.groups.get(group.name)
         if limits is not None:
             group.connections = limits.connections
             group.replicated = limits.replicated
         for endpoint in group.endpoints.values():
-            endpoint.pool.cap = self._compute_connection_limit(group.name)
+            limit = self.duties.find_connection_limit(group, endpoint.entry)
+            endpoint.pool.is_retaining = limit is not None and limit.is_kept
+            endpoint.pool.cap = self._compute_connection_limit(
+                group, endpoint.entry
+            )
 
-    def _compute_connection_limit(self, name: str) -> int:
-        limits = self.table.groups.get(name)
+    def _compute_connection_limit(
+        self, group: groups.Group, entry: messages.EndpointEntry
+    ) -> int:
+        found = self.duties.find_connection_limit(group, entry)
+        if found is not None:
+            return found.cap
+        limits = self.table.groups.get(group.name)
         if limits is None:
             return self._options.min_connections
         share = int(limits.connections * self._options.connection_share)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_copies.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_copies.py
@@ -172,6 +172,10 @@
         is_settled = self._is_settled(group, stored)
         if not is_settled and not self._is_new(group, stored):
             return self._lacks(group)
+        if not self._directory.duties.is_watched(group):
+            # Daemons that watch the group record its changes; only this one
+            # can write what a restored store has lost of its own knowledge.
+            return self._lacks(group)
         return (
             group.members.make_record() != group.members.recorded
             or group.promotions.is_over(time.monotonic())
@@ -207,7 +211,12 @@
         self, listed: collections.abc.Iterable[groups.Group]
     ) -> None:
         """Find the groups without a fence before their records are read."""
-        unread = [group for group in listed if not self._is_read(group)]
+        unread = [
+            group
+            for group in listed
+            if not self._is_read(group)
+            and self._directory.duties.is_watched(group)
+        ]
         # Opens the connections.
         await asyncio.gather(
             *(group.refresh(OPEN_SECONDS) for group in unread)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -87,6 +87,15 @@
         return min(wanted_by, self.deadline)
 
 
+def may_write(
+    session: sessions.Session, statement: messages.Statement
+) -> bool:
+    """Return whether a statement may change data."""
+    if statement.verb is messages.Verb.EXECUTE:
+        return session.prepared[statement.name].writes
+    return statement.writes
+
+
 def make_pending(
     session: sessions.Session,
     route: routes.Route,
@@ -95,16 +104,12 @@
 ) -> PendingStatement:
     """Return a statement that is about to be attempted."""
     group.used_at = time.monotonic()
-    statement = arrival.statement
-    writes = statement.writes
-    if statement.verb is messages.Verb.EXECUTE:
-        writes = session.prepared[statement.name].writes
     return PendingStatement(
         session=session,
         route=route,
         group=group,
         arrival=arrival,
-        writes=writes,
+        writes=may_write(session, arrival.statement),
         deadline=arrival.monotonic_at + route.timeout,
     )
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -21,6 +21,18 @@
 ENDINGS = (Verb.COMMIT, Verb.ROLLBACK)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedTo:
+    """Where a transaction is open at another daemon.
+
+    :ivar peer: name of that daemon
+    :ivar number: id of the transaction there
+    """
+
+    peer: str
+    number: str
+
+
 @dataclasses.dataclass(slots=True)
 class Transaction:
     """An open transaction.
@@ -36,6 +48,7 @@
     :ivar wrote: whether one of its writes was sent
     :ivar failed: whether only COMMIT and ROLLBACK are accepted
     :ivar is_admitted: whether it was counted against its tenant's limit
+    :ivar forwarded_to: where it is open at another daemon, None if it is not
     """
 
     route: routes.Route
@@ -49,6 +62,12 @@
     wrote: bool = False
     failed: bool = False
     is_admitted: bool = False
+    forwarded_to: ForwardedTo | None = None
+
+    @property
+    def holds_connection(self) -> bool:
+        """Whether it holds a connection, here or at another daemon."""
+        return self.connection is not None or self.forwarded_to is not None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -329,7 +348,7 @@
         self._stop_idle_timer()
         if (
             self._transaction is not None
-            and self._transaction.connection is not None
+            and self._transaction.holds_connection
         ):
             self._idle_timer = asyncio.get_running_loop().call_later(
                 self._executor.idle_transaction, self._expire_transaction
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/monitor.py
@@ -86,6 +86,7 @@
         self._stopping = False
         self._seen_since: dict[tuple[str, Reason], float] = {}
         self._without_target: set[str] = set()
+        self._unwatched: set[str] = set()
 
     async def start(self) -> None:
         """Start the periodic checks."""
@@ -127,13 +128,17 @@
         if unpaused < self._options.monitor_interval:
             self._reset_failure_detection()
         self._directory.expire()
+        self._directory.duties.update()
         for group in self._directory.groups.values():
+            is_watched = self._update_watch(group)
             for endpoint in group.endpoints.values():
                 endpoint.pool.trim()
                 endpoint.refuse_late_work()
-                self._requests.send_due(group, endpoint, now)
-            if group.leadership.needs_sample():
-                self._sampler.sample(group)
+                if is_watched:
+                    self._requests.send_due(group, endpoint, now)
+            if not is_watched:
+                continue
+            self._sample(group)
             group.release_members()
             reason = self._find_reason(group, now, unpaused)
             if reason is None or self._stopping:
@@ -143,12 +148,39 @@
                     self._run_takeover(group, reason)
                 )
 
+    def _update_watch(self, group: groups.Group) -> bool:
+        """Return whether this daemon watches a group.
+
+        Requests that it left open when it stopped to watch, and what it saw
+        then, are no reason to suspect the primary now.
+        """
+        if not self._directory.duties.is_watched(group):
+            self._unwatched.add(group.name)
+            return False
+        if group.name in self._unwatched:
+            self._unwatched.discard(group.name)
+            self._restart_detection(group)
+            for reason in Reason:
+                self._seen_since.pop((group.name, reason), None)
+        return True
+
+    def _sample(self, group: groups.Group) -> None:
+        if not group.leadership.needs_sample():
+            return
+        if self._directory.duties.samples_alone(group):
+            group.leadership.begin_check()
+        else:
+            self._sampler.sample(group)
+
+    def _restart_detection(self, group: groups.Group) -> None:
+        group.clear_stall()
+        for endpoint in group.endpoints.values():
+            endpoint.reset_failure_detection()
+
     def _reset_failure_detection(self) -> None:
         log.info("daemon was paused, failure detection restarted")
         for group in self._directory.groups.values():
-            group.clear_stall()
-            for endpoint in group.endpoints.values():
-                endpoint.reset_failure_detection()
+            self._restart_detection(group)
 
     def _find_reason(
         self, group: groups.Group, now: float, unpaused: float
--- a/packages/fescuestile/src/fescuestile/position_sharing.py
+++ b/packages/fescuestile/src/fescuestile/position_sharing.py
@@ -31,11 +31,13 @@
     """A daemon that shares positions.
 
     :ivar address: ``IP:port`` of its questions and answers
+    :ivar weight: its share of the processor, in cores
     """
 
     name: str
     zone: str
     address: str
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -67,3 +67,16 @@
     def find(self, key_hash: bytes) -> Tenant | None:
         """Return the tenant that holds a key, by its hash."""
         return self._by_key.get(key_hash)
+
+    def has_same(self, name: str, other: "TenantTable") -> bool:
+        """Return whether a tenant and its keys are the same in two tables."""
+        return self.by_name.get(name) == other.by_name.get(
+            name
+        ) and self._list_hashes(name) == other._list_hashes(name)
+
+    def _list_hashes(self, name: str) -> set[bytes]:
+        return {
+            key_hash
+            for key_hash, tenant in self._by_key.items()
+            if tenant.name == name
+        }
