--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
@@ -243,10 +243,12 @@
         """Record which share of the endpoint's connections is in use.
 
         While connections are scarce, one slot is used here, so that work
-        waits for admission, by rank, and not for a connection.
+        waits for admission, by rank, and not for a connection. A gateway has
+        its connections for the work of all daemons.
         """
         self.pool.usage = usage
-        slots = 1 if self.pool.is_scarce else max(1, self.entry.slots)
+        shares = self.pool.is_scarce and not self.pool.is_retaining
+        slots = 1 if shares else max(1, self.entry.slots)
         self.admission.queue.set_slots(slots)
 
     def record_round_trip(self, seconds: float, reported: bool) -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_table.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_table.py
@@ -53,8 +53,9 @@
         self._peer_zones: frozenset[str] = frozenset()
         self._ranked: dict[tuple[str, str], tuple[str, ...]] = {}
         self._in_use: set[str] = set()
-        # Groups of which this daemon is a gateway at the latest update.
-        self._own: set[str] = set()
+        # Zones whose endpoints this daemon serves, by group; as of the latest
+        # update, because finding them for each statement is too much work.
+        self._own: dict[str, frozenset[str]] = {}
 
     def set_links(self, links: PeerView, own: position_sharing.Peer) -> None:
         """Use the peers that some links know.
@@ -84,18 +85,20 @@
                     group.name in self._in_use,
                 )
             )
-            was_in_use = group.name in self._in_use
-            was_own = group.name in self._own
+            before = self.is_in_use(group), self._list_own(group)
             (self._in_use.add if in_use else self._in_use.discard)(group.name)
-            is_own = in_use and self.is_gateway(group)
-            (self._own.add if is_own else self._own.discard)(group.name)
-            if (in_use, is_own) == (was_in_use, was_own):
+            zones = self._find_own(group) if in_use else frozenset()
+            if zones:
+                self._own[group.name] = zones
+            else:
+                self._own.pop(group.name, None)
+            if before == (in_use, zones):
                 continue
             log.info(
                 "gateways of the group changed",
                 group=group.name,
                 in_use=in_use,
-                is_gateway=is_own,
+                own_zones=sorted(zones),
                 daemons=len(self._peers),
             )
             self._directory.apply_limits(group)
@@ -147,6 +150,13 @@
         return max(claimed, key=lambda e: (e.started_at, e.id)).zone
 
     def _list_reachable(self, group: str, zone: str) -> tuple[str, ...]:
+        return tuple(filter(self._is_reachable, self._rank(group, zone)))
+
+    def _find_first(self, group: str, zone: str) -> str | None:
+        ranked = self._rank(group, zone)
+        return next(filter(self._is_reachable, ranked), None)
+
+    def _rank(self, group: str, zone: str) -> tuple[str, ...]:
         ranked = self._ranked.get((group, zone))
         if ranked is None:
             ranked = self._ranked[group, zone] = gateways.rank_candidates(
@@ -154,8 +164,7 @@
                 gateways.choose_daemon_zone(group, zone, self._peer_zones),
                 self._peers,
             )
-        ordered = gateways.put_reachable_first(ranked, self._is_reachable)
-        return tuple(name for name in ordered if self._is_reachable(name))
+        return ranked
 
     def _is_reachable(self, name: str) -> bool:
         return name == self._name or (
@@ -164,14 +173,19 @@
 
     def is_gateway(self, group: groups.Group) -> bool:
         """Return whether this daemon is the gateway of a zone's endpoint."""
-        return any(
-            self._is_gateway_of(group, zone)
+        return bool(self._list_own(group))
+
+    def _list_own(self, group: groups.Group) -> frozenset[str]:
+        return self._own.get(group.name, frozenset())
+
+    def _find_own(self, group: groups.Group) -> frozenset[str]:
+        """Return the zones with an endpoint that this daemon serves."""
+        return frozenset(
+            zone
             for zone in {e.entry.zone for e in group.endpoints.values()}
+            if self._find_first(group.name, zone) == self._name
         )
 
-    def _is_gateway_of(self, group: groups.Group, zone: str) -> bool:
-        return self._list_reachable(group.name, zone)[:1] == (self._name,)
-
     # Duties
 
     def is_watched(self, group: groups.Group) -> bool:
@@ -196,10 +210,8 @@
 
     def is_served_elsewhere(self, group: groups.Group) -> bool:
         """Return whether a reachable daemon runs the group's work for it."""
-        return self.list_candidates(group, needs_primary=True)[:1] not in (
-            (),
-            (self._name,),
-        )
+        candidates = self.list_candidates(group, needs_primary=True)
+        return bool(candidates) and candidates[0] != self._name
 
     def find_connection_limit(
         self, group: groups.Group, entry: messages.EndpointEntry
@@ -209,11 +221,11 @@
         if limits is None or not self.is_in_use(group):
             return None
         least = self._options.min_connections
-        if group.name not in self._own:
+        if not self.is_gateway(group):
             return group_duties.ConnectionLimit(least, is_kept=False)
         share = (
             self._options.gateway_share
-            if self._is_gateway_of(group, entry.zone)
+            if entry.zone in self._list_own(group)
             else self._options.remote_gateway_share
         )
         cap = max(least, int(limits.connections * share))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
@@ -1,6 +1,7 @@
 """Runs the statements that other daemons forward to this one."""
 
 import asyncio
+import collections
 import dataclasses
 import time
 import typing
@@ -85,6 +86,8 @@
         self._clock = boot_clock
         self._recorder = recorder
         self._transactions: dict[tuple[str, str], _Served] = {}
+        # Links of each peer that were lost.
+        self._losses: collections.Counter[str] = collections.Counter()
         self._running = 0
         self._is_stopping = False
 
@@ -111,6 +114,7 @@
 
         A statement in progress runs to its end first, a COMMIT with effect.
         """
+        self._losses[peer] += 1
         for key in list(self._transactions):
             if key[0] == peer:
                 self._give_up(key)
@@ -203,10 +207,13 @@
             return Refusal.STOPPING
         if not self._directory.is_complete:
             return Refusal.STARTING
+        losses = self._losses[peer]
         if not await self._versions.wait(
             request.version, peer, VERSION_SECONDS
         ):
             return Refusal.OLDER
+        if self._losses[peer] != losses:
+            return Refusal.LINK_LOST
         if request.version < self._versions.current and not (
             self._versions.is_unchanged(
                 request.version, request.route, request.tenant
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/statement_messages.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/statement_messages.py
@@ -33,6 +33,7 @@
     UNKNOWN_GROUP = "unknown group"
     OLDER = "older configuration"
     NEWER = "newer configuration"
+    LINK_LOST = "link lost"
     UNREACHABLE = "endpoints unreachable"
 
 
--- a/packages/fescuestile/src/fescuestile/gateways.py
+++ b/packages/fescuestile/src/fescuestile/gateways.py
@@ -72,14 +72,6 @@
     )
 
 
-def put_reachable_first(
-    ranked: collections.abc.Iterable[str],
-    is_reachable: collections.abc.Callable[[str], bool],
-) -> tuple[str, ...]:
-    """Return ranked candidates with the reachable ones first, in order."""
-    return tuple(sorted(ranked, key=lambda name: not is_reachable(name)))
-
-
 def choose_daemon_zone(
     group: str, zone: str, zones: collections.abc.Collection[str]
 ) -> str:
