--- a/packages/fescuestile/src/fescuestile/position_sharing.py
+++ b/packages/fescuestile/src/fescuestile/position_sharing.py
@@ -31,11 +31,13 @@
     """A daemon that shares positions.
 
     :ivar address: ``IP:port`` of its questions and answers
+    :ivar weight: processor cores that it may use
     """
 
     name: str
     zone: str
     address: str
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
