--- a/packages/fescuestile/src/fescuestile/position_sharing.py
+++ b/packages/fescuestile/src/fescuestile/position_sharing.py
@@ -31,7 +31,7 @@
     """A daemon that shares positions.
 
     :ivar address: ``IP:port`` of its questions and answers
-    :ivar weight: its share of the processor, in cores
+    :ivar weight: processor cores that it may use
     """
 
     name: str
