--- a/tests/relay/peers/test_gateway_table.py
+++ b/tests/relay/peers/test_gateway_table.py
@@ -102,4 +102,4 @@
     gateway = fleet.list_candidates()[0]
     endpoint = gateway.group.endpoints["p"]
     endpoint.record_connection_usage(62 / 70)
-    assert endpoint.admission.queue.slots == 4
+    assert endpoint.admission.queue.limit == 4
