--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/link_frames.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/link_frames.py
@@ -2,10 +2,10 @@
 
 import collections.abc
 import enum
+import functools
+import importlib
 import typing
 
-import cbor2
-
 LENGTH_BYTES = 4
 # A statement may have 1 MiB, and its answer about as much again.
 MAX_FRAME_BYTES = 2 * 1024 * 1024 + 64 * 1024
@@ -56,6 +56,12 @@
 _KINDS = {int(kind): kind for kind in Kind}
 
 
+@functools.cache
+def load_codec() -> typing.Any:
+    """Import the library, which a start does not wait for."""
+    return importlib.import_module("cbor2")
+
+
 def encode(
     kind: Kind,
     number: int = 0,
@@ -65,9 +71,10 @@
 
     :raises MalformedFrame: the body cannot be encoded or is over the limit
     """
+    codec = load_codec()
     try:
-        content = cbor2.dumps([int(kind), number, dict(body or {})])
-    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+        content: bytes = codec.dumps([int(kind), number, dict(body or {})])
+    except (codec.CBORError, ValueError, TypeError, RecursionError) as error:
         raise MalformedFrame(f"body not encodable: {error}") from error
     if len(content) > MAX_FRAME_BYTES:
         raise MalformedFrame(f"a frame of {len(content)} bytes")
@@ -80,7 +87,7 @@
     :raises MalformedFrame: it is none
     """
     try:
-        fields = cbor2.loads(
+        fields = load_codec().loads(
             content, max_depth=MAX_DEPTH, allow_indefinite=False
         )
     except Exception as error:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/links.py
@@ -199,6 +199,7 @@
             port,
             backlog=ACCEPT_BACKLOG,
         )
+        link_frames.load_codec()
         # Peers know this daemon by this address.
         self._host = host
         self._pauses.start()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
@@ -77,8 +77,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_ticking = False
         now = context.clock.now()
-        self._heard_at = self._used_at = self._ticked_at = now
+        self._heard_at = self._used_at = now
         self._pinged_at: float | None = None
+        self._silence = 0.0
 
     async def connect(self, host: str | None) -> None:
         """Open the connection and exchange hellos, or end the link.
@@ -91,7 +92,8 @@
         self._hello = loop.create_future()
         address = addresses.split_address(self.peer.address)
         try:
-            async with asyncio.timeout(self._options.connect):
+            async with asyncio.timeout(None) as limit:
+                self._limit_connect(limit, self._options.connect)
                 await loop.create_connection(
                     lambda: self,
                     *address,
@@ -103,6 +105,15 @@
         except OSError as error:
             self.fail(f"not connected: {error}")
 
+    def _limit_connect(self, limit: asyncio.Timeout, left: float) -> None:
+        """Count the time in ticks, as in ``_tick``."""
+        if left <= 0:
+            limit.reschedule(asyncio.get_running_loop().time())
+            return
+        tick = min(self._options.tick, left)
+        later = round(left - tick, 6)
+        self._wait(tick, lambda: self._limit_connect(limit, later))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Say hello."""
         super().connection_made(transport)
@@ -227,7 +238,6 @@
     def _start_ticking(self) -> None:
         if not self._is_ticking:
             self._is_ticking = True
-            self._ticked_at = self._context.clock.now()
             self._wait(self._options.tick, self._tick)
 
     def _wait(
@@ -239,18 +249,18 @@
         self._timer = loop.call_later(delay, callback)
 
     def _tick(self) -> None:
-        """Find out whether the peer is alive."""
+        """Find out whether the peer is alive.
+
+        Its silence is counted in ticks: a time in which this process does not
+        run counts as one, as there may be answers that it has not read.
+        """
         options = self._options
         now = self._context.clock.now()
-        elapsed = now - self._ticked_at
-        self._ticked_at = now
         if self._pinged_at is not None:
+            self._silence += options.tick
             if self._heard_at > self._pinged_at:
                 self._pinged_at = None
-            elif elapsed > options.tick + options.silence / 2:
-                # This process did not run, and may have answers to read.
-                self._pinged_at = now
-            elif now - self._pinged_at >= options.silence:
+            elif self._silence >= options.silence - options.tick / 2:
                 self.fail("silent")
                 return
         if self._pinged_at is None:
@@ -265,6 +275,7 @@
                 return
             if due:
                 self._pinged_at = now
+                self._silence = 0.0
                 self.send_now(link_frames.encode(Kind.PING, 0))
         self._wait(options.tick, self._tick)
 
