Check links less often while no request is in flight

Cause: a link used twice a second cost 3.7 ms of processor time a second at the caller, at load 20, mostly for 20 checks a second. Change: without a request in flight a link is checked every 0.25 s.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
@@ -240,6 +240,15 @@
             self._is_ticking = True
             self._wait(self._options.tick, self._tick)
 
+    def _rest(self, now: float) -> None:
+        """Check seldom while no request is in flight; a call restarts it."""
+        options = self._options
+        self._is_ticking = False
+        if now - self._used_at < options.recent:
+            self._wait(options.silence, self._tick)
+        else:
+            self._wait(options.idle, self.retire)
+
     def _wait(
         self, delay: float, callback: collections.abc.Callable[[], None]
     ) -> None:
@@ -255,6 +264,7 @@
         run counts as one, as there may be answers that it has not read.
         """
         options = self._options
+        self._is_ticking = True
         now = self._context.clock.now()
         if self._pinged_at is not None:
             self._silence += options.tick
@@ -265,20 +275,13 @@
                 return
         if self._pinged_at is None:
             quiet = now - self._heard_at
-            if self._calls:
-                due = quiet >= options.quiet
-            elif now - self._used_at < options.recent:
-                due = quiet >= options.silence
-            else:
-                self._is_ticking = False
-                self._wait(options.idle, self._check_idle)
-                return
-            if due:
+            limit = options.quiet if self._calls else options.silence
+            recent = now - self._used_at < options.recent
+            if quiet >= limit and (self._calls or recent):
                 self._pinged_at = now
                 self._silence = 0.0
                 self.send_now(link_frames.encode(Kind.PING, 0))
+            elif not self._calls:
+                self._rest(now)
+                return
         self._wait(options.tick, self._tick)
-
-    def _check_idle(self) -> None:
-        """Close the link; each use of it restarts the checks."""
-        self.retire()
