Reject old requests after pauses as short as a peer's patience

Cause: a peer gives a silent daemon up after 0.25 s, but a pause counted from 0.4 s on: a daemon stopped for 0.36 s ran 5 requests whose caller had given them up (trial with SIGSTOP). Change: a pause counts from 0.25 s on; tests of peers, weights and the listing at the start.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/link_types.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/link_types.py
@@ -72,6 +72,9 @@
     :ivar recent: a link without requests is pinged for this long after its
         last use
     :ivar tick: interval of the checks of a link in use
+    :ivar pause: after this time in which this process did not run, what
+        peers had written before is rejected; not longer than ``silence``,
+        after which they may have given it up
     :ivar idle: a link that is unused for this long is closed
     :ivar backoff: first back-off of an unreachable peer, doubling
     :ivar max_backoff: longest back-off
@@ -89,6 +92,7 @@
     quiet: float = 0.05
     recent: float = 1.0
     tick: float = 0.05
+    pause: float = 0.25
     idle: float = 30.0
     backoff: float = 1.0
     max_backoff: float = 8.0
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/links.py
@@ -27,7 +27,6 @@
 Kind = link_frames.Kind
 RequestHandler = link_types.RequestHandler
 LinkFailure = link_types.LinkFailure
-LinkCounts = link_types.LinkCounts
 LinkOptions = link_types.LinkOptions
 
 # Back-offs are longer by up to this part, so that the daemons that lost a
@@ -62,7 +61,7 @@
         self._find_version = find_version
         self._options = options or LinkOptions()
         self._clock = boot_clock or clock.BootClock()
-        self.counts = LinkCounts()
+        self.counts = link_types.LinkCounts()
         self._context = link_types.LinkContext(
             self._options, self._clock, self._make_hello, prepare, self.counts
         )
@@ -76,7 +75,9 @@
         self._on_version: list[collections.abc.Callable[[str, int], None]] = []
         self._server: asyncio.Server | None = None
         self._host: str | None = None
-        self._pauses = pauses.PauseMonitor(self._clock, self._resynchronize)
+        self._pauses = pauses.PauseMonitor(
+            self._clock, self._options.pause, self._resynchronize
+        )
         self._is_leaving = False
         self._is_closed = False
 
@@ -266,8 +267,6 @@
             for on_version in self._on_version:
                 on_version(peer, version)
 
-    # Outgoing links.
-
     def _open(
         self, state: peer_states.PeerState
     ) -> outgoing_links.OutgoingLink:
@@ -332,8 +331,6 @@
         if state.outgoing is None:
             self._open(state)
 
-    # Incoming links.
-
     def admit(self, link: incoming_links.IncomingLink) -> bool:
         """Return whether the source address of a connection is a peer's."""
         if (
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/pauses.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/pauses.py
@@ -6,9 +6,6 @@
 from fescuestile import clock
 
 BEAT_SECONDS = 0.1
-# Longer than the silence after which peers give up a link in use, so whoever
-# is told of a pause knows that they may have done so.
-PAUSE_SECONDS = 0.3
 
 
 class PauseMonitor:
@@ -17,13 +14,17 @@
     def __init__(
         self,
         boot_clock: clock.Clock,
+        limit: float,
         on_pause: collections.abc.Callable[[float], None],
     ) -> None:
         """Initialize; ``start`` starts the timer.
 
+        :param limit: seconds without a check that count as a pause, more
+            than ``BEAT_SECONDS``
         :param on_pause: called after a pause, with its seconds
         """
         self._clock = boot_clock
+        self._limit = limit
         self._on_pause = on_pause
         self._checked_at = boot_clock.now()
         self._timer: asyncio.TimerHandle | None = None
@@ -47,7 +48,7 @@
         now = self._clock.now()
         elapsed = now - self._checked_at
         self._checked_at = now
-        if elapsed > BEAT_SECONDS + PAUSE_SECONDS:
+        if elapsed > self._limit:
             self._on_pause(elapsed)
 
     def _beat(self) -> None:
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 import pytest_asyncio
 
 from fescuestile import position_sharing
@@ -122,3 +123,44 @@
     calls = [call for call in peers.store.calls if "/peers" in call[1]]
     assert len([call for call in calls if call[0] == "POST"]) == 1
     assert len([call for call in calls if "stale_ok" in call[1]]) > 2
+
+
+async def test_daemons_open_links_to_each_other(peers):
+    """Guards against peers that are not passed on, or cannot be reached."""
+    one, two = peers.daemons
+    name = two._peers._peer.name
+    answer = await one.links.call(name, {}, 1.0)
+    assert answer.detail == "requests are not served"
+    assert one.links.find_version(name) == two.node.directory.table.version
+
+
+async def test_a_daemon_that_starts_knows_its_peers_at_once(
+    peers, monkeypatch
+):
+    """Guards against seconds in which a new daemon forwards nothing."""
+    monkeypatch.setattr(peers_adapter, "FIRST_DELAY_SECONDS", (60.0, 60.0))
+    started = await peers.start_daemon("daemon-9")
+    async with asyncio.timeout(3.0):
+        while len(started.links.get_peers()) < 2:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("fields", "weight"),
+    [
+        ({}, 1.0),
+        ({"weight": 2}, 2.0),
+        ({"weight": "2"}, 1.0),
+        ({"weight": -1.0}, 1.0),
+        ({"weight": None}, 1.0),
+    ],
+    ids=str,
+)
+async def test_an_odd_weight_hides_no_peer(peers, fields, weight):
+    """Guards against entries of another release that are not read."""
+    spec = {"zone": "a", "address": "127.0.0.1:7"} | fields
+    peers.store.put("peers", "other", spec)
+    one = peers.daemons[0]
+    await one._peers.refresh()
+    found = {peer.name: peer for peer in one.links.get_peers()}
+    assert found["other"].weight == weight
--- a/tests/relay/peers/link_builders.py
+++ b/tests/relay/peers/link_builders.py
@@ -7,8 +7,9 @@
 from fescuestile_daemon.relay.peers import link_frames
 from fescuestile_daemon.relay.peers import links
 
-# Shorter than the defaults, so that tests see a probe.
-OPTIONS = links.LinkOptions(backoff=0.3, max_backoff=0.6)
+# Back-offs are shorter than the defaults, so that tests see a probe. A stall
+# of the test run, which is every daemon of a test, is no pause of one daemon.
+OPTIONS = links.LinkOptions(backoff=0.3, max_backoff=0.6, pause=5.0)
 
 
 class Handler(links.RequestHandler):
--- a/tests/relay/peers/test_links.py
+++ b/tests/relay/peers/test_links.py
@@ -219,7 +219,7 @@
     """Guards against a write that runs after its caller has given it up."""
     one, two = pair
     await one.call(two)
-    two.links._pauses._checked_at -= 1.0
+    two.links._pauses._checked_at -= 6.0
     result = await one.call(two, text="old")
     assert result == LinkFailure(False, "the daemon was paused")
     assert len(two.handler.requests) == 1
