Test that a pause counts before peers give a daemon up

Cause: the two defaults depend on each other; a longer pause let a daemon run requests that were given up. Change: a test of the order of the defaults.

--- a/tests/relay/peers/test_links.py
+++ b/tests/relay/peers/test_links.py
@@ -6,6 +6,7 @@
 
 from fescuestile_daemon.relay.peers import link_frames
 from fescuestile_daemon.relay.peers import links
+from fescuestile_daemon.relay.peers import pauses
 from tests.relay.peers import link_builders
 
 Kind = link_frames.Kind
@@ -224,3 +225,12 @@
     assert result == LinkFailure(False, "the daemon was paused")
     assert len(two.handler.requests) == 1
     assert (await one.call(two, text="new"))["echo"] == "new"
+
+
+def test_a_pause_counts_before_peers_lose_their_patience():
+    """Guards against defaults with which given-up requests are run.
+
+    A daemon that was stopped for 0.36 s ran some when 0.4 s counted.
+    """
+    options = links.LinkOptions()
+    assert pauses.BEAT_SECONDS < options.pause <= options.silence
