Share the service time of a rank among its tenants

Cause: within a rank kinds and callers shared, so a tenant with many kinds or callers took the service time of others, and its queue's length refused their work. Change: tenants share by service time and weight above kinds; the queue's limit drops work of the tenant with the most waiting; estimates of the wait, late work and the pacer's estimate follow the order of tenants.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/admission_controller.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/admission_controller.py
@@ -67,7 +67,7 @@
         :raises NotRun: the work cannot run by its deadline
         """
         now = time.monotonic()
-        wait = self.estimate_pacing_delay(work.level, now)
+        wait = self.estimate_pacing_delay(work, now)
         if now + wait > work.deadline and not work.continues:
             raise errors.NotRun(
                 "the endpoint is full and its pace too slow", step="admit"
@@ -92,10 +92,8 @@
 
     def estimate_start(self, work: Work, now: float) -> ExpectedStart:
         """Estimate when new work would start if it were queued now."""
-        queued = self.queue.expected_wait(
-            work.level, now, work.kind, work.caller
-        )
-        paced = self.estimate_pacing_delay(work.level, now)
+        queued = self.queue.estimate_wait(work, now)
+        paced = self.estimate_pacing_delay(work, now)
         in_time = now + paced <= work.deadline
         if queued and in_time:
             late = self.queue.estimate_lateness(
@@ -104,13 +102,10 @@
             in_time = late <= 0
         return ExpectedStart(max(queued, paced), in_time)
 
-    def estimate_pacing_delay(self, level: int, now: float) -> float:
-        """Return the seconds for which pacing would delay new work.
-
-        :param level: level of the new work
-        """
-        ahead = self.queue.count_waiting(level)
-        return self.pacer.find_start(level, ahead, now) - now
+    def estimate_pacing_delay(self, work: Work, now: float) -> float:
+        """Return the seconds for which pacing would delay new work."""
+        ahead = self.queue.count_ahead(work)
+        return self.pacer.find_start(work.level, ahead, now) - now
 
     def release(
         self, ticket: Ticket, measured: bool = True, refused: bool = False
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -67,6 +67,11 @@
         """Return who calls on a route, None for an unknown key."""
         return self.table.find_tenant(route, key_hash)
 
+    def find_weight(self, tenant: str) -> int:
+        """Return a tenant's share of the service time, by its name."""
+        found = self.table.tenant_table.by_name.get(tenant)
+        return 1 if found is None else found.priority
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route; create it if it is new."""
         return self._get_group(route.group)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -28,6 +28,7 @@
     """A statement that has not been answered yet.
 
     :ivar writes: whether it may change data
+    :ivar weight: share of the service time that its tenant gets
     :ivar deadline: monotonic seconds at which the route's timeout ends
     :ivar attempts: attempts so far
     :ivar failures: failed attempts in which it ran or may have run
@@ -42,6 +43,7 @@
     arrival: sessions.Arrival
     writes: bool
     deadline: float
+    weight: int = 1
     attempts: int = 0
     failures: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -68,6 +70,8 @@
             kind=self.route.database,
             caller=str(id(self.session)),
             deadline=self.find_start_deadline(endpoint),
+            tenant=self.session.tenant,
+            weight=self.weight,
         )
 
     def find_start_deadline(
@@ -92,8 +96,12 @@
     route: routes.Route,
     group: groups.Group,
     arrival: sessions.Arrival,
+    weight: int = 1,
 ) -> PendingStatement:
-    """Return a statement that is about to be attempted."""
+    """Return a statement that is about to be attempted.
+
+    :param weight: share of the service time that its tenant gets
+    """
     group.used_at = time.monotonic()
     statement = arrival.statement
     writes = statement.writes
@@ -106,6 +114,7 @@
         arrival=arrival,
         writes=writes,
         deadline=arrival.monotonic_at + route.timeout,
+        weight=weight,
     )
 
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -34,6 +34,9 @@
     ) -> tenants.Tenant | None:
         """Return who calls on a route, None for an unknown key."""
 
+    def find_weight(self, tenant: str) -> int:
+        """Return a tenant's share of the service time, by its name."""
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route."""
 
@@ -92,7 +95,11 @@
     ) -> messages.Outcome:
         """Run a statement outside a transaction, retrying where it is safe."""
         pending = attempts.make_pending(
-            session, route, self._directory.find_group(route), arrival
+            session,
+            route,
+            self._directory.find_group(route),
+            arrival,
+            self._directory.find_weight(session.tenant),
         )
         if pending.writes:
             outcome = await self._write(pending)
@@ -243,7 +250,10 @@
         arrival: sessions.Arrival,
     ) -> messages.Outcome:
         """Run a statement or the commit of an open transaction."""
-        return await self._transactions.run(session, transaction, arrival)
+        weight = self._directory.find_weight(session.tenant)
+        return await self._transactions.run(
+            session, transaction, arrival, weight
+        )
 
     def abandon(self, transaction: sessions.Transaction) -> None:
         """Roll a transaction back in the background."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/transactions.py
@@ -1,6 +1,7 @@
 """Runs the statements of transactions, each on its own connection."""
 
 import asyncio
+import dataclasses
 import time
 
 from fescuestile import errors
@@ -47,15 +48,18 @@
         session: sessions.Session,
         transaction: sessions.Transaction,
         arrival: sessions.Arrival,
+        weight: int = 1,
     ) -> messages.Outcome:
         """Run a statement or the commit of a transaction.
 
         Until a statement of the transaction was answered, a failed attempt
         is rolled back and the transaction begins again, perhaps at another
         endpoint.
+
+        :param weight: share of the service time that its tenant gets
         """
         pending = attempts.make_pending(
-            session, transaction.route, transaction.group, arrival
+            session, transaction.route, transaction.group, arrival, weight
         )
         outcome = messages.Outcome(Kind.BUSY, detail="no endpoint")
         while pending.remaining >= attempts.MIN_REMAINING_SECONDS:
@@ -288,19 +292,14 @@
     ) -> messages.Outcome:
         # A transaction in progress is served first, because until it ends it
         # occupies a connection and keeps what it wrote.
-        admitted = admission_controller.Work(
-            level=admission_controller.MOST_URGENT
-            if transaction.answered
-            else transaction.route.level,
-            kind=transaction.route.database,
-            caller=str(id(pending.session)),
-            deadline=(
-                pending.deadline
-                if transaction.answered
-                else pending.find_start_deadline(endpoint)
-            ),
-            continues=transaction.answered,
-        )
+        admitted = pending.describe_work(endpoint)
+        if transaction.answered:
+            admitted = dataclasses.replace(
+                admitted,
+                level=admission_controller.MOST_URGENT,
+                deadline=pending.deadline,
+                continues=True,
+            )
         try:
             ticket = await endpoint.admission.acquire(admitted)
         except errors.NotRun as error:
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -1,9 +1,9 @@
 """Admission of work to one endpoint, at the endpoint's owner.
 
 More urgent ranks are served first, after each rank has had the share of
-the service time that its floor guarantees. Within a rank, kinds and callers
-share fairly. Work that cannot meet its deadline is refused on arrival, and
-no more runs at a time than the endpoint has slots.
+the service time that its floor guarantees. Within a rank, tenants, kinds and
+callers share fairly. Work that cannot meet its deadline is refused on
+arrival, and no more runs at a time than the endpoint has slots.
 """
 
 import collections
@@ -13,6 +13,7 @@
 
 import expression
 
+from fescuestile import admission_batches
 from fescuestile import admission_options
 from fescuestile import concurrency
 from fescuestile import errors
@@ -28,32 +29,14 @@
 # Stale entries tolerated before the heap of deadlines is compacted.
 MAX_STALE_EXPIRIES = 64
 
+Drop = admission_batches.Drop
+Batch = admission_batches.Batch
 Work = fair_queue.Work
 Ticket = fair_queue.Ticket
 AdmissionOptions = admission_options.AdmissionOptions
 create_options = admission_options.create_options
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drop:
-    """Queued work that was dropped and will not run."""
-
-    ticket: Ticket
-    error: errors.NotRun
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Work that leaves the queue at one moment.
-
-    :ivar started: work to run now
-    :ivar dropped: work that will not run, with the errors for its callers
-    """
-
-    started: tuple[Ticket, ...]
-    dropped: tuple[Drop, ...]
-
-
 def describe_work(request: requests.Request) -> Work:
     """Return the part of a request that admission decides by."""
     return Work(
@@ -132,7 +115,7 @@
         if work.deadline <= now:
             return expression.Error(self._refuse("the deadline passed", 0.0))
         if not self._can_start_at_once() and not work.continues:
-            wait = self.expected_wait(work.level, now, work.kind, work.caller)
+            wait = self.estimate_wait(work, now)
             late = self.estimate_lateness(wait, work.kind, work.deadline, now)
             if late > 0:
                 message = f"expected wait of {wait:.3f} s exceeds the deadline"
@@ -163,6 +146,10 @@
         """Return how many work items of a rank wait."""
         return len(self._get_rank(level).queue)
 
+    def count_ahead(self, work: Work) -> int:
+        """Return about how many work items of its rank start before work."""
+        return self._get_rank(work.level).queue.count_ahead(work)
+
     def dequeue(
         self, now: float, levels: typing.Collection[int] | None = None
     ) -> Batch:
@@ -206,7 +193,7 @@
         self._running -= 1
         kind = ticket.work.kind
         rank = self._get_rank(ticket.work.level)
-        rank.queue.charge(kind, seconds - ticket.cost)
+        rank.queue.charge(ticket.work, seconds - ticket.cost)
         self._running_cost -= ticket.cost
         self._distribute_credit(rank, seconds - ticket.cost, ticket.uses_floor)
         if not measured:
@@ -249,10 +236,14 @@
         :param kind: kind of the new work; empty to wait behind all its rank
         :param caller: caller of the new work
         """
+        return self.estimate_wait(Work(level, kind, caller, now), now)
+
+    def estimate_wait(self, work: Work, now: float) -> float:
+        """Return the seconds that work is expected to wait if offered now."""
         if self._can_start_at_once():
             return 0.0
-        clamped = self._clamp_level(level)
-        return self._estimate_waits().estimate_wait(clamped, now, kind, caller)
+        level = self._clamp_level(work.level)
+        return self._estimate_waits().estimate_wait(level, now, work)
 
     def next_expiry(self) -> float | None:
         """Return the earliest deadline in monotonic seconds, if work waits.
@@ -329,12 +320,11 @@
     ) -> errors.NotRun | None:
         """Drop the newest work of the longest flow, or refuse the new work."""
         newest = rank.queue.find_eviction_candidate()
-        flow = (newest.work.kind, newest.work.caller)
-        refuses = flow == (work.kind, work.caller) and not work.continues
-        refused = work if refuses else newest.work
-        wait = self.expected_wait(
-            refused.level, now, refused.kind, refused.caller
+        flow = (newest.work.tenant, newest.work.kind, newest.work.caller)
+        refuses = flow == (work.tenant, work.kind, work.caller) and (
+            not work.continues
         )
+        wait = self.estimate_wait(work if refuses else newest.work, now)
         error = self._refuse("the rank's queue is full", wait)
         if refuses:
             return error
@@ -368,7 +358,7 @@
         if late > 0 and self._running and not ticket.work.continues:
             self._drop(ticket, "too little time left before the deadline")
             return None
-        rank.queue.charge(ticket.work.kind, cost)
+        rank.queue.charge(ticket.work, cost)
         rank.record_cost(cost)
         ticket.uses_floor = rank is not most_urgent
         ticket.started_at = now
--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -1,131 +1,27 @@
-"""Queue of one rank, fair among kinds of work and among callers.
+"""Queue of one rank, fair among tenants, kinds of work and callers.
 
-Kinds share by service time (start-time fair queueing), the callers of a
-kind are served round-robin, and one caller's work stays in order. An
-overload of one kind, or by one caller, therefore lengthens only its own
-queue.
+Tenants share by service time and weight, the kinds of a tenant by service
+time (both by start-time fair queueing), the callers of a kind are served
+round-robin, and one caller's work stays in order. An overload of one tenant,
+of one kind, or by one caller, therefore lengthens only its own queue.
 """
 
-import collections
-import dataclasses
+import collections.abc
+import heapq
+import operator
 import typing
 
+from fescuestile import tenant_queue
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Work:
-    """The part of a request that admission decides by.
+Work = tenant_queue.Work
+Ticket = tenant_queue.Ticket
 
-    :ivar level: index of the rank, 0 for the most urgent
-    :ivar kind: kind of work
-    :ivar caller: caller that sent the request
-    :ivar deadline: monotonic seconds after which the caller has no use for
-        an answer
-    :ivar continues: whether the request belongs to a transaction that is
-        already open
-    """
+# Idle tenants that a queue keeps before it looks for some to remove; tenants
+# come and go with the configuration.
+MAX_IDLE_TENANTS = 128
 
-    level: int
-    kind: str
-    caller: str
-    deadline: float
-    continues: bool = False
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class Ticket:
-    """One work item in a queue or in a slot.
-
-    :ivar work: the work
-    :ivar offered_at: monotonic seconds
-    :ivar started_at: monotonic seconds, None while it holds no slot
-    :ivar cost: seconds of service charged at the start
-    :ivar uses_floor: whether it started before more urgent work, out of its
-        rank's guaranteed share
-    """
-
-    work: Work
-    offered_at: float
-    started_at: float | None = None
-    cost: float = 0.0
-    uses_floor: bool = False
-
-
-_Flow: typing.TypeAlias = "collections.OrderedDict[Ticket, None]"
-
-
-class _KindQueue:
-    """Work of one kind: a flow for each caller, served round-robin."""
-
-    def __init__(self) -> None:
-        self.length = 0
-        self.finish_tag = 0.0
-        self._flows: collections.OrderedDict[str, _Flow] = (
-            collections.OrderedDict()
-        )
-        # Callers by the length of their flows, to find the longest.
-        self._callers_by_length: dict[int, dict[str, None]] = {}
-        self._longest = 0
-
-    def push(self, ticket: Ticket) -> None:
-        caller = ticket.work.caller
-        flow = self._flows.get(caller)
-        if flow is None:
-            flow = self._flows[caller] = collections.OrderedDict()
-        flow[ticket] = None
-        if ticket.work.continues:
-            flow.move_to_end(ticket, last=False)
-            self._flows.move_to_end(caller, last=False)
-        self.length += 1
-        self._record_length(caller, len(flow) - 1, len(flow))
-
-    def pop(self) -> Ticket:
-        caller, flow = next(iter(self._flows.items()))
-        ticket = next(iter(flow))
-        self.remove(ticket)
-        if flow:
-            self._flows.move_to_end(caller)
-        return ticket
-
-    def remove(self, ticket: Ticket) -> bool:
-        caller = ticket.work.caller
-        flow = self._flows.get(caller)
-        if flow is None or ticket not in flow:
-            return False
-        del flow[ticket]
-        if not flow:
-            del self._flows[caller]
-        self.length -= 1
-        self._record_length(caller, len(flow) + 1, len(flow))
-        return True
-
-    def __contains__(self, ticket: Ticket) -> bool:
-        return ticket in self._flows.get(ticket.work.caller, ())
-
-    def list_tickets(self) -> typing.Iterator[Ticket]:
-        for flow in self._flows.values():
-            yield from flow
-
-    def find_newest(self) -> Ticket:
-        """Return the newest ticket of the caller with the longest flow."""
-        caller = next(reversed(self._callers_by_length[self._longest]))
-        return next(reversed(self._flows[caller]))
-
-    def count_ahead(self, caller: str) -> int:
-        """Return how many tickets are served before new work of a caller."""
-        flow = self._flows.get(caller)
-        rounds = len(flow) + 1 if flow else 1
-        return min(self.length, rounds * len(self._flows))
-
-    def _record_length(self, caller: str, before: int, after: int) -> None:
-        lengths = self._callers_by_length
-        if before:
-            del lengths[before][caller]
-            if not lengths[before]:
-                del lengths[before]
-        if after:
-            lengths.setdefault(after, {})[caller] = None
-        if after > self._longest or self._longest not in lengths:
-            self._longest = after
+# Returns the mean service time of a kind, in seconds.
+_GetService: typing.TypeAlias = collections.abc.Callable[[str], float]
 
 
 class FairQueue:
@@ -135,8 +31,8 @@
         """Initialize an empty queue."""
         self._length = 0
         self._virtual_time = 0.0
-        self._kinds: dict[str, _KindQueue] = {}
-        self._waiting: dict[str, _KindQueue] = {}
+        self._tenants: dict[str, tenant_queue.TenantQueue] = {}
+        self._waiting: dict[str, tenant_queue.TenantQueue] = {}
 
     def __len__(self) -> int:
         """Return the number of waiting tickets."""
@@ -145,18 +41,19 @@
     @property
     def next_kind(self) -> str:
         """Kind that is served next; the queue must not be empty."""
-        return min(self._waiting, key=self._get_finish_tag)
+        return self._waiting[self._next_tenant].next_kind
 
     def push(self, ticket: Ticket) -> None:
         """Enqueue a ticket."""
-        name = ticket.work.kind
-        kind = self._kinds.get(name)
-        if kind is None:
-            kind = self._kinds[name] = _KindQueue()
-        if not kind.length:
-            kind.finish_tag = max(kind.finish_tag, self._virtual_time)
-            self._waiting[name] = kind
-        kind.push(ticket)
+        name = ticket.work.tenant
+        tenant = self._tenants.get(name)
+        if tenant is None:
+            self._remove_idle_tenants()
+            tenant = self._tenants[name] = tenant_queue.TenantQueue()
+        if not tenant.length:
+            tenant.finish_tag = max(tenant.finish_tag, self._virtual_time)
+            self._waiting[name] = tenant
+        tenant.push(ticket)
         self._length += 1
 
     def pop(self) -> Ticket:
@@ -166,73 +63,141 @@
         """
         if not self._waiting:
             raise IndexError("pop from an empty queue")
-        name = self.next_kind
-        kind = self._waiting[name]
-        self._virtual_time = kind.finish_tag
-        ticket = kind.pop()
-        self._on_removed(name, kind)
+        name = self._next_tenant
+        tenant = self._waiting[name]
+        self._virtual_time = tenant.finish_tag
+        ticket = tenant.pop()
+        self._on_removed(name, tenant)
         return ticket
 
-    def charge(self, kind: str, seconds: float) -> None:
-        """Charge service time to a kind; a negative amount is a refund."""
-        queue = self._kinds.get(kind)
-        if queue is not None:
-            queue.finish_tag += seconds
+    def charge(self, work: Work, seconds: float) -> None:
+        """Charge service time to work; a negative amount is a refund."""
+        tenant = self._tenants.get(work.tenant)
+        if tenant is not None:
+            tenant.charge(work, seconds)
 
     def remove(self, ticket: Ticket) -> bool:
         """Remove a ticket; return whether it waited here."""
-        kind = self._kinds.get(ticket.work.kind)
-        if kind is None or not kind.remove(ticket):
+        tenant = self._tenants.get(ticket.work.tenant)
+        if tenant is None or not tenant.remove(ticket):
             return False
-        self._on_removed(ticket.work.kind, kind)
+        self._on_removed(ticket.work.tenant, tenant)
         return True
 
     def __contains__(self, ticket: Ticket) -> bool:
         """Return whether a ticket waits here."""
-        kind = self._waiting.get(ticket.work.kind)
-        return kind is not None and ticket in kind
+        tenant = self._waiting.get(ticket.work.tenant)
+        return tenant is not None and ticket in tenant
 
     def find_eviction_candidate(self) -> Ticket:
         """Return the ticket to drop when the queue is full.
 
-        It is the newest ticket of the longest flow of the kind with the most
-        waiting work.
+        It is of the tenant with the most waiting work: the newest ticket of
+        the longest flow of its kind with the most waiting work.
 
         :raises ValueError: the queue is empty
         """
-        longest = max(self._waiting.values(), key=lambda kind: kind.length)
+        longest = max(self._waiting.values(), key=lambda each: each.length)
         return longest.find_newest()
 
-    def list_ahead(
-        self, kind: str, caller: str
-    ) -> typing.Iterator[tuple[str, int]]:
-        """Yield kinds and how many tickets of each go before new work.
+    def measure_ahead(self, work: Work, get_service: _GetService) -> float:
+        """Return the seconds of service that are given before new work.
 
-        :param kind: kind of the new work
-        :param caller: caller of the new work
+        :param work: the new work
+        :param get_service: returns the mean service time of a kind
+        """
+        own = self._waiting.get(work.tenant)
+        ahead = 0.0
+        if own is not None:
+            ahead = _sum_service(
+                own.list_ahead(work.kind, work.caller), get_service
+            )
+        known = own or self._tenants.get(work.tenant)
+        tag = self._virtual_time
+        if known is not None:
+            tag = max(tag, known.finish_tag)
+        tag += ahead / work.weight
+        for other in self._waiting.values():
+            if other is own or other.finish_tag > tag:
+                continue
+            # It is served until its tag has passed that of the new work.
+            waiting = _sum_service(other.list_waiting(), get_service)
+            until = (tag - other.finish_tag) * other.weight
+            ahead += min(waiting, until + waiting / other.length)
+        return ahead
+
+    def count_ahead(self, work: Work) -> int:
+        """Return about how many tickets start before new work.
+
+        All waiting work of its tenant is counted, whatever the kind.
         """
-        own = self._waiting.get(kind)
-        ahead = own.count_ahead(caller) if own else 0
-        for name, other in self._waiting.items():
-            if other is own:
-                yield name, ahead
-            else:
-                yield name, min(other.length, ahead + 1)
+        own = self._waiting.get(work.tenant)
+        ahead = own.length if own is not None else 0
+        rounds = (ahead + 1) / work.weight
+        for other in self._waiting.values():
+            if other is not own:
+                ahead += min(other.length, round(rounds * other.weight + 0.5))
+        return ahead
 
     def list_waiting(self) -> typing.Iterator[tuple[str, int]]:
-        """Yield kinds and how many tickets of each wait."""
-        for name, kind in self._waiting.items():
-            yield name, kind.length
+        """Yield kinds and how many tickets of each wait, by tenant."""
+        for tenant in self._waiting.values():
+            yield from tenant.list_waiting()
 
-    def list_tickets(self) -> typing.Iterator[Ticket]:
-        """Yield waiting tickets, oldest first within a kind and caller."""
-        for kind in self._waiting.values():
-            yield from kind.list_tickets()
+    def list_tickets(
+        self, get_service: _GetService
+    ) -> typing.Iterator[Ticket]:
+        """Yield waiting tickets in the order in which tenants are served.
+
+        Within a tenant, tickets of one kind and caller are in order.
+
+        :param get_service: returns the mean service time of a kind
+        """
+        tagged = heapq.merge(
+            *(
+                _tag_tickets(tenant, get_service)
+                for tenant in self._waiting.values()
+            ),
+            key=operator.itemgetter(0),
+        )
+        for _, ticket in tagged:
+            yield ticket
+
+    @property
+    def _next_tenant(self) -> str:
+        return min(self._waiting, key=self._get_finish_tag)
 
     def _get_finish_tag(self, name: str) -> float:
         return self._waiting[name].finish_tag
 
-    def _on_removed(self, name: str, kind: _KindQueue) -> None:
+    def _on_removed(self, name: str, tenant: tenant_queue.TenantQueue) -> None:
         self._length -= 1
-        if not kind.length:
+        if not tenant.length:
             del self._waiting[name]
+
+    def _remove_idle_tenants(self) -> None:
+        """Remove idle tenants that have received no more than others.
+
+        A new queue starts at the virtual time too, so the order is kept.
+        """
+        if len(self._tenants) < len(self._waiting) + MAX_IDLE_TENANTS:
+            return
+        for name, tenant in list(self._tenants.items()):
+            if not tenant.length and tenant.finish_tag <= self._virtual_time:
+                del self._tenants[name]
+
+
+def _sum_service(
+    counts: typing.Iterable[tuple[str, int]], get_service: _GetService
+) -> float:
+    return sum(get_service(kind) * count for kind, count in counts)
+
+
+def _tag_tickets(
+    tenant: tenant_queue.TenantQueue, get_service: _GetService
+) -> typing.Iterator[tuple[float, Ticket]]:
+    """Yield a tenant's tickets with the tags at which they are served."""
+    tag = tenant.finish_tag
+    for ticket in tenant.list_tickets():
+        yield tag, ticket
+        tag += get_service(ticket.work.kind) / ticket.work.weight
--- a/packages/fescuestile/src/fescuestile/waits.py
+++ b/packages/fescuestile/src/fescuestile/waits.py
@@ -65,21 +65,21 @@
     running_cost: float
 
     def estimate_wait(
-        self, level: int, now: float, kind: str, caller: str
+        self, level: int, now: float, work: fair_queue.Work
     ) -> float:
         """Return the seconds that new work is expected to wait.
 
         :param level: rank of the new work
         :param now: monotonic seconds
-        :param kind: kind of the new work; empty to assume that it waits
+        :param work: the new work; with an empty kind it is assumed to wait
             behind all queued work of its rank
-        :param caller: caller of the new work
         """
         rank = self.ranks[level]
-        ahead = self._sum_service(
-            rank.queue.list_ahead(kind, caller)
+        kind = work.kind
+        ahead = (
+            rank.queue.measure_ahead(work, self.times.get_mean)
             if kind
-            else rank.queue.list_waiting()
+            else self._sum_service(rank.queue.list_waiting())
         )
         # Running work is half done on average.
         until_free = self.running_cost / 2 / self.slots
@@ -108,7 +108,7 @@
         for level, rank in enumerate(self.ranks):
             kept = 0
             own = 0.0
-            for ticket in rank.queue.list_tickets():
+            for ticket in rank.queue.list_tickets(self.times.get_mean):
                 cost = self.times.get_mean(ticket.work.kind)
                 wait = (ahead + own) / self.slots
                 if rank.floor > 0:
