--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -179,9 +179,15 @@
         """Remove idle tenants that have received no more than others.
 
         A new queue starts at the virtual time too, so the order is kept.
+        While nothing waits, the virtual time hardly advances, and no tenant
+        needs to wait for what it received.
         """
         if len(self._tenants) < len(self._waiting) + MAX_IDLE_TENANTS:
             return
+        if not self._waiting:
+            self._virtual_time = max(
+                tenant.finish_tag for tenant in self._tenants.values()
+            )
         for name, tenant in list(self._tenants.items()):
             if not tenant.length and tenant.finish_tag <= self._virtual_time:
                 del self._tenants[name]
