Share an endpoint's connections among tenants by their worth

Cause: a full pool closed the connection idle for longest, transactions could hold all connections, and a request of one tenant was woken for the connection of another, which it could not use. Change: the least needed idle connection is closed, transactions hold a bounded part while the pool is shared, those that rest are rolled back while others wait, requests are woken that can proceed, and a pool may retain its connections.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
@@ -18,6 +18,16 @@
         the less time the fewer are left
     :ivar idle_connection: idle time after which a connection is closed
     :ivar scarce_idle: the same while connections are scarce
+    :ivar retained_idle: the same in a pool that retains its connections,
+        however few are left
+    :ivar use_window: time over which the use of connections by tenants is
+        averaged when one is closed for another's
+    :ivar transaction_share: share of the connections that one daemon may
+        open that all transactions together may hold
+    :ivar tenant_transaction_share: the same of one tenant's transactions
+        while work of other tenants waits for a connection
+    :ivar resting_transaction: a transaction without a statement for this
+        time is rolled back while others wait for a connection
     :ivar free_connection_timeout: longest wait of a read for a free
         connection before another endpoint is tried
     :ivar dial_delay: while an endpoint's connections are not plentiful, a
@@ -83,6 +93,11 @@
     scarce_above: float = 0.8
     idle_connection: float = 5.0
     scarce_idle: float = 0.3
+    retained_idle: float = 30.0
+    use_window: float = 120.0
+    transaction_share: float = 0.75
+    tenant_transaction_share: float = 0.25
+    resting_transaction: float = 0.5
     free_connection_timeout: float = 0.05
     dial_delay: float = 0.03
     refused_delay: float = 0.1
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
@@ -18,6 +18,7 @@
     :ivar values: session values set on it
     :ivar prepared: prepared statements on it, by name
     :ivar used_at: monotonic seconds of its last answer
+    :ivar used_level: rank of the work that used it last
     :ivar opened_at: monotonic seconds at which it had been opened, or the
         one that it replaces after this daemon closed that because it was idle
     """
@@ -27,6 +28,7 @@
     values: dict[str, str]
     prepared: dict[str, messages.Shape]
     used_at: float
+    used_level: int = 0
     opened_at: float = math.inf
 
     @property
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
@@ -243,10 +243,12 @@
         """Record which share of the endpoint's connections is in use.
 
         While connections are scarce, one slot is used here, so that work
-        waits for admission, by rank, and not for a connection.
+        waits for admission, by rank, and not for a connection. A pool that
+        retains its connections has some for each slot.
         """
         self.pool.usage = usage
-        slots = 1 if self.pool.is_scarce else max(1, self.entry.slots)
+        is_short = self.pool.is_scarce and not self.pool.is_retaining
+        slots = 1 if is_short else max(1, self.entry.slots)
         self.admission.queue.set_slots(slots)
 
     def record_round_trip(self, seconds: float, reported: bool) -> None:
@@ -359,7 +361,7 @@
             is_primary=is_primary,
             is_same_zone=self.entry.zone == zone,
             lags=self.lacks_position(wanted),
-            is_connected=self.pool.has_idle,
+            is_connected=self.pool.has_idle_for(work.tenant),
         )
 
     def estimate_failures(self) -> float:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -185,6 +185,7 @@
                     pending.session.values,
                     holds=holds,
                     tenant=pending.session.tenant,
+                    level=pending.route.level,
                 )
         except TimeoutError:
             return messages.Outcome(Kind.BUSY, detail="no free connection")
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -13,6 +13,7 @@
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.endpoints import endpoint_states
+from fescuestile_daemon.relay.endpoints import pool
 from fescuestile_daemon.relay.groups import groups
 
 Kind = messages.Kind
@@ -143,6 +144,9 @@
         self._task: asyncio.Task[None] | None = None
         self._disconnected = False
         self._idle_timer: asyncio.TimerHandle | None = None
+        self._resting: (
+            tuple[pool.ConnectionPool, ports.EndpointConnection] | None
+        ) = None
 
     @property
     def busy(self) -> bool:
@@ -186,6 +190,7 @@
     async def _run(self) -> None:
         try:
             while self._queue and not self._disconnected:
+                self._stop_idle_timer()
                 arrival = self._queue.popleft()
                 outcome = self._answer_locally(arrival)
                 if outcome is None:
@@ -327,22 +332,30 @@
 
     def _start_idle_timer(self) -> None:
         self._stop_idle_timer()
-        if (
-            self._transaction is not None
-            and self._transaction.connection is not None
-        ):
-            self._idle_timer = asyncio.get_running_loop().call_later(
-                self._executor.idle_transaction, self._expire_transaction
+        transaction = self._transaction
+        if transaction is None or transaction.connection is None:
+            return
+        self._idle_timer = asyncio.get_running_loop().call_later(
+            self._executor.idle_transaction, self._expire_transaction
+        )
+        if transaction.endpoint is not None:
+            self._resting = transaction.endpoint.pool, transaction.connection
+            transaction.endpoint.pool.rest(
+                transaction.connection, self._expire_transaction
             )
 
     def _stop_idle_timer(self) -> None:
+        if self._resting is not None:
+            connections, connection = self._resting
+            connections.resume(connection)
+            self._resting = None
         if self._idle_timer is not None:
             self._idle_timer.cancel()
             self._idle_timer = None
 
     def _expire_transaction(self) -> None:
         """Fail and roll back a transaction that was idle for too long."""
-        self._idle_timer = None
+        self._stop_idle_timer()
         transaction = self._transaction
         if transaction is not None and self._task is None:
             transaction.failed = True
