--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/connections_in_use.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/connections_in_use.py
@@ -140,13 +140,19 @@
             return since + self._limit
         return math.inf
 
-    def expire(self, wanted: int, now: float) -> None:
+    def expire(self, wanted: int, now: float) -> bool:
         """Roll back those that have rested for too long, oldest first.
 
         :param wanted: requests that wait for a connection
+        :returns: whether there were any
         """
-        while len(self._ending) < wanted and self.find_next() <= now:
+        expired = False
+        for _ in range(wanted - len(self._ending)):
+            if self.find_next() > now:
+                break
             connection = next(iter(self._resting))
             _, expire = self._resting.pop(connection)
             self._ending.add(connection)
+            expired = True
             expire()
+        return expired
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -220,7 +220,9 @@
         """
         request.is_blocked = True
         now = time.monotonic()
-        self._in_use.resting.expire(self._requests.count_blocked() + 1, now)
+        wanted = self._requests.count_blocked() + 1
+        if self._in_use.resting.expire(wanted, now):
+            return 0.0
         times = [self._in_use.resting.find_next(), self.failed_until]
         times = [at for at in times if now < at < math.inf]
         return min(times) - now if times else None
