--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
@@ -130,8 +130,8 @@
 
     def _remove(self, key: tuple[str, str]) -> None:
         served = self._transactions.pop(key, None)
-        if served is not None and served.timer is not None:
-            served.timer.cancel()
+        if served is not None:
+            self._resume(served)
 
     async def handle(
         self, peer: str, request: dict[str, typing.Any]
@@ -249,9 +249,7 @@
         self._recorder.count(
             "statements_for_peers", served.transaction.route.group
         )
-        if served.timer is not None:
-            served.timer.cancel()
-            served.timer = None
+        self._resume(served)
         served.running = True
         is_open = False
         try:
@@ -268,13 +266,34 @@
                 self._remove(key)
                 self._local.abandon(served.transaction)
         if is_open and not served.is_lost:
-            served.timer = asyncio.get_running_loop().call_later(
-                self._local.idle_transaction + IDLE_MARGIN_SECONDS,
-                self._give_up,
-                key,
-            )
+            self._rest(served, key)
         return Answer(outcome=outcome, last_write=served.session.last_write)
 
+    def _rest(self, served: _Served, key: tuple[str, str]) -> None:
+        """Let a transaction wait for the next statement of its caller."""
+        served.timer = asyncio.get_running_loop().call_later(
+            self._local.idle_transaction + IDLE_MARGIN_SECONDS,
+            self._give_up,
+            key,
+        )
+        transaction = served.transaction
+        if transaction.endpoint is not None and (
+            transaction.connection is not None
+        ):
+            transaction.endpoint.pool.rest(
+                transaction.connection, lambda: self._give_up(key)
+            )
+
+    def _resume(self, served: _Served) -> None:
+        if served.timer is not None:
+            served.timer.cancel()
+            served.timer = None
+        transaction = served.transaction
+        if transaction.endpoint is not None and (
+            transaction.connection is not None
+        ):
+            transaction.endpoint.pool.resume(transaction.connection)
+
     def _make_answer(
         self,
         session: sessions.Session,
