--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -14,6 +14,7 @@
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.groups import directory
 from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.peers import allowance_exchange
 from fescuestile_daemon.relay.peers import sampling
 from fescuestile_daemon.relay.records import member_records
 from fescuestile_daemon.relay.records import member_store
@@ -69,8 +70,16 @@
         self.sessions: set[sessions.Session] = set()
         self._options = relay_options
         self._clock = boot_clock
+        # It limits nothing until it is started, beside the list of peers.
+        self.limiter = allowance_exchange.AllowanceExchange(
+            name,
+            relay_options.quota,
+            self.directory,
+            boot_clock,
+            self.recorder,
+        )
         self._execution = execution.StatementExecutor(
-            self.directory, relay_options, self.recorder, zone
+            self.directory, relay_options, self.recorder, zone, self.limiter
         )
         self.sampler = sampling.PositionSampler(
             name, zone, self.directory.groups.get, boot_clock
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from fescuestile import allowances
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayOptions:
@@ -75,6 +77,7 @@
         is still counted
     :ivar refuse_after: current reads are refused at once when no majority
         was reached for this time
+    :ivar quota: how far operations of a tenant may exceed its limit
     """
 
     connection_share: float = 0.25
@@ -112,3 +115,4 @@
     leaving_limit: float = 4.0
     removal_delay: float = 3.0
     refuse_after: float = 0.8
+    quota: allowances.Quota = allowances.DEFAULT_QUOTA
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -57,6 +57,11 @@
         """Seconds after which an idle transaction is rolled back."""
         return self.table.idle_transaction
 
+    @property
+    def tenant_table(self) -> tenants.TenantTable:
+        """Tenants of the configuration in force."""
+        return self.table.tenant_table
+
     def find_route(self, database: str) -> routes.Route | None:
         """Return the route in force for a database."""
         return self.table.routes.get(database)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -11,6 +11,7 @@
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.peers import allowance_exchange
 from fescuestile_daemon.relay.statements import attempts
 from fescuestile_daemon.relay.statements import choice
 from fescuestile_daemon.relay.statements import sessions
@@ -51,11 +52,14 @@
         relay_options: options.RelayOptions,
         recorder: events.Recorder,
         zone: str,
+        limiter: allowance_exchange.Limiter,
     ) -> None:
         """Initialize with the routes in force and the limits.
 
         :param zone: this daemon's availability zone
+        :param limiter: enforces the limits of tenants
         """
+        self._limiter = limiter
         self._directory = directory
         self._options = relay_options
         self._recorder = recorder
@@ -84,6 +88,14 @@
         """Seconds after which an idle transaction is rolled back."""
         return self._directory.idle_transaction
 
+    async def admit(
+        self, session: sessions.Session
+    ) -> messages.Outcome | None:
+        """Count an operation against its tenant's limit."""
+        if session.tenant == tenants.ANONYMOUS:
+            return None
+        return await self._limiter.admit(session.tenant)
+
     async def run_single(
         self,
         session: sessions.Session,
