--- a/tests/unit/test_allowances.py
+++ b/tests/unit/test_allowances.py
@@ -74,9 +74,7 @@
 
     def start(self, name):
         self.daemons[name] = Daemon(name, self.now, self.limit)
-        self.registered.setdefault(
-            name, position_sharing.Peer(name, "", name)
-        )
+        self.registered.setdefault(name, position_sharing.Peer(name, "", name))
         self.list_peers(name)
 
     def list_peers(self, name):
@@ -134,9 +132,7 @@
     @stateful.rule(data=strategies.data(), repeated=strategies.booleans())
     def deliver(self, data, repeated):
         if self.messages:
-            index = data.draw(
-                strategies.integers(0, len(self.messages) - 1)
-            )
+            index = data.draw(strategies.integers(0, len(self.messages) - 1))
             self.handle(*self.messages[index])
             if not repeated:
                 del self.messages[index]
@@ -161,9 +157,7 @@
         if daemon is None:
             return
         now = self.now + daemon.offset
-        message = allowance_messages.decode(
-            allowance_messages.encode(message)
-        )
+        message = allowance_messages.decode(allowance_messages.encode(message))
         if isinstance(message, allowance_messages.Ask):
             self.send(to, sender, daemon.coordinator.answer(message, now))
             return
