--- a/packages/fescuestile/src/fescuestile/allowance_buckets.py
+++ b/packages/fescuestile/src/fescuestile/allowance_buckets.py
@@ -5,14 +5,11 @@
 """
 
 import dataclasses
-import itertools
 import math
 
 from fescuestile import allowances
 from fescuestile import tenants
 
-# More low points than this are merged, which only lowers the buckets.
-MAX_LOW_POINTS = 32
 # Rounding must not withhold a token that is whole.
 _ROUNDING = 1e-9
 # Longest time for which a requester is told to wait; the share may grow.
@@ -50,15 +47,6 @@
         while points and points[-1][1] >= low:
             points.pop()
         points.append((self.total, low))
-        if len(points) > MAX_LOW_POINTS:
-            gaps = [
-                after[0] - before[0]
-                for before, after in itertools.pairwise(points)
-            ]
-            first = gaps.index(min(gaps))
-            points[first : first + 2] = [
-                (points[first + 1][0], points[first][1])
-            ]
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/fescuestile/src/fescuestile/allowance_coordinator.py
+++ b/packages/fescuestile/src/fescuestile/allowance_coordinator.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 
 from fescuestile import allowance_buckets
 from fescuestile import allowance_messages
@@ -12,6 +13,11 @@
 # A smaller number of daemons takes effect after this time: a daemon that the
 # store forgot has registered and been listed again by then.
 DAEMONS_SECONDS = 30.0
+# Larger shares are rounded down to a multiple of 1 / SHARE_STEPS, unless all
+# daemons are lessors: each bucket that is used looks at the shares from which
+# the present one rose, and thousands of lessors may start one by one.
+SHARE_STEPS = 128
+EXACT_LESSORS = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,4 +149,8 @@
     def _update_share(self, now: float) -> None:
         # More lessors than known daemons must not add up to more than one.
         daemons = max(self._count_daemons(now), len(self._lessors), 1)
-        self._history.change(self._count(now) / daemons)
+        count = self._count(now)
+        share = count / daemons
+        if count > EXACT_LESSORS:
+            share = math.floor(share * SHARE_STEPS) / SHARE_STEPS
+        self._history.change(share)
