--- a/packages/fescuestile/src/fescuestile/allowance_buckets.py
+++ b/packages/fescuestile/src/fescuestile/allowance_buckets.py
@@ -62,7 +62,8 @@
 
     def __init__(self, quota: allowances.Quota, history: ShareHistory) -> None:
         """Initialize without tenants."""
-        self._quota = quota
+        self._spare = quota.spare
+        self._rate_factor = quota.rate_factor
         self._history = history
         self._limits: dict[str, tenants.Tenant] = {}
         # A bucket that was not used yet is bounded by the low points alone.
@@ -102,10 +103,10 @@
         return taken, min(max(wait, MIN_WAIT_SECONDS), MAX_WAIT_SECONDS)
 
     def _get_rate(self, limit: tenants.Tenant) -> float:
-        return limit.rate * self._quota.rate_factor
+        return limit.rate * self._rate_factor
 
     def _compute_capacity(self, limit: tenants.Tenant, share: float) -> float:
-        return self._quota.compute_capacity(limit.burst, share)
+        return (limit.burst + self._spare) * share
 
     def _compute(self, limit: tenants.Tenant) -> float:
         """Return the tokens in the bucket of a tenant."""
@@ -115,10 +116,11 @@
         level = self._levels.get(limit.name)
         if level is not None:
             tokens = min(tokens, level.tokens + rate * (total - level.total))
-        for low_total, share in self._history.low_points:
-            tokens = min(
-                tokens,
-                self._compute_capacity(limit, share)
-                + rate * (total - low_total),
-            )
+        for low_total, share in reversed(self._history.low_points):
+            filled = rate * (total - low_total)
+            if filled >= tokens:
+                # It has filled up since then, so earlier points do not count.
+                break
+            capacity = self._compute_capacity(limit, share)
+            tokens = min(tokens, capacity + filled)
         return tokens
--- a/packages/fescuestile/src/fescuestile/allowance_messages.py
+++ b/packages/fescuestile/src/fescuestile/allowance_messages.py
@@ -6,10 +6,10 @@
 
 import collections.abc
 import dataclasses
+import functools
+import importlib
 import typing
 
-import cbor2
-
 # First byte; the questions and answers about positions begin with a letter.
 PREFIX = b"\x01"
 MAX_DATAGRAM_BYTES = 8192
@@ -76,6 +76,12 @@
     )
 
 
+@functools.cache
+def _load_cbor() -> typing.Any:
+    """Import the library, which only daemons with limited tenants need."""
+    return importlib.import_module("cbor2")
+
+
 def encode(message: Ask | Grant) -> bytes:
     """Return the datagram of a message."""
     body: list[typing.Any]
@@ -102,7 +108,7 @@
                 for name, (count, wait) in message.tokens.items()
             },
         ]
-    return PREFIX + cbor2.dumps(body)
+    return PREFIX + bytes(_load_cbor().dumps(body))
 
 
 def decode(datagram: bytes) -> Ask | Grant | None:
@@ -110,7 +116,7 @@
     if len(datagram) > MAX_DATAGRAM_BYTES or datagram[:1] != PREFIX:
         return None
     try:
-        body = cbor2.loads(datagram[1:])
+        body = _load_cbor().loads(datagram[1:])
         if body[0] == _ASK:
             _, number, name, daemons, is_listed, echo, demand = body
             return Ask(
--- a/packages/fescuestile/src/fescuestile/allowances.py
+++ b/packages/fescuestile/src/fescuestile/allowances.py
@@ -79,10 +79,6 @@
         """Tokens that all buckets of a tenant may hold beyond its burst."""
         return SPARE_SHARE * self.slack
 
-    def compute_capacity(self, burst: float, share: float) -> float:
-        """Return how many tokens a bucket holds at a share of the limit."""
-        return (burst + self.spare) * share
-
     def compute_bound(self, rate: float, burst: float) -> float:
         """Return how many operations may run in one window."""
         allowed = rate * self.window + burst
--- a/tests/relay/peers/allowance_worlds.py
+++ b/tests/relay/peers/allowance_worlds.py
@@ -67,8 +67,8 @@
         self.registered = {}
         self.runs = collections.defaultdict(list)
         self.offered = collections.Counter()
-        self.datagrams = collections.Counter()
-        self.bytes = collections.Counter()
+        self.datagrams: collections.Counter[str] = collections.Counter()
+        self.bytes: collections.Counter[str] = collections.Counter()
         self.largest = 0
         for number in range(daemons):
             self.start(str(number))
--- a/tests/relay/peers/test_allowance_admission.py
+++ b/tests/relay/peers/test_allowance_admission.py
@@ -6,8 +6,8 @@
 
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
-from tests import virtual_time
 from tests.relay.peers import allowance_worlds
+from tests import virtual_time
 
 SECONDS = 12.0
 # All daemons lease by then, and buckets of a burst of half a second are full.
@@ -35,7 +35,7 @@
     await asyncio.sleep(START_SECONDS)
     if cut:
         world.cut_zone(0)
-    tasks = []
+    tasks: list[asyncio.Task[bool]] = []
     times = []
 
     def note():
--- a/tests/relay/peers/test_allowance_bounds.py
+++ b/tests/relay/peers/test_allowance_bounds.py
@@ -9,8 +9,8 @@
 import pytest
 
 from fescuestile import tenants
-from tests import virtual_time
 from tests.relay.peers import allowance_worlds
+from tests import virtual_time
 
 LIMIT = tenants.Tenant("t", rate=60.0, burst=30.0)
 LOWERED = tenants.Tenant("t", rate=5.0, burst=2.0)
@@ -82,7 +82,7 @@
 
 async def run_faults(seed, *faults):
     world = make_world(seed)
-    tasks = []
+    tasks: list[asyncio.Task[bool]] = []
     running = [
         asyncio.create_task(each(world))
         for each in (check_shares, list_peers, *faults)
@@ -113,7 +113,7 @@
 
     async def run():
         world = make_world(1)
-        tasks = []
+        tasks: list[asyncio.Task[bool]] = []
         sending = asyncio.create_task(send_much(world, tasks))
         await asyncio.sleep(10.0)
         world.source.put(LOWERED)
@@ -132,7 +132,7 @@
 
     async def run():
         world = make_world(1)
-        tasks = []
+        tasks: list[asyncio.Task[bool]] = []
         sending = asyncio.create_task(send_much(world, tasks))
         for _ in range(6):
             await asyncio.sleep(4.0)
--- a/tests/unit/test_allowances.py
+++ b/tests/unit/test_allowances.py
@@ -63,7 +63,7 @@
         self.limit = LIMIT
         self.limits = [(0.0, LIMIT)]
         self.registered = {}
-        self.daemons = {}
+        self.daemons: dict[str, Daemon] = {}
         self.listed = {}
         self.messages = []
         self.runs = []
@@ -315,7 +315,7 @@
     history.change(0.1)
     history.change(1.0)
     taken, _ = buckets.take("t", 1000)
-    assert taken == math.floor(QUOTA.compute_capacity(LIMIT.burst, 0.1))
+    assert taken == math.floor((LIMIT.burst + QUOTA.spare) * 0.1)
     history.change(0.0)
     history.change(1.0)
     history.advance(0.1)
