--- a/tests/relay/peers/allowance_worlds.py
+++ b/tests/allowance_worlds.py
@@ -66,7 +66,7 @@
         self.daemons = {}
         self.registered = {}
         self.runs = collections.defaultdict(list)
-        self.offered = collections.Counter()
+        self.offered: collections.Counter[str] = collections.Counter()
         self.datagrams: collections.Counter[str] = collections.Counter()
         self.bytes: collections.Counter[str] = collections.Counter()
         self.largest = 0
--- a/tests/relay/peers/test_allowance_admission.py
+++ b/tests/relay/peers/test_allowance_admission.py
@@ -6,7 +6,7 @@
 
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
-from tests.relay.peers import allowance_worlds
+from tests import allowance_worlds
 from tests import virtual_time
 
 SECONDS = 12.0
--- a/tests/relay/peers/test_allowance_bounds.py
+++ b/tests/relay/peers/test_allowance_bounds.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fescuestile import tenants
-from tests.relay.peers import allowance_worlds
+from tests import allowance_worlds
 from tests import virtual_time
 
 LIMIT = tenants.Tenant("t", rate=60.0, burst=30.0)
