--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -15,6 +15,7 @@
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.groups import directory
 from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.peers import allowance_exchange
 from fescuestile_daemon.relay.peers import forwarding
 from fescuestile_daemon.relay.peers import gateway_table
 from fescuestile_daemon.relay.peers import links
@@ -75,8 +76,16 @@
         self.sessions: set[sessions.Session] = set()
         self._options = relay_options
         self._clock = boot_clock
+        # It limits nothing until it is started, beside the list of peers.
+        self.limiter = allowance_exchange.AllowanceExchange(
+            name,
+            relay_options.quota,
+            self.directory,
+            boot_clock,
+            self.recorder,
+        )
         local = execution.StatementExecutor(
-            self.directory, relay_options, self.recorder, zone
+            self.directory, relay_options, self.recorder, zone, self.limiter
         )
         self._gateways = gateway_table.GatewayTable(
             name, zone, self.directory, relay_options
