Apply changes of tenants to open sessions and odd documents in parts

Change: sessions of revoked keys are closed, idle ones at once; a transaction takes its tenant at its first statement.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -12,8 +12,10 @@
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.endpoints import open_connections
 from fescuestile_daemon.relay.groups import directory
 from fescuestile_daemon.relay.groups import reachability
+from fescuestile_daemon.relay.groups import suspensions
 from fescuestile_daemon.relay.peers import sampling
 from fescuestile_daemon.relay.records import member_records
 from fescuestile_daemon.relay.records import member_store
@@ -55,6 +57,7 @@
         zone: str,
         name: str = "",
         restored: restorations.RestorationStore | None = None,
+        read_configuration: suspensions.Read | None = None,
     ) -> None:
         """Create the components; ``start`` runs them.
 
@@ -62,15 +65,24 @@
         :param name: name of this daemon among its peers
         :param restored: lists the daemons that request promotions, None where
             they are not known
+        :param read_configuration: reads the configuration again, None
+            without a store of it
         """
         boot_clock = clock.BootClock()
         self.recorder = events.Recorder()
-        self.directory = directory.Directory(dialer, relay_options, boot_clock)
+        self.connections = open_connections.OpenConnections(dialer)
+        self.directory = directory.Directory(
+            self.connections, relay_options, boot_clock
+        )
+        self.directory.add_listener(self._close_revoked)
+        self._guard = suspensions.SuspensionGuard(
+            boot_clock, read_configuration
+        )
         self.sessions: set[sessions.Session] = set()
         self._options = relay_options
         self._clock = boot_clock
         self._execution = execution.StatementExecutor(
-            self.directory, relay_options, self.recorder, zone
+            self.directory, relay_options, self.recorder, zone, self._guard
         )
         self.sampler = sampling.PositionSampler(
             name, zone, self.directory.groups.get, boot_clock
@@ -97,6 +109,7 @@
 
     async def start(self) -> None:
         """Start to monitor the endpoints."""
+        await self._guard.start()
         await self._monitor.start()
         await self._records.start()
         self._isolation = asyncio.create_task(self._watch_isolation())
@@ -132,6 +145,19 @@
                 session.close()
                 self.sessions.discard(session)
 
+    def _close_revoked(self) -> None:
+        """Close idle sessions whose keys a new configuration took away.
+
+        The others close themselves when their operation has ended.
+        """
+        closed = 0
+        for session in list(self.sessions):
+            if session.close_if_revoked():
+                self.sessions.discard(session)
+                closed += 1
+        if closed:
+            log.info("sessions of revoked keys closed", sessions=closed)
+
     def answer_probe(self) -> bool:
         """Answer a probe of the load balancer.
 
@@ -145,6 +171,8 @@
         """Return whether the load balancer should send new callers."""
         if self._stopping or not self.directory.is_complete:
             return False
+        if not self._guard.is_current():
+            return False
         return not self.is_isolated()
 
     def is_isolated(self) -> bool:
@@ -175,6 +203,8 @@
             return messages.Outcome(messages.Kind.BUSY, detail="stopping")
         if not self.directory.is_complete:
             return messages.Outcome(messages.Kind.BUSY, detail="starting")
+        if not self._guard.is_current():
+            return messages.Outcome(messages.Kind.BUSY, detail="waking")
         route = self.directory.find_route(database)
         if route is None:
             return messages.Outcome(
@@ -182,6 +212,7 @@
             )
         key_hash = tenants.hash_key(key)
         if self.directory.find_tenant(route, key_hash) is None:
+            self.recorder.tenants.record_unknown_key()
             return messages.Outcome(
                 messages.Kind.UNKNOWN_KEY, detail="unknown key"
             )
@@ -228,6 +259,7 @@
             session.close()
         if self._isolation is not None:
             self._isolation.cancel()
+        self._guard.close()
         left = grace * TAKEOVER_SHARE - (time.monotonic() - started)
         await self._monitor.close(left)
         await self._records.close()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/events.py
@@ -9,6 +9,7 @@
 from fescuestile import endpoint_messages
 from fescuestile import routes
 from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import tenant_counters
 
 log = structlog.get_logger()
 
@@ -63,6 +64,7 @@
 
     :ivar counters: counts by (name, label)
     :ivar latencies: durations by level
+    :ivar tenants: counters by tenant
     """
 
     def __init__(self) -> None:
@@ -71,6 +73,7 @@
             collections.Counter()
         )
         self.latencies: dict[int, Histogram] = {}
+        self.tenants = tenant_counters.TenantCounters()
         self._successes = 0
 
     def count(self, name: str, label: str = "") -> None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -1,5 +1,6 @@
 """Routes and endpoints in force in this daemon."""
 
+import collections.abc
 import time
 import typing
 
@@ -42,6 +43,7 @@
         self.endpoints_loaded = False
         self.record_reader: record_readers.RecordReader | None = None
         self.promoter: ports.Promoter | None = None
+        self._listeners: list[collections.abc.Callable[[], None]] = []
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
@@ -84,11 +86,34 @@
             before=self.table.version,
             routes=len(table.routes),
         )
-        self.table = table
+        before, self.table = self.table.tenant_table, table
+        if table.tenant_table != before:
+            self._log_tenants(before)
         for group in self.groups.values():
             self._apply_limits(group)
+        for listener in self._listeners:
+            listener()
         return True
 
+    def add_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Add a function that is called after each change of the routes."""
+        self._listeners.append(listener)
+
+    def _log_tenants(self, before: tenants.TenantTable) -> None:
+        table = self.table.tenant_table
+        added, removed, moved = table.count_changes(before)
+        log.info(
+            "tenants in force",
+            version=self.table.version,
+            tenants=len(table.by_name),
+            keys=table.key_count,
+            keys_added=added,
+            keys_removed=removed,
+            keys_moved=moved,
+        )
+
     def put_endpoints(
         self,
         entries: typing.Mapping[str, messages.EndpointEntry],
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -11,6 +11,7 @@
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.groups import suspensions
 from fescuestile_daemon.relay.statements import attempts
 from fescuestile_daemon.relay.statements import choice
 from fescuestile_daemon.relay.statements import sessions
@@ -21,6 +22,7 @@
 
 # Outcomes of an endpoint that had no free slot or connection.
 AT_CAPACITY = frozenset({Kind.BUSY, Kind.TOO_MANY_CONNECTIONS})
+NO_ROOM = AT_CAPACITY | {Kind.OVERLOADED}
 
 
 class Directory(typing.Protocol):
@@ -51,11 +53,15 @@
         relay_options: options.RelayOptions,
         recorder: events.Recorder,
         zone: str,
+        guard: suspensions.SuspensionGuard | None = None,
     ) -> None:
         """Initialize with the routes in force and the limits.
 
         :param zone: this daemon's availability zone
+        :param guard: holds operations back after a suspension, None to hold
+            none back
         """
+        self._guard = guard
         self._directory = directory
         self._options = relay_options
         self._recorder = recorder
@@ -75,6 +81,15 @@
         """Return who calls on a route, None for an unknown key."""
         return self._directory.find_tenant(route, key_hash)
 
+    def record_unknown_key(self) -> None:
+        """Record that an operation was refused for its key."""
+        self._recorder.tenants.record_unknown_key()
+
+    async def wait_current(self) -> None:
+        """Wait until the configuration was read after a suspension."""
+        if self._guard is not None:
+            await self._guard.wait_current()
+
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route."""
         return self._directory.find_group(route)
@@ -84,6 +99,20 @@
         """Seconds after which an idle transaction is rolled back."""
         return self._directory.idle_transaction
 
+    async def admit(
+        self, session: sessions.Session
+    ) -> messages.Outcome | None:
+        """Count an operation; there are no limits here."""
+        self._recorder.tenants.record_admitted(session.tenant)
+        return None
+
+    def _count_refusal(
+        self, session: sessions.Session, outcome: messages.Outcome
+    ) -> messages.Outcome:
+        if outcome.kind in NO_ROOM:
+            self._recorder.tenants.record_no_room(session.tenant)
+        return outcome
+
     async def run_single(
         self,
         session: sessions.Session,
@@ -107,7 +136,7 @@
             pending.endpoint,
             outcome.detail,
         )
-        return outcome
+        return self._count_refusal(session, outcome)
 
     # Reads
 
@@ -243,7 +272,8 @@
         arrival: sessions.Arrival,
     ) -> messages.Outcome:
         """Run a statement or the commit of an open transaction."""
-        return await self._transactions.run(session, transaction, arrival)
+        outcome = await self._transactions.run(session, transaction, arrival)
+        return self._count_refusal(session, outcome)
 
     def abandon(self, transaction: sessions.Transaction) -> None:
         """Roll a transaction back in the background."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -77,6 +77,15 @@
         """Return who calls on a route, None for an unknown key."""
         raise NotImplementedError
 
+    def record_unknown_key(self) -> None:
+        """Record that an operation was refused for its key."""
+
+    async def wait_current(self) -> None:
+        """Wait while a newer configuration may be in force than known here.
+
+        The wait is bounded.
+        """
+
     async def admit(self, session: "Session") -> messages.Outcome | None:
         """Count an operation against its tenant's limit.
 
@@ -161,6 +170,7 @@
             outcome = self._answer_locally(arrival)
             if outcome is not None:
                 self._send_answer(outcome)
+                self.close_if_revoked()
                 return
         self._queue.append(arrival)
         if self._task is None:
@@ -178,6 +188,40 @@
         if self._task is None:
             self._abandon()
 
+    def is_revoked(self) -> bool:
+        """Return whether the caller's key is no longer in force.
+
+        A database without a route needs no key: its statements are refused.
+        """
+        route = self._executor.find_route(self.database)
+        return route is not None and (
+            self._executor.find_tenant(route, self.key_hash) is None
+        )
+
+    def close_if_revoked(self) -> bool:
+        """Close the session if nothing of it may go on.
+
+        A transaction that has run a statement may end; one that has failed,
+        or has run none, holds nothing.
+
+        :returns: whether the session was closed
+        """
+        if self.busy or self._disconnected or self._has_work():
+            return False
+        if not self.is_revoked():
+            return False
+        self.close()
+        return True
+
+    def _has_work(self) -> bool:
+        """Return whether a transaction has run statements and may go on."""
+        transaction = self._transaction
+        return (
+            transaction is not None
+            and transaction.is_admitted
+            and not transaction.failed
+        )
+
     def close(self) -> None:
         """Close the caller's connection and end the session."""
         self._caller.close()
@@ -191,10 +235,13 @@
                 if outcome is None:
                     outcome = await self._execute(arrival)
                 self._send_answer(outcome)
+                if outcome.kind is Kind.UNKNOWN_KEY:
+                    self.close()
         finally:
             self._task = None
             if self._disconnected:
                 self._abandon()
+        self.close_if_revoked()
 
     def _send_answer(self, outcome: messages.Outcome) -> None:
         transaction = self._transaction
@@ -213,6 +260,8 @@
         """Answer a statement that needs no endpoint; None for the others."""
         statement = arrival.statement
         transaction = self._transaction
+        if self._queue_revoked():
+            return self._refuse_key()
         if transaction is not None and transaction.failed:
             if statement.verb in ENDINGS:
                 return self._end_failed(statement)
@@ -250,14 +299,17 @@
                 return None
         return messages.Outcome(Kind.DONE)
 
+    def _queue_revoked(self) -> bool:
+        """Return whether a statement that was waiting may not begin."""
+        return self.busy and not self._has_work() and self.is_revoked()
+
     def _begin(self, arrival: Arrival) -> messages.Outcome:
         if self._transaction is not None:
             return self._refuse("a transaction is open")
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
-        if not self._identify(route):
-            return self._refuse_key()
+        # Its tenant is that of its first statement, which begins its work.
         self._transaction = Transaction(
             route=route,
             group=self._executor.find_group(route),
@@ -290,6 +342,7 @@
             elif outcome.kind is not Kind.DONE:
                 transaction.failed = True
             return outcome
+        await self._executor.wait_current()
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
@@ -309,6 +362,9 @@
         return tenant is not None
 
     def _refuse_key(self) -> messages.Outcome:
+        """Refuse a statement, after whose answer the session is closed."""
+        self._abandon()
+        self._executor.record_unknown_key()
         return messages.Outcome(Kind.UNKNOWN_KEY, detail="unknown key")
 
     async def _admit_transaction(
@@ -316,6 +372,10 @@
     ) -> messages.Outcome | None:
         if transaction.is_admitted:
             return None
+        await self._executor.wait_current()
+        route = self._executor.find_route(self.database)
+        if not self._identify(route or transaction.route):
+            return self._refuse_key()
         transaction.is_admitted = True
         return await self._executor.admit(self)
 
@@ -347,3 +407,4 @@
         if transaction is not None and self._task is None:
             transaction.failed = True
             self._executor.abandon(transaction)
+            self.close_if_revoked()
--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -41,29 +41,80 @@
 
 
 class TenantTable:
-    """Tenants of one version of the configuration, by name and by key."""
+    """Tenants of one version of the configuration, by name and by key.
+
+    :ivar by_name: tenants by name
+    :ivar conflicts: descriptions of names and keys that came twice, without
+        the keys
+    """
 
     def __init__(
         self,
         holders: collections.abc.Iterable[
             tuple[Tenant, collections.abc.Iterable[str]]
         ] = (),
+        needs_keys: bool = False,
     ) -> None:
         """Initialize with tenants and their keys.
 
-        A key that two tenants have belongs to the first of them.
+        A key that two tenants have belongs to the first of them, and entries
+        of one name are one tenant with the limits of the first.
+
+        :param needs_keys: whether callers need keys even if there is no
+            valid tenant
         """
         self.by_name: dict[str, Tenant] = {}
+        self.conflicts: list[str] = []
         self._by_key: dict[bytes, Tenant] = {}
-        for tenant, keys in holders:
-            self.by_name.setdefault(tenant.name, tenant)
-            for key in keys:
-                self._by_key.setdefault(hash_key(key), tenant)
+        for entry, keys in holders:
+            tenant = self.by_name.setdefault(entry.name, entry)
+            if tenant is not entry:
+                self.conflicts.append(f"tenant {entry.name} is listed twice")
+            self._add_keys(tenant, keys)
+        self._needs_keys = needs_keys or bool(self.by_name)
+
+    def _add_keys(
+        self, tenant: Tenant, keys: collections.abc.Iterable[str]
+    ) -> None:
+        for key in keys:
+            holder = self._by_key.setdefault(hash_key(key), tenant)
+            if holder is not tenant:
+                self.conflicts.append(
+                    f"a key of tenant {tenant.name} belongs to tenant"
+                    f" {holder.name}"
+                )
 
     def __bool__(self) -> bool:
-        """Return whether there are tenants."""
-        return bool(self.by_name)
+        """Return whether callers need keys."""
+        return self._needs_keys
+
+    def __eq__(self, other: object) -> bool:
+        """Return whether the tenants, their limits and keys are the same."""
+        return (
+            isinstance(other, TenantTable)
+            and self._needs_keys == other._needs_keys
+            and self.by_name == other.by_name
+            and self._by_key == other._by_key
+        )
+
+    __hash__ = None  # type: ignore[assignment]
+
+    @property
+    def key_count(self) -> int:
+        """Number of keys in force."""
+        return len(self._by_key)
 
     def find(self, key_hash: bytes) -> Tenant | None:
         """Return the tenant that holds a key, by its hash."""
         return self._by_key.get(key_hash)
+
+    def count_changes(self, before: "TenantTable") -> tuple[int, int, int]:
+        """Return how many keys were added, taken away and moved."""
+        added = self._by_key.keys() - before._by_key.keys()
+        removed = before._by_key.keys() - self._by_key.keys()
+        moved = sum(
+            before._by_key[key].name != tenant.name
+            for key, tenant in self._by_key.items()
+            if key in before._by_key
+        )
+        return len(added), len(removed), moved
--- a/tests/platform/standins/connection.py
+++ b/tests/platform/standins/connection.py
@@ -24,6 +24,7 @@
         self.lines: asyncio.Queue[str] = asyncio.Queue()
         self.worker = asyncio.create_task(self._work())
         self.connected = False
+        self.tenant = ""
         self.state = "I"
         self.read_only = False
         self.continues = False
@@ -70,6 +71,7 @@
         else:
             endpoint.connections.add(self)
             self.connected = True
+            self.tenant = fields[2]
             self._send(self._ready())
 
     def _ready(self) -> str:
@@ -191,6 +193,7 @@
             words = [shape[0], *words[2:]]
         receipt = f"{endpoint.name}.{secrets.token_hex(4)}"
         endpoint.served.append((id_, words[0]))
+        endpoint.tenants.append((id_, self.tenant))
         if words[0] == "READ":
             if endpoint.faults.fail_reads:
                 self._fail("FAILED")
--- a/tests/platform/standins/group.py
+++ b/tests/platform/standins/group.py
@@ -22,6 +22,8 @@
     :ivar served: ids and verbs of the statements that it ran
     :ivar begun: loop time and id of the work that began to arrive: single
         statements and the first ones of transactions, refused ones too
+    :ivar tenants: ids of the statements that it ran, and the tenants that
+        CONNECT named
     """
 
     def __init__(self, group: "Group", name: str, zone: str) -> None:
@@ -41,6 +43,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.served: list[tuple[str, str]] = []
         self.begun: list[tuple[float, str]] = []
+        self.tenants: list[tuple[str, str]] = []
 
     @property
     def address(self) -> str:
--- a/tests/platform/standins/line_server.py
+++ b/tests/platform/standins/line_server.py
@@ -82,12 +82,14 @@
         self._reader: typing.Any = None
         self._writer: typing.Any = None
 
-    async def connect(self, address: str, database: str) -> str:
+    async def connect(
+        self, address: str, database: str, key: str = "caller"
+    ) -> str:
         host, port = address.split(":")
         self._reader, self._writer = await asyncio.open_connection(
             host, int(port)
         )
-        self._writer.write(f"CONNECT {database} caller\r\n".encode())
+        self._writer.write(f"CONNECT {database} {key}\r\n".encode())
         return await self._read_line()
 
     async def query(self, text: str, id_: str = "") -> list[str]:
--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -17,10 +17,14 @@
 
 
 def make_configuration(
-    names: typing.Iterable[str], version: int = 1, **limits: typing.Any
+    names: typing.Iterable[str],
+    version: int = 1,
+    tenants: typing.Mapping[str, typing.Sequence[str]] | None = None,
+    **limits: typing.Any,
 ) -> dict[str, typing.Any]:
     """Return a configuration with a route of each type to each group.
 
+    :param tenants: keys by tenant, None for no tenants
     :param limits: fields of its limits; ``timeout_ms`` goes into the first
         route instead
     """
@@ -45,6 +49,10 @@
             for name in names
         ],
         "limits": {"tx_idle_ms": 3000, **limits},
+        "tenants": [
+            {"name": name, "api_keys": list(keys)}
+            for name, keys in (tenants or {}).items()
+        ],
     }
 
 
@@ -162,18 +170,32 @@
                 ):
                     await asyncio.sleep(0.01)
 
+    async def wait_log(
+        self, logs: list[typing.Any], event: str, seconds: float = 5.0
+    ) -> None:
+        """Wait until each daemon has logged an event, and a little longer."""
+        async with asyncio.timeout(seconds):
+            while [e["event"] for e in logs].count(event) < len(self.daemons):
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+
     async def connect(
-        self, route_type: str, name: str = "g0", number: int = 0
+        self,
+        route_type: str,
+        name: str = "g0",
+        number: int = 0,
+        key: str = "caller",
     ) -> line_server.LineClient:
         """Open a session.
 
         :param name: group
         :param number: index of the daemon
+        :param key: key of the caller's tenant
         """
         client = line_server.LineClient()
         self.clients.append(client)
         opened = await client.connect(
-            self.caller_addresses[number], f"{name}-{route_type}"
+            self.caller_addresses[number], f"{name}-{route_type}", key
         )
         assert opened == "READY I -"
         return client
