--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -87,8 +87,7 @@
             routes=len(table.routes),
         )
         before, self.table = self.table.tenant_table, table
-        if table.tenant_table != before:
-            self._log_tenants(before)
+        self._log_tenants(before)
         for group in self.groups.values():
             self._apply_limits(group)
         for listener in self._listeners:
@@ -103,15 +102,17 @@
 
     def _log_tenants(self, before: tenants.TenantTable) -> None:
         table = self.table.tenant_table
-        added, removed, moved = table.count_changes(before)
+        changes = table.count_changes(before)
+        if not changes:
+            return
         log.info(
             "tenants in force",
             version=self.table.version,
             tenants=len(table.by_name),
             keys=table.key_count,
-            keys_added=added,
-            keys_removed=removed,
-            keys_moved=moved,
+            keys_added=changes.added,
+            keys_removed=changes.removed,
+            keys_moved=changes.moved,
         )
 
     def put_endpoints(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -81,10 +81,7 @@
         """Record that an operation was refused for its key."""
 
     async def wait_current(self) -> None:
-        """Wait while a newer configuration may be in force than known here.
-
-        The wait is bounded.
-        """
+        """Wait, for a bounded time, while routes and keys may be old."""
 
     async def admit(self, session: "Session") -> messages.Outcome | None:
         """Count an operation against its tenant's limit.
@@ -188,11 +185,8 @@
         if self._task is None:
             self._abandon()
 
-    def is_revoked(self) -> bool:
-        """Return whether the caller's key is no longer in force.
-
-        A database without a route needs no key: its statements are refused.
-        """
+    def _is_revoked(self) -> bool:
+        """Return whether the caller's key is no longer in force."""
         route = self._executor.find_route(self.database)
         return route is not None and (
             self._executor.find_tenant(route, self.key_hash) is None
@@ -208,10 +202,10 @@
         """
         if self.busy or self._disconnected or self._has_work():
             return False
-        if not self.is_revoked():
-            return False
-        self.close()
-        return True
+        is_revoked = self._is_revoked()
+        if is_revoked:
+            self.close()
+        return is_revoked
 
     def _has_work(self) -> bool:
         """Return whether a transaction has run statements and may go on."""
@@ -260,7 +254,7 @@
         """Answer a statement that needs no endpoint; None for the others."""
         statement = arrival.statement
         transaction = self._transaction
-        if self._queue_revoked():
+        if self.busy and not self._has_work() and self._is_revoked():
             return self._refuse_key()
         if transaction is not None and transaction.failed:
             if statement.verb in ENDINGS:
@@ -299,10 +293,6 @@
                 return None
         return messages.Outcome(Kind.DONE)
 
-    def _queue_revoked(self) -> bool:
-        """Return whether a statement that was waiting may not begin."""
-        return self.busy and not self._has_work() and self.is_revoked()
-
     def _begin(self, arrival: Arrival) -> messages.Outcome:
         if self._transaction is not None:
             return self._refuse("a transaction is open")
--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -40,6 +40,27 @@
     ).digest()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Difference between two versions of the tenants.
+
+    :ivar added: number of new keys
+    :ivar removed: number of keys taken away
+    :ivar moved: number of keys that belong to another tenant
+    :ivar tenants_changed: whether tenants came, went or have other limits
+    """
+
+    added: int
+    removed: int
+    moved: int
+    tenants_changed: bool
+
+    def __bool__(self) -> bool:
+        """Return whether there is a difference."""
+        keys = self.added + self.removed + self.moved
+        return self.tenants_changed or keys > 0
+
+
 class TenantTable:
     """Tenants of one version of the configuration, by name and by key.
 
@@ -66,16 +87,16 @@
         self.by_name: dict[str, Tenant] = {}
         self.conflicts: list[str] = []
         self._by_key: dict[bytes, Tenant] = {}
+        self._needs_keys = needs_keys
         for entry, keys in holders:
-            tenant = self.by_name.setdefault(entry.name, entry)
-            if tenant is not entry:
-                self.conflicts.append(f"tenant {entry.name} is listed twice")
-            self._add_keys(tenant, keys)
-        self._needs_keys = needs_keys or bool(self.by_name)
-
-    def _add_keys(
-        self, tenant: Tenant, keys: collections.abc.Iterable[str]
-    ) -> None:
+            self.add(entry, keys)
+
+    def add(self, entry: Tenant, keys: collections.abc.Iterable[str]) -> None:
+        """Add a tenant and its keys, while the table is not yet in force."""
+        self._needs_keys = True
+        tenant = self.by_name.setdefault(entry.name, entry)
+        if tenant is not entry:
+            self.conflicts.append(f"tenant {entry.name} is listed twice")
         for key in keys:
             holder = self._by_key.setdefault(hash_key(key), tenant)
             if holder is not tenant:
@@ -88,17 +109,6 @@
         """Return whether callers need keys."""
         return self._needs_keys
 
-    def __eq__(self, other: object) -> bool:
-        """Return whether the tenants, their limits and keys are the same."""
-        return (
-            isinstance(other, TenantTable)
-            and self._needs_keys == other._needs_keys
-            and self.by_name == other.by_name
-            and self._by_key == other._by_key
-        )
-
-    __hash__ = None  # type: ignore[assignment]
-
     @property
     def key_count(self) -> int:
         """Number of keys in force."""
@@ -108,13 +118,17 @@
         """Return the tenant that holds a key, by its hash."""
         return self._by_key.get(key_hash)
 
-    def count_changes(self, before: "TenantTable") -> tuple[int, int, int]:
-        """Return how many keys were added, taken away and moved."""
-        added = self._by_key.keys() - before._by_key.keys()
-        removed = before._by_key.keys() - self._by_key.keys()
-        moved = sum(
-            before._by_key[key].name != tenant.name
-            for key, tenant in self._by_key.items()
-            if key in before._by_key
+    def count_changes(self, before: "TenantTable") -> Changes:
+        """Return what has changed since another version."""
+        known = before._by_key
+        kept = len(known.keys() & self._by_key.keys())
+        moved = 0
+        for key, tenant in self._by_key.items():
+            holder = known.get(key)
+            moved += holder is not None and holder.name != tenant.name
+        return Changes(
+            added=len(self._by_key) - kept,
+            removed=len(known) - kept,
+            moved=moved,
+            tenants_changed=self.by_name != before.by_name,
         )
-        return len(added), len(removed), moved
