Let the soak's callers show keys that faults move and revoke

Cause: no run with real processes checked under which tenant statements ran, or that a key which was taken away ends. Change: the soak's configuration has two tenants and three keys, one of which is moved and revoked; at the end each statement at an endpoint is compared with the tenants that held its caller's key. Tests of the counters by tenant.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,9 +1,11 @@
 """Callers that send statements while faults are injected."""
 
 import asyncio
+import math
 import random
 
 from soak import history as histories
+from soak import keys as key_uses
 from soak import processes
 from tests.platform.standins import line_server
 
@@ -25,6 +27,7 @@
         daemons: list[processes.DaemonProcess],
         history: histories.History,
         random_source: random.Random,
+        keys: key_uses.Keys,
     ) -> None:
         """Initialize without a connection.
 
@@ -33,7 +36,10 @@
         :param daemons: daemons to connect to
         :param history: records the statements
         :param random_source: source of random choices
+        :param keys: records the uses of the caller's key
         """
+        self._keys = keys
+        self._api_key = key_uses.KEYS[number % len(key_uses.KEYS)]
         self._name = f"c{number}"
         self._group = group
         self._daemons = daemons
@@ -57,11 +63,16 @@
             daemon = self._random.choice(self._daemons)
             route = self._random.choice(list(STALENESS_SECONDS))
             client = line_server.LineClient()
+            began_at = loop.time()
             try:
                 async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                     opened = await client.connect(
-                        daemon.caller_address, f"{self._group}-{route}"
+                        daemon.caller_address,
+                        f"{self._group}-{route}",
+                        self._api_key,
                     )
+                if opened.startswith("ERROR AUTHFAIL"):
+                    self._record_use("", began_at, "AUTHFAIL")
                 if opened == "READY I -":
                     await self._run_session(client, daemon, route, until)
                 else:
@@ -118,12 +129,34 @@
             )
 
     async def _query(
-        self, client: line_server.LineClient, text: str, id_: str = ""
+        self,
+        client: line_server.LineClient,
+        text: str,
+        id_: str = "",
+        began_at: float | None = None,
     ) -> list[str] | None:
-        """Return the answer, None if the connection closed without one."""
+        """Return the answer, None if the connection closed without one.
+
+        :param began_at: time of the BEGIN of its transaction
+        """
+        if began_at is None:
+            began_at = asyncio.get_running_loop().time()
+        id_ = id_ or self._next_id()
+        self._keys.record(id_, key_uses.Use(self._api_key, began_at, math.inf))
         async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
             lines = await client.query(text, id_)
-        return lines if lines[-1] else None
+        answer = lines if lines[-1] else None
+        self._record_use(id_, began_at, find_error_code(answer))
+        return answer
+
+    def _record_use(self, id_: str, began_at: float, error: str) -> None:
+        now = asyncio.get_running_loop().time()
+        # What is in doubt may run later.
+        ended_at = math.inf if error in ("INDOUBT", "LOST") else now
+        use = key_uses.Use(
+            self._api_key, began_at, ended_at, error == "AUTHFAIL"
+        )
+        self._keys.record(id_, use)
 
     def _next_id(self) -> str:
         self._statement_number += 1
@@ -146,6 +179,7 @@
         self, client: line_server.LineClient
     ) -> bool | None:
         loop = asyncio.get_running_loop()
+        began_at = loop.time()
         self._write_number += 1
         key, number, id_ = self._key, self._write_number, self._next_id()
         for text, own_id in (
@@ -153,18 +187,18 @@
             (f"READ {key}", ""),
             (f"WRITE {key} {number}", id_),
         ):
-            lines = await self._query(client, text, own_id)
+            lines = await self._query(client, text, own_id, began_at)
             if find_error_code(lines):
                 if lines is not None:
-                    await self._query(client, "ROLLBACK")
+                    await self._query(client, "ROLLBACK", "", began_at)
                     self._history.refused[id_] = "ABORTED"
                 return None if lines is None else False
         if self._random.random() < 0.2:
-            lines = await self._query(client, "ROLLBACK")
+            lines = await self._query(client, "ROLLBACK", "", began_at)
             self._history.refused[id_] = "ABORTED"
             return None if lines is None else False
         self._history.record_attempt(key, number)
-        lines = await self._query(client, "COMMIT")
+        lines = await self._query(client, "COMMIT", "", began_at)
         error = find_error_code(lines)
         self._history.record_outcome(key, number, id_, error, loop.time())
         if error and error not in histories.REFUSALS:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,6 +38,10 @@
 TWICE_SHARE = 0.3
 TWICE_SECONDS = (0.5, 3.0)
 
+# Drawn apart too: changes of a key that callers use.
+KEY_CHANGES = ("key moves", "key revoked")
+KEY_CHANGE_SECONDS = (1.0, 5.0)
+
 
 @dataclasses.dataclass(frozen=True)
 class Series:
@@ -80,7 +84,7 @@
     """Scheduled fault.
 
     :ivar at: seconds after the start of the run
-    :ivar kind: one of ``KINDS`` or ``DRILL``
+    :ivar kind: one of ``KINDS`` or ``KEY_CHANGES``, or ``DRILL``
     :ivar seconds: duration
     :ivar pick: selects the target among the candidates for the kind
     """
@@ -111,6 +115,7 @@
         at += source.expovariate(1 / 1.2)
     faults.extend(_draw_series(seed, seconds))
     faults.extend(_draw_drills(seed, seconds))
+    faults.extend(_draw_key_changes(seed, seconds))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -145,3 +150,15 @@
         drills.append(Fault(round(at, 2), DRILL, away, source.randrange(1000)))
         at += away + source.uniform(*TWICE_SECONDS)
     return drills
+
+
+def _draw_key_changes(seed: int, seconds: float) -> list[Fault]:
+    """Return the changes of keys of a run, over which the others come."""
+    source = random.Random(f"keys {seed}")
+    changes = []
+    at = source.uniform(*KEY_CHANGE_SECONDS)
+    while at < seconds - 2.0:
+        kind = source.choice(KEY_CHANGES)
+        changes.append(Fault(round(at, 2), kind, 0.0, 0))
+        at += source.uniform(*KEY_CHANGE_SECONDS)
+    return changes
--- a/soak/history.py
+++ b/soak/history.py
@@ -12,6 +12,7 @@
         "READONLY",
         "MISROUTED",
         "CONNLIMIT",
+        "AUTHFAIL",
     }
 )
 # Tolerance for the time between sending or receiving a statement and taking
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -28,12 +28,27 @@
 
     :ivar learning: times in which the store fails or a daemon is paused
     :ivar restarts: times in which a daemon is stopped and not ready yet
+    :ivar drills: times in which the store goes back to an older copy
     """
 
     def __init__(self) -> None:
         """Start without disturbances."""
         self.learning: list[Interval] = []
         self.restarts: list[Interval] = []
+        self.drills: list[Interval] = []
+
+    @contextlib.contextmanager
+    def record_store_fault(
+        self, goes_back: bool, seconds_after: float
+    ) -> collections.abc.Iterator[None]:
+        """Record the time of the context as one in which the store fails.
+
+        :param goes_back: whether it comes back from an older copy
+        :param seconds_after: how much longer daemons may not learn
+        """
+        drills = self.drills if goes_back else []
+        with record(self.learning, seconds_after), record(drills):
+            yield
 
     def find_known_at(self, marked_at: float) -> float:
         """Return from when all daemons could learn of a mark.
--- a/soak/world.py
+++ b/soak/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import pathlib
 import random
 import signal
@@ -9,6 +10,7 @@
 from soak import callers
 from soak import faults
 from soak import history as histories
+from soak import keys
 from soak import leaving
 from soak import processes
 from soak import proxies
@@ -40,8 +42,6 @@
 
         :param seed: seed of the callers' random choices
         :param folder: folder for settings and logs
-        :param daemon_count: number of daemons
-        :param caller_count: number of callers
         """
         self.history = histories.History()
         self._random = random.Random(seed)
@@ -56,7 +56,8 @@
         )
         self._proxies: dict[str, proxies.Proxy] = {}
         self._daemons: list[processes.DaemonProcess] = []
-        self._version = 1
+        self._version = 0
+        self._keys = keys.Keys()
         self._last_number = 2
         self._marked: dict[str, leaving.Interval] = {}
         self._disturbances = leaving.Disturbances()
@@ -132,6 +133,7 @@
             self._daemons,
             self.history,
             random.Random(self._random.random()),
+            self._keys,
         )
 
     def _register(self, endpoint: wire_group.Endpoint) -> None:
@@ -145,10 +147,13 @@
         )
 
     def _put_configuration(self) -> None:
+        self._version += 1
         self._store.put(
             "config",
             "main",
-            worlds.make_configuration(self._groups, version=self._version),
+            worlds.make_configuration(
+                self._groups, self._version, self._keys.list_tenants()
+            ),
         )
 
     async def _report_roles(self) -> None:
@@ -182,8 +187,9 @@
         endpoint = endpoints[pick % len(endpoints)]
         match fault.kind.split(" ", 1):
             case ["store", detail]:
-                learning = self._disturbances.learning
-                with leaving.record(learning, SILENT_LINK_SECONDS):
+                with self._disturbances.record_store_fault(
+                    fault.kind == faults.DRILL, SILENT_LINK_SECONDS
+                ):
                     await self._store_faults.inject(
                         detail, fault.seconds, pick
                     )
@@ -223,7 +229,9 @@
             case ["release", _] if endpoint.name not in self._marked:
                 await self._release(endpoint)
             case ["configuration", _]:
-                self._version += 1
+                self._put_configuration()
+            case ["key", change]:
+                self._keys.change(change, asyncio.get_running_loop().time())
                 self._put_configuration()
             case ["entry", _] if ("servers", endpoint.name) in (
                 self._store.objects
@@ -360,6 +368,10 @@
                     f"promotions in {group.name} lost {len(group.lost)} writes"
                 )
         self.history.check_logs(logs)
+        ran = [e.tenants for e in self._list_endpoints()]
+        self.history.violations.extend(
+            self._keys.check(itertools.chain(*ran), self._disturbances)
+        )
         self.history.check_promotions(self._store.promotion_requests)
 
     async def _wait_until_serving(self) -> None:
@@ -374,7 +386,9 @@
         for name in self._groups:
             client = line_server.LineClient()
             try:
-                await client.connect(daemon.caller_address, f"{name}-primary")
+                await client.connect(
+                    daemon.caller_address, f"{name}-primary", "k-north"
+                )
                 lines = await client.query("WRITE end 1")
             except (OSError, TimeoutError):
                 return False
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -44,6 +44,12 @@
     ]
 
 
+def render_metrics(world):
+    daemon = world.daemons[0]
+    registry = metrics.make_registry(daemon.node, daemon._store_client)
+    return metrics.render(registry).decode()
+
+
 async def refuse(world, key, route_type="primary"):
     """Return the daemon's answer to CONNECT, and what follows it."""
     client = line_server.LineClient()
@@ -90,11 +96,7 @@
             assert (answer, rest) == ("ERROR AUTHFAIL unknown key", b"")
     assert secret not in str(logs)
     assert [e["event"] for e in logs].count("unknown keys refused") == 1
-    page = metrics.render(
-        metrics.make_registry(
-            world.daemons[0].node, world.daemons[0]._store_client
-        )
-    ).decode()
+    page = render_metrics(world)
     assert "unknown_keys_total 3.0" in page
     assert secret not in page
 
@@ -159,6 +161,27 @@
     assert world.groups["g0"].primary.tenants[-1] == ("a2", "south")
 
 
+async def test_the_operator_sees_operations_and_connections(world):
+    """Guards against tenants that no metric or log line shows."""
+    with structlog.testing.capture_logs() as logs:
+        await put(world, TENANTS, 2)
+        client = await world.connect("primary", key="k-south")
+        await client.query("WRITE item value")
+        await client.query("BEGIN")
+        await client.query("READ item")
+        await client.query("COMMIT")
+    page = render_metrics(world)
+    for line in (
+        'tenant_operations_total{tenant="south"} 2.0',
+        'tenant_refusals_limit_total{tenant="south"} 0.0',
+        'tenant_refusals_room_total{tenant="south"} 0.0',
+        'tenant_connections{tenant="south"} 1.0',
+    ):
+        assert f"fescuestile_{line}" in page
+    (event,) = [e for e in logs if e["event"] == "tenants in force"]
+    assert (event["tenants"], event["keys"], event["keys_added"]) == (2, 3, 3)
+
+
 async def test_without_tenants_no_key_is_needed(world):
     """Guards against callers refused where the operator has no tenants."""
     client = await world.connect("primary", key="any")
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -6,6 +6,7 @@
 
 from soak import faults
 from soak import history as histories
+from soak import keys
 from soak import leaving
 
 
@@ -116,4 +117,43 @@
         f.kind for seed in range(60) for f in faults.draw_faults(seed, 15)
     }
     in_series = {kind for each in faults.SERIES for kind in each.kinds}
-    assert kinds == {*faults.KINDS, *in_series, faults.DRILL}
+    apart = {*faults.KEY_CHANGES, faults.DRILL}
+    assert kinds == {*faults.KINDS, *in_series, *apart}
+
+
+@pytest.mark.parametrize(
+    ("began_at", "tenant", "is_found"),
+    [
+        (9.0, "north", False),
+        (9.0, "south", True),
+        (11.0, "north", False),
+        (11.0, "south", False),
+        (13.0, "north", True),
+        (23.0, "south", True),
+    ],
+)
+def test_a_statement_under_a_wrong_tenant_is_found(began_at, tenant, is_found):
+    used = keys.Keys()
+    used.change("moves", 10.0)
+    used.change("revoked", 20.0)
+    used.record("a1", keys.Use(keys.SPARE, began_at, began_at + 0.1))
+    found = used.check([("a1", tenant)], leaving.Disturbances())
+    assert bool(found) == is_found
+
+
+def test_a_refusal_of_a_key_in_force_is_found():
+    used = keys.Keys()
+    used.change("revoked", 10.0)
+    used.record("", keys.Use(keys.SPARE, 9.0, 9.1, is_refused=True))
+    used.record("", keys.Use(keys.SPARE, 10.5, 10.6, is_refused=True))
+    used.record("", keys.Use("k-south", 10.5, 10.6, is_refused=True))
+    assert len(used.check([], leaving.Disturbances())) == 2
+
+
+def test_a_fault_delays_when_a_key_change_is_known():
+    used = keys.Keys()
+    used.change("moves", 10.0)
+    used.record("a1", keys.Use(keys.SPARE, 13.0, 13.1))
+    disturbances = leaving.Disturbances()
+    disturbances.learning = [leaving.Interval(10.5, 12.0)]
+    assert not used.check([("a1", "north")], disturbances)
