--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -229,7 +229,7 @@
                 if outcome is None:
                     outcome = await self._execute(arrival)
                 self._send_answer(outcome)
-                if outcome.kind is Kind.UNKNOWN_KEY:
+                if outcome.kind is Kind.UNKNOWN_KEY and self._is_revoked():
                     self.close()
         finally:
             self._task = None
--- a/tests/relay/statements/test_revoked_keys.py
+++ b/tests/relay/statements/test_revoked_keys.py
@@ -100,6 +100,26 @@
     assert caller.seen == [Kind.DONE, None]
 
 
+async def test_a_session_does_not_hold_its_key(executor, caller):
+    """Guards against keys in a dump of the sessions."""
+    key_hash = tenants.hash_key("k-secret")
+    made = sessions.Session("db", caller, executor, None, key_hash)
+    assert "secret" not in str(vars(made))
+
+
+async def test_a_refusal_by_an_endpoint_keeps_the_session(
+    session, caller, executor
+):
+    """Guards against sessions closed while their key is in force."""
+
+    async def refuse(session, route, arrival):
+        return messages.Outcome(Kind.UNKNOWN_KEY)
+
+    executor.run_single = refuse
+    await send(session, Verb.READ)
+    assert caller.seen == [Kind.UNKNOWN_KEY]
+
+
 async def test_an_operation_in_progress_is_answered_first(
     session, caller, executor
 ):
