Guard the time bounds of the store's watch by tests

Cause: a watch on a silent connection was given up after the whole time within which a version must be in force, and repeated after that; no test compared the two. Change: tests of the length of watches, before and while the store fails, and of a watch that is restarted.

--- a/tests/relay/statements/test_revoked_keys.py
+++ b/tests/relay/statements/test_revoked_keys.py
@@ -103,7 +103,9 @@
 async def test_a_session_does_not_hold_its_key(executor, caller):
     """Guards against keys in a dump of the sessions."""
     key_hash = tenants.hash_key("k-secret")
-    made = sessions.Session("db", caller, executor, None, key_hash)
+    made = sessions.Session(
+        "db", caller, executor, clock.BootClock(), key_hash
+    )
     assert "secret" not in str(vars(made))
 
 
--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -314,3 +314,73 @@
     assert await watch.refresh()
     assert list_copied() == ["a"]
     await watch.close()
+
+
+class SilentStore(FakeStore):
+    """Store whose first watches get no answer.
+
+    :ivar lengths: seconds that each watch asked for
+    :ivar silent_seconds: time until each of these watches is given up
+    """
+
+    def __init__(self, silent_seconds):
+        super().__init__()
+        self.lengths = []
+        self.silent_seconds = silent_seconds
+
+    async def watch(self, kind, since, seconds, era=None):
+        self.lengths.append(seconds)
+        if self.silent_seconds:
+            await asyncio.sleep(self.silent_seconds.pop(0))
+            raise errors.PlatformUnavailable("no answer", step="watch")
+        return await super().watch(kind, since, seconds, era)
+
+
+def make_watch(fake_store, seen, seconds):
+    return watches.ObjectWatch(
+        fake_store, "config", seen.append, random.Random(1), seconds
+    )
+
+
+async def test_two_watches_fit_into_the_time_for_a_change(seen):
+    """Guards against a change that a silent connection makes late."""
+    silent = SilentStore([0.5])
+    watch = make_watch(silent, seen, 5.0)
+    await watch.start()
+    began_at = time.monotonic()
+    async with asyncio.timeout(2.0):
+        while len(silent.lengths) < 2:
+            await asyncio.sleep(0.001)
+    # It waited longer than the delay after a failed call.
+    assert time.monotonic() - began_at < 0.55 + 0.2
+    assert silent.lengths[0] + 2 * store.WATCH_HEADROOM_SECONDS <= 5.0
+    await watch.close()
+
+
+async def test_calls_are_short_until_the_store_answers(seen):
+    """Guards against a call of a cut that stays silent for long after it."""
+    silent = SilentStore([0.0, 0.0])
+    watch = make_watch(silent, seen, 5.0)
+    await watch.start()
+    async with asyncio.timeout(3.0):
+        while len(silent.lengths) < 3:
+            await asyncio.sleep(0.001)
+    silent.put("b")
+    async with asyncio.timeout(3.0):
+        while len(silent.lengths) < 4:
+            await asyncio.sleep(0.001)
+    short = watches.MIN_WATCH_SECONDS
+    assert silent.lengths == [3.6, short, short, 3.6]
+    await watch.close()
+
+
+async def test_a_restarted_watch_begins_at_once(fake_store, watch, seen):
+    """Guards against changes missed while a watch waits on a dead link."""
+    await watch.start()
+    await wait_seen(seen, ["a"])
+    fake_store.delay()
+    fake_store.put("b")
+    await asyncio.sleep(0.02)
+    watch.restart()
+    await wait_seen(seen, ["a", "b"])
+    await watch.close()
