--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -1,6 +1,7 @@
 """Routes and endpoints in force in this daemon."""
 
 import collections
+import collections.abc
 import time
 import typing
 
@@ -51,6 +52,7 @@
         self._former_tables: collections.deque[routes.RouteTable] = (
             collections.deque(maxlen=FORMER_TABLES)
         )
+        self._listeners: list[collections.abc.Callable[[], None]] = []
         self._dialer = dialer
         self._options = relay_options
         self._clock = boot_clock
@@ -111,11 +113,35 @@
             routes=len(table.routes),
         )
         self._former_tables.append(self.table)
-        self.table = table
+        before, self.table = self.table.tenant_table, table
+        self._log_tenants(before)
         for group in self.groups.values():
             self.apply_limits(group)
+        for listener in self._listeners:
+            listener()
         return True
 
+    def add_listener(
+        self, listener: collections.abc.Callable[[], None]
+    ) -> None:
+        """Add a function that is called after each change of the routes."""
+        self._listeners.append(listener)
+
+    def _log_tenants(self, before: tenants.TenantTable) -> None:
+        table = self.table.tenant_table
+        changes = table.count_changes(before)
+        if not changes:
+            return
+        log.info(
+            "tenants in force",
+            version=self.table.version,
+            tenants=len(table.by_name),
+            keys=table.key_count,
+            keys_added=changes.added,
+            keys_removed=changes.removed,
+            keys_moved=changes.moved,
+        )
+
     def put_endpoints(
         self,
         entries: typing.Mapping[str, messages.EndpointEntry],
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
@@ -1,6 +1,5 @@
 """Admits operations within the limits of their tenants."""
 
-import abc
 import asyncio
 import collections
 import collections.abc
@@ -22,6 +21,7 @@
 from fescuestile_daemon.relay.core import events
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.peers import sampling
+from fescuestile_daemon.relay.statements import limits
 
 log = structlog.get_logger()
 
@@ -55,17 +55,6 @@
         """Tenants of the configuration in force."""
 
 
-class Limiter(abc.ABC):
-    """Decides whether an operation is within its tenant's limit."""
-
-    @abc.abstractmethod
-    async def admit(self, tenant: str) -> messages.Outcome | None:
-        """Count an operation.
-
-        :returns: its refusal, None if it may run
-        """
-
-
 @dataclasses.dataclass(slots=True)
 class _Demand:
     """Operations of one tenant at this daemon.
@@ -89,7 +78,7 @@
     refused_until: float = 0.0
 
 
-class AllowanceExchange(Limiter):
+class AllowanceExchange(limits.Limiter):
     """Gets tokens from a coordinator, and is one for other daemons."""
 
     def __init__(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -97,6 +97,12 @@
         """Return who calls on a route, None for an unknown key."""
         raise NotImplementedError
 
+    def record_unknown_key(self) -> None:
+        """Record that an operation was refused for its key."""
+
+    async def wait_current(self) -> None:
+        """Wait, for a bounded time, while routes and keys may be old."""
+
     async def admit(self, session: "Session") -> messages.Outcome | None:
         """Count an operation against its tenant's limit.
 
@@ -184,6 +190,7 @@
             outcome = self._answer_locally(arrival)
             if outcome is not None:
                 self._send_answer(outcome)
+                self.close_if_revoked()
                 return
         self._queue.append(arrival)
         if self._task is None:
@@ -201,6 +208,37 @@
         if self._task is None:
             self._abandon()
 
+    def _is_revoked(self) -> bool:
+        """Return whether the caller's key is no longer in force."""
+        route = self._executor.find_route(self.database)
+        return route is not None and (
+            self._executor.find_tenant(route, self.key_hash) is None
+        )
+
+    def close_if_revoked(self) -> bool:
+        """Close the session if nothing of it may go on.
+
+        A transaction that has run a statement may end; one that has failed,
+        or has run none, holds nothing.
+
+        :returns: whether the session was closed
+        """
+        if self.busy or self._disconnected or self._has_work():
+            return False
+        is_revoked = self._is_revoked()
+        if is_revoked:
+            self.close()
+        return is_revoked
+
+    def _has_work(self) -> bool:
+        """Return whether a transaction has run statements and may go on."""
+        transaction = self._transaction
+        return (
+            transaction is not None
+            and transaction.is_admitted
+            and not transaction.failed
+        )
+
     def close(self) -> None:
         """Close the caller's connection and end the session."""
         self._caller.close()
@@ -215,10 +253,13 @@
                 if outcome is None:
                     outcome = await self._execute(arrival)
                 self._send_answer(outcome)
+                if outcome.kind is Kind.UNKNOWN_KEY and self._is_revoked():
+                    self.close()
         finally:
             self._task = None
             if self._disconnected:
                 self._abandon()
+        self.close_if_revoked()
 
     def _send_answer(self, outcome: messages.Outcome) -> None:
         transaction = self._transaction
@@ -237,6 +278,8 @@
         """Answer a statement that needs no endpoint; None for the others."""
         statement = arrival.statement
         transaction = self._transaction
+        if self.busy and not self._has_work() and self._is_revoked():
+            return self._refuse_key()
         if transaction is not None and transaction.failed:
             if statement.verb in ENDINGS:
                 return self._end_failed(statement)
@@ -280,8 +323,7 @@
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
-        if not self._identify(route):
-            return self._refuse_key()
+        # Its tenant is that of its first statement, which begins its work.
         self._transaction = Transaction(
             route=route,
             group=self._executor.find_group(route),
@@ -314,6 +356,7 @@
             elif outcome.kind is not Kind.DONE:
                 transaction.failed = True
             return outcome
+        await self._executor.wait_current()
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
@@ -333,6 +376,9 @@
         return tenant is not None
 
     def _refuse_key(self) -> messages.Outcome:
+        """Refuse a statement, after whose answer the session is closed."""
+        self._abandon()
+        self._executor.record_unknown_key()
         return messages.Outcome(Kind.UNKNOWN_KEY, detail="unknown key")
 
     async def _admit_transaction(
@@ -340,6 +386,10 @@
     ) -> messages.Outcome | None:
         if transaction.is_admitted:
             return None
+        await self._executor.wait_current()
+        route = self._executor.find_route(self.database)
+        if not self._identify(route or transaction.route):
+            return self._refuse_key()
         transaction.is_admitted = True
         return await self._executor.admit(self)
 
@@ -381,3 +431,4 @@
         if transaction is not None and self._task is None:
             transaction.failed = True
             self._executor.abandon(transaction)
+            self.close_if_revoked()
--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -40,29 +40,79 @@
     ).digest()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Difference between two versions of the tenants.
+
+    :ivar added: number of new keys
+    :ivar removed: number of keys taken away
+    :ivar moved: number of keys that belong to another tenant
+    :ivar tenants_changed: whether tenants came, went or have other limits
+    """
+
+    added: int
+    removed: int
+    moved: int
+    tenants_changed: bool
+
+    def __bool__(self) -> bool:
+        """Return whether there is a difference."""
+        keys = self.added + self.removed + self.moved
+        return self.tenants_changed or keys > 0
+
+
 class TenantTable:
-    """Tenants of one version of the configuration, by name and by key."""
+    """Tenants of one version of the configuration, by name and by key.
+
+    :ivar by_name: tenants by name
+    :ivar conflicts: descriptions of names and keys that came twice, without
+        the keys
+    """
 
     def __init__(
         self,
         holders: collections.abc.Iterable[
             tuple[Tenant, collections.abc.Iterable[str]]
         ] = (),
+        needs_keys: bool = False,
     ) -> None:
         """Initialize with tenants and their keys.
 
-        A key that two tenants have belongs to the first of them.
+        A key that two tenants have belongs to the first of them, and entries
+        of one name are one tenant with the limits of the first.
+
+        :param needs_keys: whether callers need keys even if there is no
+            valid tenant
         """
         self.by_name: dict[str, Tenant] = {}
+        self.conflicts: list[str] = []
         self._by_key: dict[bytes, Tenant] = {}
-        for tenant, keys in holders:
-            self.by_name.setdefault(tenant.name, tenant)
-            for key in keys:
-                self._by_key.setdefault(hash_key(key), tenant)
+        self._needs_keys = needs_keys
+        for entry, keys in holders:
+            self.add(entry, keys)
+
+    def add(self, entry: Tenant, keys: collections.abc.Iterable[str]) -> None:
+        """Add a tenant and its keys, while the table is not yet in force."""
+        self._needs_keys = True
+        tenant = self.by_name.setdefault(entry.name, entry)
+        if tenant is not entry:
+            self.conflicts.append(f"tenant {entry.name} is listed twice")
+        for key in keys:
+            holder = self._by_key.setdefault(hash_key(key), tenant)
+            if holder is not tenant:
+                self.conflicts.append(
+                    f"a key of tenant {tenant.name} belongs to tenant"
+                    f" {holder.name}"
+                )
 
     def __bool__(self) -> bool:
-        """Return whether there are tenants."""
-        return bool(self.by_name)
+        """Return whether callers need keys."""
+        return self._needs_keys
+
+    @property
+    def key_count(self) -> int:
+        """Number of keys in force."""
+        return len(self._by_key)
 
     def find(self, key_hash: bytes) -> Tenant | None:
         """Return the tenant that holds a key, by its hash."""
@@ -80,3 +130,18 @@
             for key_hash, tenant in self._by_key.items()
             if tenant.name == name
         }
+
+    def count_changes(self, before: "TenantTable") -> Changes:
+        """Return what has changed since another version."""
+        known = before._by_key
+        kept = len(known.keys() & self._by_key.keys())
+        moved = 0
+        for key, tenant in self._by_key.items():
+            holder = known.get(key)
+            moved += holder is not None and holder.name != tenant.name
+        return Changes(
+            added=len(self._by_key) - kept,
+            removed=len(known) - kept,
+            moved=moved,
+            tenants_changed=self.by_name != before.by_name,
+        )
