Bound how many gateways refuse work while endpoints are out of reach

Work that no gateway can run passed all candidates of a zone, each of which then watched the group. After two refusals the caller gets BUSY.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
@@ -24,6 +24,9 @@
 Step = statement_messages.Step
 Verb = messages.Verb
 
+# Gateways that may refuse work because they reach too few endpoints. After
+# that the endpoints are at fault, and work would only pass all daemons.
+MAX_UNREACHABLE = 2
 # Longest wait for a newer configuration that a gateway has.
 VERSION_SECONDS = 0.25
 
@@ -129,6 +132,8 @@
                 if refusal is not None:
                     return refusal
                 continue
+            if self._is_out_of_reach(work, answer):
+                return self._record(work, Kind.BUSY, "endpoints unreachable")
             self._calls.note_retry(work, peer)
 
     def _record(
@@ -178,6 +183,17 @@
         )
         return None
 
+    def _is_out_of_reach(
+        self, work: gateway_calls.Work, answer: Answer | LinkFailure
+    ) -> bool:
+        """Return whether enough gateways have reached too few endpoints."""
+        if (
+            isinstance(answer, Answer)
+            and answer.refusal is Refusal.UNREACHABLE
+        ):
+            work.unreachable += 1
+        return work.unreachable >= MAX_UNREACHABLE
+
     # Transactions
 
     async def run_in_transaction(
@@ -241,6 +257,8 @@
                 if await self._wait_version(work, peer, answer):
                     # It goes on under the route and the key of its start.
                     continue
+            if self._is_out_of_reach(work, answer):
+                return self._record(work, Kind.BUSY, "endpoints unreachable")
             self._calls.note_retry(work, peer)
 
     async def _run_later(
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
@@ -44,6 +44,7 @@
     :ivar step: its place in ``transaction``
     :ivar tried: gateways that did not run it, or did not answer
     :ivar attempts: calls of gateways so far
+    :ivar unreachable: gateways that reached too few endpoints
     :ivar has_waited: whether it has waited for a newer configuration
     """
 
@@ -58,6 +59,7 @@
     number: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    unreachable: int = 0
     has_waited: bool = False
 
     @property
--- a/tests/relay/peers/test_forwarding.py
+++ b/tests/relay/peers/test_forwarding.py
@@ -300,6 +300,19 @@
     assert gateways[1].local.ran == [Verb.WRITE]
 
 
+@pytest.mark.parametrize("begins", [False, True])
+async def test_work_does_not_pass_all_daemons_while_endpoints_are_down(
+    fleet, run, begins
+):
+    """Guards against many times the work during an outage of endpoints."""
+    for daemon in fleet.daemons.values():
+        daemon.local.outcome = Kind.BUSY
+    if begins:
+        await run(Verb.BEGIN)
+    assert (await run(Verb.WRITE)).kind is Kind.BUSY
+    assert fleet.sum_ran() == 2
+
+
 async def test_two_gateways_serve_at_once(fleet, gateways, sender, run):
     """Daemons disagree about who is reachable; neither forwards again."""
     other = fleet.find_sender("c")
