--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/outgoing_links.py
@@ -77,8 +77,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_ticking = False
         now = context.clock.now()
-        self._heard_at = self._used_at = self._ticked_at = now
+        self._heard_at = self._used_at = now
         self._pinged_at: float | None = None
+        self._silence = 0.0
 
     async def connect(self, host: str | None) -> None:
         """Open the connection and exchange hellos, or end the link.
@@ -91,7 +92,8 @@
         self._hello = loop.create_future()
         address = addresses.split_address(self.peer.address)
         try:
-            async with asyncio.timeout(self._options.connect):
+            async with asyncio.timeout(None) as limit:
+                self._limit_connect(limit, self._options.connect)
                 await loop.create_connection(
                     lambda: self,
                     *address,
@@ -103,6 +105,15 @@
         except OSError as error:
             self.fail(f"not connected: {error}")
 
+    def _limit_connect(self, limit: asyncio.Timeout, left: float) -> None:
+        """Count the time in ticks, as in ``_tick``."""
+        if left <= 0:
+            limit.reschedule(asyncio.get_running_loop().time())
+            return
+        tick = min(self._options.tick, left)
+        later = round(left - tick, 6)
+        self._wait(tick, lambda: self._limit_connect(limit, later))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Say hello."""
         super().connection_made(transport)
@@ -227,9 +238,17 @@
     def _start_ticking(self) -> None:
         if not self._is_ticking:
             self._is_ticking = True
-            self._ticked_at = self._context.clock.now()
             self._wait(self._options.tick, self._tick)
 
+    def _rest(self, now: float) -> None:
+        """Check seldom while no request is in flight; a call restarts it."""
+        options = self._options
+        self._is_ticking = False
+        if now - self._used_at < options.recent:
+            self._wait(options.silence, self._tick)
+        else:
+            self._wait(options.idle, self.retire)
+
     def _wait(
         self, delay: float, callback: collections.abc.Callable[[], None]
     ) -> None:
@@ -239,35 +258,30 @@
         self._timer = loop.call_later(delay, callback)
 
     def _tick(self) -> None:
-        """Find out whether the peer is alive."""
+        """Find out whether the peer is alive.
+
+        Its silence is counted in ticks: a time in which this process does not
+        run counts as one, as there may be answers that it has not read.
+        """
         options = self._options
+        self._is_ticking = True
         now = self._context.clock.now()
-        elapsed = now - self._ticked_at
-        self._ticked_at = now
         if self._pinged_at is not None:
+            self._silence += options.tick
             if self._heard_at > self._pinged_at:
                 self._pinged_at = None
-            elif elapsed > options.tick + options.silence / 2:
-                # This process did not run, and may have answers to read.
-                self._pinged_at = now
-            elif now - self._pinged_at >= options.silence:
+            elif self._silence >= options.silence - options.tick / 2:
                 self.fail("silent")
                 return
         if self._pinged_at is None:
             quiet = now - self._heard_at
-            if self._calls:
-                due = quiet >= options.quiet
-            elif now - self._used_at < options.recent:
-                due = quiet >= options.silence
-            else:
-                self._is_ticking = False
-                self._wait(options.idle, self._check_idle)
-                return
-            if due:
+            limit = options.quiet if self._calls else options.silence
+            recent = now - self._used_at < options.recent
+            if quiet >= limit and (self._calls or recent):
                 self._pinged_at = now
+                self._silence = 0.0
                 self.send_now(link_frames.encode(Kind.PING, 0))
+            elif not self._calls:
+                self._rest(now)
+                return
         self._wait(options.tick, self._tick)
-
-    def _check_idle(self) -> None:
-        """Close the link; each use of it restarts the checks."""
-        self.retire()
