--- a/tests/relay/peers/test_gateway_table.py
+++ b/tests/relay/peers/test_gateway_table.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fescuestile_daemon.relay.groups import group_duties
+from fescuestile_daemon.relay.takeovers import monitor
 from tests import gateway_daemons
 from tests import monitored_groups
 
@@ -73,6 +74,10 @@
         return self.watches
 
 
+def find_reason(group_monitor, group):
+    return group_monitor._find_reason(group, time.monotonic(), 60.0)
+
+
 async def test_old_observations_do_not_suspect_a_primary():
     """Guards against a needless takeover by a daemon that watches again."""
     group = monitored_groups.make_group()
@@ -83,11 +88,14 @@
     primary = group.endpoints["p"]
     primary.unanswered_since = primary.refused_since = time.monotonic() - 9
     group.stalled_since = time.monotonic() - 9
-    group_monitor._seen_since["g", "vacant"] = time.monotonic() - 9
     assert not group_monitor._requests._tasks
+    assert find_reason(group_monitor, group) is monitor.Reason.SILENT
+    group_monitor._seen_since["g", "vacant"] = time.monotonic() - 9
     duties.watches = True
+    assert group_monitor._update_watch(group)
+    assert find_reason(group_monitor, group) is None
+    assert not group_monitor._seen_since
     group_monitor._check_groups()
-    assert not group_monitor._takeovers
     assert group_monitor._requests._tasks
     await group_monitor.close(0.0)
 
