--- a/tests/unit/test_allowances.py
+++ b/tests/unit/test_allowances.py
@@ -29,6 +29,7 @@
 LIMIT = tenants.Tenant("t", rate=40.0, burst=15.0)
 LOWERED = tenants.Tenant("t", rate=4.0, burst=2.0)
 NAMES = "abcdef"
+STEP_SECONDS = 0.125
 
 
 class Daemon:
@@ -248,9 +249,13 @@
         for number, name in enumerate("abc")
     }
     leases = []
-    for step in range(round((until - since) / 0.125)):
-        now = since + step * 0.125
+    for step in range(round((until - since) / STEP_SECONDS)):
+        now = since + step * STEP_SECONDS
         asks = lessor.tick(now)
+        if lessor.coordinator is not None:
+            # Operations request tokens at any time, and so renew the lease.
+            to = lessor.coordinator
+            asks.append((to, lessor.make_ask(to, now, {"t": 1})))
         while asks:
             to, ask = asks.pop()
             if ask.echo is not None:
@@ -281,6 +286,18 @@
     assert {to for to, at in leases if at >= first} == {"c"}
 
 
+def test_a_better_coordinator_waits_for_the_lease_of_the_present_one():
+    """Guards against a share that two living coordinators count."""
+    lessor = make_lessor()
+    run_lessor(lessor, 0.0, 3.0, "c")
+    leases = run_lessor(lessor, 3.0, 9.0, "bc")
+    last = max(at for to, at in leases if to == "c")
+    first = min(at for to, at in leases if to == "b")
+    # The last request echoed a value that was received a step before.
+    received = last - STEP_SECONDS
+    assert first >= received + allowances.LEASE_SECONDS
+
+
 def test_a_daemon_that_starts_again_waits_for_its_former_lease():
     """Guards against a share that counts for a process that has ended."""
     first = run_lessor(make_lessor(), 0.0, 3.0, "bc")[0]
@@ -427,3 +444,23 @@
         )
         for message in (ask, grant):
             assert len(allowance_messages.encode(message)) < 1200
+
+
+def test_a_daemon_counts_once_all_others_have_listed_it():
+    """Guards against a new share beside daemons that know fewer of them."""
+    lessor = make_lessor()
+    assert not lessor.make_ask("b", 11.9).is_listed
+    assert lessor.make_ask("b", 14.0).is_listed
+    coordinator = allowance_coordinator.Coordinator(QUOTA, 7)
+    echo = allowance_messages.Echo(7, 0.0)
+
+    def lease(name, daemons, is_listed):
+        coordinator.answer(
+            allowance_messages.Ask(1, name, daemons, is_listed, echo), 0.1
+        )
+        return coordinator.measure_share(0.1)
+
+    assert lease("a", 2, True) == 1 / 2
+    assert lease("c", 3, False) == 1 / 3
+    # All known daemons lease to this coordinator, so none does to another.
+    assert lease("b", 3, True) == 1.0
