--- a/packages/fescuestile/src/fescuestile/fair_queue.py
+++ b/packages/fescuestile/src/fescuestile/fair_queue.py
@@ -6,7 +6,6 @@
 of one kind, or by one caller, therefore lengthens only its own queue.
 """
 
-import collections.abc
 import heapq
 import operator
 import typing
@@ -20,9 +19,6 @@
 # come and go with the configuration.
 MAX_IDLE_TENANTS = 128
 
-# Returns the mean service time of a kind, in seconds.
-_GetService: typing.TypeAlias = collections.abc.Callable[[str], float]
-
 
 class FairQueue:
     """Waiting work of one rank."""
@@ -100,7 +96,9 @@
         longest = max(self._waiting.values(), key=lambda each: each.length)
         return longest.find_newest()
 
-    def measure_ahead(self, work: Work, get_service: _GetService) -> float:
+    def measure_ahead(
+        self, work: Work, get_service: tenant_queue.GetService
+    ) -> float:
         """Return the seconds of service that are given before new work.
 
         :param work: the new work
@@ -109,8 +107,9 @@
         own = self._waiting.get(work.tenant)
         ahead = 0.0
         if own is not None:
-            ahead = _sum_service(
-                own.list_ahead(work.kind, work.caller), get_service
+            ahead = sum(
+                get_service(kind) * count
+                for kind, count in own.list_ahead(work.kind, work.caller)
             )
         known = own or self._tenants.get(work.tenant)
         tag = self._virtual_time
@@ -121,7 +120,7 @@
             if other is own or other.finish_tag > tag:
                 continue
             # It is served until its tag has passed that of the new work.
-            waiting = _sum_service(other.list_waiting(), get_service)
+            waiting = other.measure_waiting(get_service)
             until = (tag - other.finish_tag) * other.weight
             ahead += min(waiting, until + waiting / other.length)
         return ahead
@@ -145,7 +144,7 @@
             yield from tenant.list_waiting()
 
     def list_tickets(
-        self, get_service: _GetService
+        self, get_service: tenant_queue.GetService
     ) -> typing.Iterator[Ticket]:
         """Yield waiting tickets in the order in which tenants are served.
 
@@ -193,14 +192,8 @@
                 del self._tenants[name]
 
 
-def _sum_service(
-    counts: typing.Iterable[tuple[str, int]], get_service: _GetService
-) -> float:
-    return sum(get_service(kind) * count for kind, count in counts)
-
-
 def _tag_tickets(
-    tenant: tenant_queue.TenantQueue, get_service: _GetService
+    tenant: tenant_queue.TenantQueue, get_service: tenant_queue.GetService
 ) -> typing.Iterator[tuple[float, Ticket]]:
     """Yield a tenant's tickets with the tags at which they are served."""
     tag = tenant.finish_tag
--- a/packages/fescuestile/src/fescuestile/tenant_queue.py
+++ b/packages/fescuestile/src/fescuestile/tenant_queue.py
@@ -1,9 +1,13 @@
 """Waiting work of one tenant, fair among kinds of work and callers."""
 
 import collections
+import collections.abc
 import dataclasses
 import typing
 
+# Returns the mean service time of a kind, in seconds.
+GetService: typing.TypeAlias = collections.abc.Callable[[str], float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
@@ -207,6 +211,13 @@
             else:
                 yield name, min(other.length, ahead + 1)
 
+    def measure_waiting(self, get_service: GetService) -> float:
+        """Return the seconds of service that all waiting tickets take."""
+        seconds = 0.0
+        for name, kind in self._waiting.items():
+            seconds += get_service(name) * kind.length
+        return seconds
+
     def list_waiting(self) -> typing.Iterator[tuple[str, int]]:
         """Yield kinds and how many tickets of each wait."""
         for name, kind in self._waiting.items():
--- a/tests/relay/endpoints/test_shared_pool.py
+++ b/tests/relay/endpoints/test_shared_pool.py
@@ -13,53 +13,16 @@
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.endpoints import endpoint_states
-from fescuestile_daemon.relay.endpoints import pool
 from fescuestile_daemon.relay.statements import sessions
-from tests.relay.endpoints import test_channel_pool
+from tests import tenant_endpoints
 
-ENTRY = test_channel_pool.ENTRY
-RESTING_SECONDS = 0.05
-
-
-class TenantEndpoint(test_channel_pool.FakeEndpoint):
-    """Accepts a limited number of connections, each of a tenant.
-
-    :ivar dialed: tenants of the connections opened, in order
-    """
-
-    def __init__(self, limit=100):
-        super().__init__(limit)
-        self.dialed = []
-
-    async def dial(self, entry, tenant=""):
-        connection = await super().dial(entry, tenant)
-        if isinstance(connection, ports.EndpointConnection):
-            connection.tenant = tenant
-            self.dialed.append(tenant)
-        return connection
-
-
-def make_pool(endpoint, cap, **settings):
-    settings = {"resting_transaction": RESTING_SECONDS} | settings
-    return pool.ConnectionPool(
-        ENTRY,
-        endpoint,
-        options.RelayOptions(**settings),
-        cap,
-        pool.Observer(lambda: None, lambda outcome: None),
-    )
-
-
-async def acquire(shared, tenant, seconds=1.0, **fields):
-    async with asyncio.timeout(seconds):
-        connection = await shared.acquire(tenant=tenant, **fields)
-    assert isinstance(connection, ports.EndpointConnection)
-    return connection
+ENTRY = tenant_endpoints.ENTRY
+RESTING_SECONDS = tenant_endpoints.RESTING_SECONDS
 
 
 async def use(shared, *names):
     for tenant in names:
-        shared.release(await acquire(shared, tenant))
+        shared.release(await tenant_endpoints.acquire(shared, tenant))
 
 
 def begin(shared, tenant):
@@ -91,27 +54,27 @@
 
 
 async def test_a_connection_serves_one_tenant():
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=3)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=3)
     await use(shared, "a", "b", "a", "b")
     assert endpoint.dialed == ["a", "b"]
 
 
 async def test_the_least_needed_connection_makes_room():
     """Guards against closing those of tenants that are used often."""
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=3)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=3)
     await use(shared, "a", "a", "a", "b", "b", "b", "c", "d", "a", "b")
     assert endpoint.dialed == ["a", "b", "c", "d"]
 
 
 async def test_a_full_pool_waits_for_a_connection_of_the_same_tenant():
     """Guards against an eviction for the time of one statement."""
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=2, dial_delay=0.5)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=2, dial_delay=0.5)
     await use(shared, "b")
-    busy = await acquire(shared, "a")
-    waiting = asyncio.create_task(acquire(shared, "a"))
+    busy = await tenant_endpoints.acquire(shared, "a")
+    waiting = asyncio.create_task(tenant_endpoints.acquire(shared, "a"))
     await asyncio.sleep(0.01)
     shared.release(busy)
     assert await waiting is busy
@@ -119,20 +82,26 @@
 
 
 async def test_the_wait_for_the_same_tenant_is_bounded():
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=2, dial_delay=0.02)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=2, dial_delay=0.02)
     await use(shared, "b")
-    await acquire(shared, "a")
-    await acquire(shared, "a")
+    await tenant_endpoints.acquire(shared, "a")
+    await tenant_endpoints.acquire(shared, "a")
     assert endpoint.dialed == ["b", "a", "a"]
 
 
 async def test_a_released_connection_wakes_a_request_that_can_use_it():
     """Guards against a request woken in vain while another one waits on."""
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=2, dial_delay=0.5)
-    first, second = await acquire(shared, "a"), await acquire(shared, "b")
-    tasks = [asyncio.create_task(acquire(shared, name)) for name in ("a", "b")]
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=2, dial_delay=0.5)
+    first, second = (
+        await tenant_endpoints.acquire(shared, "a"),
+        await tenant_endpoints.acquire(shared, "b"),
+    )
+    tasks = [
+        asyncio.create_task(tenant_endpoints.acquire(shared, name))
+        for name in ("a", "b")
+    ]
     await asyncio.sleep(0.01)
     shared.release(second)
     assert await tasks[1] is second
@@ -144,12 +113,16 @@
 
 async def test_the_most_urgent_request_gets_the_next_connection():
     """Guards against a flood of one rank that takes every connection."""
-    shared = make_pool(TenantEndpoint(), cap=1)
-    busy = await acquire(shared, "a")
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=1
+    )
+    busy = await tenant_endpoints.acquire(shared, "a")
     order = []
 
     async def run(level):
-        connection = await acquire(shared, f"t{level}", level=level)
+        connection = await tenant_endpoints.acquire(
+            shared, f"t{level}", level=level
+        )
         order.append(level)
         shared.release(connection)
 
@@ -162,19 +135,21 @@
 
 async def test_a_request_goes_on_after_the_pause_of_a_failed_attempt():
     """Guards against a wait without end: only other tenants' are in use."""
-    endpoint = TenantEndpoint(limit=1)
-    shared = make_pool(endpoint, cap=3, refused_delay=0.05)
-    await acquire(shared, "a")
+    endpoint = tenant_endpoints.TenantEndpoint(limit=1)
+    shared = tenant_endpoints.make_pool(endpoint, cap=3, refused_delay=0.05)
+    await tenant_endpoints.acquire(shared, "a")
     refusal = await shared.acquire(tenant="b")
     assert refusal.kind is messages.Kind.TOO_MANY_CONNECTIONS
     endpoint.limit = 3
     shared.usage = 0.4
-    await acquire(shared, "b")
+    await tenant_endpoints.acquire(shared, "b")
 
 
 async def test_120_idle_transactions_leave_connections_to_single_statements():
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=42, resting_transaction=60.0)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(
+        endpoint, cap=42, resting_transaction=60.0
+    )
     crowd = [f"t{number % 3}" for number in range(130)]
     async with transactions(shared, *crowd):
         assert shared.open == 31
@@ -184,7 +159,9 @@
             await shared.acquire(inspects=True), ports.EndpointConnection
         )
         with pytest.raises(TimeoutError):
-            await acquire(shared, "late", seconds=0.05, holds=True)
+            await tenant_endpoints.acquire(
+                shared, "late", seconds=0.05, holds=True
+            )
         assert shared.open <= 42
 
 
@@ -193,21 +170,25 @@
 
     Only as many end as requests wait, those that rest for longest first.
     """
-    shared = make_pool(TenantEndpoint(), cap=4)
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=4
+    )
     async with transactions(shared, "a", "b", "c") as resting:
         await asyncio.sleep(2 * RESTING_SECONDS)
         assert not any(task.done() for task in resting)
-        await acquire(shared, "d", holds=True)
+        await tenant_endpoints.acquire(shared, "d", holds=True)
         await asyncio.sleep(2 * RESTING_SECONDS)
         assert [task.done() for task in resting] == [True, False, False]
 
 
 async def test_a_transaction_that_goes_on_is_not_rolled_back():
-    shared = make_pool(TenantEndpoint(), cap=1)
-    connection = await acquire(shared, "a", holds=True)
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=1
+    )
+    connection = await tenant_endpoints.acquire(shared, "a", holds=True)
     expired = []
     shared.rest(connection, lambda: expired.append(True))
-    waiting = asyncio.create_task(acquire(shared, "b"))
+    waiting = asyncio.create_task(tenant_endpoints.acquire(shared, "b"))
     await asyncio.sleep(0.01)
     shared.resume(connection)
     await asyncio.sleep(2 * RESTING_SECONDS)
@@ -218,11 +199,20 @@
 
 async def test_one_tenants_transactions_give_way_to_those_of_others():
     """Guards against a tenant whose transactions take each place again."""
-    shared = make_pool(TenantEndpoint(), cap=8, resting_transaction=60.0)
-    held = [await acquire(shared, "hot", holds=True) for _ in range(6)]
-    hot = asyncio.create_task(acquire(shared, "hot", holds=True))
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=8, resting_transaction=60.0
+    )
+    held = [
+        await tenant_endpoints.acquire(shared, "hot", holds=True)
+        for _ in range(6)
+    ]
+    hot = asyncio.create_task(
+        tenant_endpoints.acquire(shared, "hot", holds=True)
+    )
     await asyncio.sleep(0.01)
-    calm = asyncio.create_task(acquire(shared, "calm", holds=True))
+    calm = asyncio.create_task(
+        tenant_endpoints.acquire(shared, "calm", holds=True)
+    )
     await asyncio.sleep(0.01)
     assert not hot.done()
     shared.release(held.pop())
@@ -233,23 +223,31 @@
 
 
 async def test_without_tenants_transactions_take_connections_as_before():
-    shared = make_pool(TenantEndpoint(), cap=4)
-    connections = [await acquire(shared, "", holds=True) for _ in range(4)]
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=4
+    )
+    connections = [
+        await tenant_endpoints.acquire(shared, "", holds=True)
+        for _ in range(4)
+    ]
     expired = []
     for connection in connections:
         shared.rest(connection, lambda: expired.append(True))
     with pytest.raises(TimeoutError):
-        await acquire(shared, "", seconds=3 * RESTING_SECONDS)
+        await tenant_endpoints.acquire(shared, "", seconds=3 * RESTING_SECONDS)
     assert not expired
 
 
 async def test_a_retaining_pool_keeps_idle_connections():
     """Guards against a gateway that closes and opens connections in turn."""
-    endpoint = TenantEndpoint()
-    shared = make_pool(endpoint, cap=42, scarce_idle=0.0)
+    endpoint = tenant_endpoints.TenantEndpoint()
+    shared = tenant_endpoints.make_pool(endpoint, cap=42, scarce_idle=0.0)
     shared.is_retaining = True
     shared.usage = 0.7
-    used = [await acquire(shared, f"t{number}") for number in range(20)]
+    used = [
+        await tenant_endpoints.acquire(shared, f"t{number}")
+        for number in range(20)
+    ]
     for connection in used:
         shared.release(connection)
     shared.trim()
@@ -260,7 +258,9 @@
 
 
 async def test_a_retaining_pool_of_one_tenant_bounds_transactions():
-    shared = make_pool(TenantEndpoint(), cap=8, resting_transaction=60.0)
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=8, resting_transaction=60.0
+    )
     shared.is_retaining = True
     async with transactions(shared, *[""] * 20):
         assert shared.open == 6
@@ -269,17 +269,19 @@
 
 async def test_a_retaining_pool_opens_for_a_tenant_that_has_none():
     """Guards against a wait for statements of other tenants."""
-    shared = make_pool(TenantEndpoint(), cap=4, dial_delay=5.0)
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=4, dial_delay=5.0
+    )
     shared.is_retaining = True
     shared.usage = 0.9
-    await acquire(shared, "a")
-    await acquire(shared, "b")
+    await tenant_endpoints.acquire(shared, "a")
+    await tenant_endpoints.acquire(shared, "b")
 
 
 async def test_after_a_refusal_a_retaining_pool_replaces_connections():
     """Guards against refusals by a full endpoint while others rest here."""
-    endpoint = TenantEndpoint(limit=2)
-    shared = make_pool(endpoint, cap=4, refused_delay=0.02)
+    endpoint = tenant_endpoints.TenantEndpoint(limit=2)
+    shared = tenant_endpoints.make_pool(endpoint, cap=4, refused_delay=0.02)
     shared.is_retaining = True
     await use(shared, "a", "a", "b")
     refusal = await shared.acquire(tenant="c")
@@ -322,7 +324,7 @@
         return None
 
     async def run_in_transaction(self, session, transaction, arrival):
-        transaction.connection = await acquire(
+        transaction.connection = await tenant_endpoints.acquire(
             self.endpoint.pool, session.tenant, holds=True
         )
         transaction.endpoint = self.endpoint
@@ -342,7 +344,7 @@
     """Guards against a commit that is answered without a transaction."""
     endpoint = endpoint_states.EndpointState(
         ENTRY,
-        TenantEndpoint(),
+        tenant_endpoints.TenantEndpoint(),
         options.RelayOptions(resting_transaction=RESTING_SECONDS),
         1,
         clock.ManualClock(),
@@ -355,7 +357,7 @@
     session.receive(make_statement(messages.Verb.READ))
     await asyncio.sleep(0.01)
     started = time.monotonic()
-    await acquire(endpoint.pool, "b")
+    await tenant_endpoints.acquire(endpoint.pool, "b")
     assert time.monotonic() - started >= RESTING_SECONDS / 2
     session.receive(make_statement(messages.Verb.COMMIT))
     assert answers.outcomes[-1].kind is messages.Kind.ABORTED
