--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/directory.py
@@ -86,7 +86,7 @@
     def find_weight(self, tenant: str) -> int:
         """Return a tenant's share of the service time, by its name."""
         found = self.table.tenant_table.by_name.get(tenant)
-        return 1 if found is None else found.priority
+        return 1 if found is None else found.weight
 
     def find_group(self, route: routes.Route) -> groups.Group:
         """Return the group of a route; create it if it is new."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
@@ -137,6 +137,10 @@
         """Reach other daemons by an exchange, or no longer."""
         self._exchange = exchange
 
+    def note_registered_before(self) -> None:
+        """Note that an earlier process registered this daemon."""
+        self._lessor.note_registered_before()
+
     def set_peers(
         self, peers: collections.abc.Iterable[position_sharing.Peer]
     ) -> None:
--- a/packages/fescuestile/src/fescuestile/allowance_lessor.py
+++ b/packages/fescuestile/src/fescuestile/allowance_lessor.py
@@ -115,6 +115,14 @@
             self._target = None
         self._search = None
 
+    def note_registered_before(self) -> None:
+        """Note that an earlier process registered this daemon.
+
+        Others have listed its entry, so that it need not wait until they can
+        have done so.
+        """
+        self._is_listed = True
+
     def make_ask(
         self, to: str, now: float, demand: dict[str, int] | None = None
     ) -> allowance_messages.Ask:
--- a/packages/fescuestile/src/fescuestile/allowances.py
+++ b/packages/fescuestile/src/fescuestile/allowances.py
@@ -103,6 +103,5 @@
 
 
 def _score(peer: position_sharing.Peer) -> float:
-    weight = float(getattr(peer, "weight", 1.0))
     drawn = (rendezvous.score(_ORDER_KEY, peer.name) + 1) / (_SCORES + 2)
-    return -weight / math.log(drawn)
+    return -peer.weight / math.log(drawn)
--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -21,14 +21,14 @@
     """A customer of the operator.
 
     :ivar name: what endpoints are told
-    :ivar priority: weight of its work among that of others of its rank, at
+    :ivar weight: share of its work among that of others of its rank, at
         least 1
     :ivar rate: operations a second over all daemons, infinite for no limit
     :ivar burst: operations that it may send at once beyond the rate
     """
 
     name: str
-    priority: int = 1
+    weight: int = 1
     rate: float = math.inf
     burst: float = 0.0
 
