Take no shorter log of a member as evidence

Cause: a member that starts again is another one, but until its registry entry says so, its empty log counted as that of the former member. A driver that did not reach the primary fenced it and promoted a replica that lacked acknowledged writes (LOST), and bounded reads took the lagging replica for fresh (STALE).

Change: within one term a log only grows, so each daemon keeps the end of the longest log that a member has shown in reports and answers. A fenced log that is shorter does not count for the choice of a promotion; bounded reads need the end that was shown. Both end when the entry is replaced or the log holds as much again. No call is added, and lost connections delay nothing. Not covered, see platform.md: a write that only this member confirmed after its last report here, if it also starts again before its next one and receives no copy.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/groups.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/groups.py
@@ -279,7 +279,7 @@
             endpoint.record_failure()
             return None
         if report is not None:
-            endpoint.run.record_answer(connection, sent_at)
+            endpoint.run.record_report(connection, sent_at, report)
             self._apply_report(endpoint, report, requested_at)
         return report
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/leadership.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/leadership.py
@@ -37,7 +37,8 @@
 
     :ivar started_at: boot-time seconds before the first request
     :ivar ticket: what counts for a read that began with it
-    :ivar log_ends: last position of each endpoint that has responded
+    :ivar log_ends: last position that each endpoint has shown that has
+        responded
     :ivar followed: highest term that one of them follows or leads
     """
 
@@ -172,7 +173,9 @@
         )
         if report is None:
             return
-        round_.log_ends[endpoint.name] = report.last
+        # One that has started again without its log may have confirmed writes
+        # before: the end of its former log counts until its entry is replaced.
+        round_.log_ends[endpoint.name] = endpoint.run.log_end
         round_.followed = max(round_.followed, report.followed)
         self._sample_replicas(round_)
         if report.role is Role.FENCED:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/replication.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/replication.py
@@ -189,6 +189,8 @@
 
         The log of a run that may not be the recorded one does not count.
         """
+        if position is not None:
+            endpoint.run.record_position(position)
         if endpoint.run.is_unknown and self.record_reader is not None:
             if time.monotonic() - self._wanted_at < UNWRITTEN_SECONDS:
                 self.runs.request(self.record_reader)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/takeover.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/takeover.py
@@ -118,7 +118,7 @@
         group = self._group
         return promotion.choose_promotion(
             group.make_plan(),
-            self._fenced,
+            self._list_whole(),
             failed,
             absent=group.members.absent,
             ended=group.members.ended,
@@ -126,6 +126,20 @@
             pending=group.pending_promotion,
         )
 
+    def _list_whole(self) -> dict[str, messages.Report]:
+        """Return the fenced endpoints whose logs hold all they have shown.
+
+        One that has started again without its log is not the member that its
+        registry entry still names, so its log is no evidence.
+        """
+        endpoints = self._group.endpoints
+        return {
+            name: report
+            for name, report in self._fenced.items()
+            if name not in endpoints
+            or endpoints[name].run.has_kept_log(report)
+        }
+
     async def _complete(
         self, chosen: str, replaced: endpoint_states.EndpointState | None
     ) -> bool:
