Hear of the store's era soon after a watch has failed

Cause: after a drill, what daemons write again gives out the revision of a watch again. A daemon that takes its watch up from there gets no 410, and no answer that names the era, until that watch ends 3 s later. An endpoint that the copy lacks then stays in use for as long.

--- a/tests/unit/test_object_watch.py
+++ b/tests/unit/test_object_watch.py
@@ -229,6 +229,47 @@
     await watch.close()
 
 
+class ReturningStore(FakeStore):
+    """Goes away during the first watch, and back to the watched revision.
+
+    :ivar lengths: seconds of each watch
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lengths: list[float] = []
+
+    async def watch(self, kind, since, seconds, era=None):
+        self.lengths.append(seconds)
+        if len(self.lengths) == 1:
+            self.restore("abx", "2")
+            raise errors.PlatformUnavailable("connection lost", step="watch")
+        await asyncio.sleep(seconds)
+        return None if self.hear() != era else ([], since)
+
+
+async def test_a_watch_that_is_taken_up_again_hears_of_the_era_soon(seen):
+    """Guards against an entry kept until the next watch ends, 3 s later.
+
+    The revision of the watch has been given out again, so it is not refused.
+    """
+    returning = ReturningStore()
+    watch = watches.ObjectWatch(
+        returning,
+        "servers",
+        lambda objects: seen.append(sorted(objects)),
+        random.Random(1),
+        3.0,
+    )
+    await start_watch(returning, watch, seen, "abc", "1")
+    async with asyncio.timeout(1.0):
+        while seen[-1] != ["a", "b", "x"] or len(returning.lengths) < 3:
+            await asyncio.sleep(0.001)
+    first, resumed, later = returning.lengths[:3]
+    assert resumed < first == later
+    await watch.close()
+
+
 async def test_a_watch_under_way_ends_when_another_call_names_a_new_era(
     fake_store, watch, seen
 ):
