Replace a silent primary that a new daemon never heard

Cause: a daemon that starts after the primary has failed, and is the only one that reaches the store, never replaced it: the monitor keeps a primary that has not answered it.

Change: such a primary is suspected after 3 s without an answer if it is the only one that claims to lead in the registry and all other endpoints, two at least, report that they follow one term as replicas. On the same evidence the record counts as steady, unless an endpoint is leaving. The store is not called more often in calm.

The new case of test_monitor.py fails without the change.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/reachability.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/reachability.py
@@ -6,8 +6,16 @@
 
 import time
 
+from fescuestile import endpoint_messages
+from fescuestile import promotion
+from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.groups import groups
 
+Role = endpoint_messages.Role
+# Time for which a primary must be silent that has never reported here: longer
+# than for others, since the first connection may take several attempts.
+UNHEARD_SECONDS = 3.0
+
 
 def is_unreachable(group: groups.Group) -> bool:
     """Return whether too few endpoints answer for a check or a write."""
@@ -36,3 +44,34 @@
         endpoint.has_answered and endpoint.measure_unanswered(now) < seconds
         for endpoint in group.endpoints.values()
     )
+
+
+def find_unheard_primary(
+    group: groups.Group, now: float
+) -> endpoint_states.EndpointState | None:
+    """Return a silent primary that only the registry names, if there is one.
+
+    A daemon that has started after its failure has no report of it, and may
+    be the only one that can replace it. All others report here that they
+    follow one term as replicas, so this daemon is not cut off, and no other
+    endpoint that it knows leads.
+
+    :param now: monotonic seconds
+    """
+    claimed = [e for e in group.endpoints.values() if e.entry.claims_primary]
+    if len(claimed) != 1 or claimed[0].report is not None:
+        return None
+    silence = max(
+        claimed[0].measure_unanswered(now), claimed[0].measure_refusal(now)
+    )
+    others = [e for e in group.endpoints.values() if e is not claimed[0]]
+    reports = group.list_reports()
+    if (
+        silence <= UNHEARD_SECONDS
+        or len(others) < promotion.UNFENCED_REPLICAS
+        or len(reports) < len(others)
+        or any(report.role is not Role.REPLICA for report in reports)
+        or len({report.term for report in reports}) > 1
+    ):
+        return None
+    return claimed[0]
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_eras.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/records/record_eras.py
@@ -12,11 +12,13 @@
 - the time in which a request can take effect is over;
 - all endpoints follow one primary, which may have failed meanwhile. A driver
   keeps the fences of all but the endpoint that it promotes until that has
-  taken effect, or has made the primary step down.
+  taken effect, or has made the primary step down. A silent primary that has
+  never reported here counts by its registry entry.
 
 Not covered: within the seconds that the store has lost a driver stops the
 primary and all replicas but one that it does not reach, requests a promotion
-and dies, and the primary fails as well.
+and dies, and the primary fails as well. Likewise, if a primary was replaced,
+and its successor hands over to it again, leaves and does not reach the store.
 """
 
 import math
@@ -28,6 +30,7 @@
 from fescuestile import pending_promotions
 from fescuestile import promotion
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.groups import reachability
 from fescuestile_daemon.relay.records import leases
 from fescuestile_daemon.relay.records import member_store
 
@@ -121,7 +124,7 @@
         if (
             group.name not in self._steady
             and group.promotions.find(now) is None
-            and _is_steady(group, stored, self._since)
+            and _is_steady(group, stored, self._since, now)
         ):
             self._steady.add(group.name)
         is_steady = group.name in self._steady
@@ -163,13 +166,17 @@
 
 
 def _is_steady(
-    group: groups.Group, stored: member_store.StoredMembers, since: float
+    group: groups.Group,
+    stored: member_store.StoredMembers,
+    since: float,
+    now: float,
 ) -> bool:
     """Return whether all endpoints have followed one primary.
 
     An endpoint that joined after the record was written was not fenced.
 
     :param since: monotonic seconds; earlier reports do not count
+    :param now: monotonic seconds
     """
     endpoints = group.endpoints.values()
     reports = [
@@ -178,12 +185,17 @@
         if endpoint.report is not None and endpoint.reported_at >= since
     ]
     primary = promotion.find_primary(reports) or _find_failed(group, since)
+    unheard = reachability.find_unheard_primary(group, now)
+    if primary is not None:
+        leader, term = primary.endpoint, primary.term
+    elif unheard is not None and not group.list_leaving():
+        leader, term = unheard.name, group.followed_term
+    else:
+        return False
     if (
-        primary is None
-        or group.members.absent
-        or len({primary.endpoint, *(each.endpoint for each in reports)})
-        < len(endpoints)
-        or any(report.term != primary.term for report in reports)
+        group.members.absent
+        or len({leader, *(each.endpoint for each in reports)}) < len(endpoints)
+        or any(report.term != term for report in reports)
         or any(
             report.role is not Role.REPLICA
             for report in reports
@@ -195,7 +207,7 @@
     replicas = [
         endpoint
         for endpoint in endpoints
-        if endpoint.name != primary.endpoint
+        if endpoint.name != leader
         and (
             stored.revision is None
             or group_members.Member(endpoint.name, endpoint.entry.started_at)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/monitor.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/takeovers/monitor.py
@@ -175,6 +175,8 @@
                 )
                 else None
             )
+        if reachability.find_unheard_primary(group, now) is primary:
+            return Reason.SILENT
         if group.is_stalled(now, unpaused) and successors.has_successor(
             group, primary
         ):
--- a/tests/relay/records/test_record_eras.py
+++ b/tests/relay/records/test_record_eras.py
@@ -4,6 +4,7 @@
 
 from fescuestile import endpoint_messages
 from fescuestile import pending_promotions
+from fescuestile_daemon.relay.groups import reachability
 from fescuestile_daemon.relay.records import record_eras
 from tests import member_stores
 from tests import monitored_groups
@@ -163,6 +164,34 @@
     assert not await records.load(group)
 
 
+@pytest.mark.parametrize(
+    ("silent", "leaving", "is_settled"),
+    [("p", "", True), ("", "", False), ("p", "r1", False), ("r2", "", False)],
+    ids=["silent", "not heard yet", "leaving", "a silent replica"],
+)
+async def test_a_silent_primary_counts_by_its_entry(
+    world, silent, leaving, is_settled
+):
+    """The daemon has started after the primary had failed.
+
+    One that was not heard yet may have stepped down for a promotion.
+    """
+    world.go_back("p", "r1", "r2")
+    group, records = world.start_daemon("p", "r1", "r2")
+    await records.update()
+    if silent:
+        group.endpoints[silent].record_request()
+    await world.run(records, reachability.UNHEARD_SECONDS + 0.4)
+    for name in {"r1", "r2"} - {silent}:
+        monitored_groups.add_report(group, name, 6)
+    if leaving:
+        entry = monitored_groups.make_entry(leaving, leaving=True)
+        group.put_endpoint(entry, 4)
+    if silent != "p":
+        group.endpoints["p"].unanswered_since = None
+    assert await records.load(group) is is_settled
+
+
 async def test_a_released_member_does_not_come_back_with_the_copy(world):
     """Guards against takeovers that wait for a member that is gone."""
     world.put("p", "r1", "r2", "r3")
--- a/tests/relay/takeovers/test_monitor.py
+++ b/tests/relay/takeovers/test_monitor.py
@@ -153,6 +153,43 @@
     assert find_reason(group_monitor, group) is None
 
 
+def leave_unheard(group, seconds=9.0):
+    """Let the primary be silent for a daemon that has no report of it."""
+    group.endpoints["p"].has_answered = False
+    group.endpoints["p"].unanswered_since = time.monotonic() - seconds
+
+
+async def test_an_unheard_primary_that_all_others_miss_is_replaced(
+    group, group_monitor
+):
+    """Guards against a group that nobody serves: all daemons are new."""
+    leave_unheard(group)
+    add_report(group, "r1", 7)
+    assert find_reason(group_monitor, group) is None
+    add_report(group, "r2", 7)
+    assert find_reason(group_monitor, group) is Reason.SILENT
+
+
+@pytest.mark.parametrize(
+    ("seconds", "role", "term", "ago"),
+    [
+        (2.0, Role.REPLICA, 1, 0.0),
+        (9.0, Role.FENCED, 1, 0.0),
+        (9.0, Role.REPLICA, 2, 0.0),
+        (9.0, Role.REPLICA, 1, 4.0),
+    ],
+    ids=["first attempts", "another driver", "other terms", "old reports"],
+)
+async def test_an_unheard_primary_that_may_be_served_is_kept(
+    group, group_monitor, seconds, role, term, ago
+):
+    """Guards against takeovers by daemons that have just started."""
+    leave_unheard(group, seconds)
+    add_report(group, "r1", 7)
+    add_report(group, "r2", 7, ago, role, term)
+    assert find_reason(group_monitor, group) is None
+
+
 def test_a_stall_does_not_count_against_the_next_primary(group):
     stall_replication(group, 1.5)
     add_report(group, "r1", 6, role=Role.PRIMARY, term=2)
