Hold forwarded operations back after a suspension, too

Cause: the executor that forwards did not pass on to the local one that an operation waits for the configuration after a suspension, nor that a key is unknown.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
@@ -73,6 +73,14 @@
         """Return who calls on a route, None for an unknown key."""
         return self._local.find_tenant(route, key_hash)
 
+    def record_unknown_key(self) -> None:
+        """Count a caller or an operation whose key is not in force."""
+        self._local.record_unknown_key()
+
+    async def wait_current(self) -> None:
+        """Wait until the configuration is read after a suspension."""
+        await self._local.wait_current()
+
     async def admit(
         self, session: sessions.Session
     ) -> messages.Outcome | None:
