Bound what clients of the platform's border can hold

Cause: a caller's line, its statements sent ahead, its unread answers, its session values and the number of connections had no bound, and the page server kept paths and unread responses of any size.

The session waits for a stalled caller before it begins a statement, and closes a caller whose values exceed the limit; nothing else of it changed.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -55,6 +55,7 @@
         zone: str,
         name: str = "",
         restored: restorations.RestorationStore | None = None,
+        client_options: options.ClientOptions = options.DEFAULT_CLIENT_OPTIONS,
     ) -> None:
         """Create the components; ``start`` runs them.
 
@@ -62,7 +63,9 @@
         :param name: name of this daemon among its peers
         :param restored: lists the daemons that request promotions, None where
             they are not known
+        :param client_options: limits on clients
         """
+        self.client_options = client_options
         boot_clock = clock.BootClock()
         self.recorder = events.Recorder()
         self.directory = directory.Directory(dialer, relay_options, boot_clock)
@@ -186,7 +189,12 @@
                 messages.Kind.UNKNOWN_KEY, detail="unknown key"
             )
         session = sessions.Session(
-            database, caller, self._execution, self._clock, key_hash
+            database,
+            caller,
+            self._execution,
+            self._clock,
+            key_hash,
+            self.client_options,
         )
         self.sessions.add(session)
         return session
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/options.py
@@ -112,3 +112,42 @@
     leaving_limit: float = 4.0
     removal_delay: float = 3.0
     refuse_after: float = 0.8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """Limits on clients; times are in seconds.
+
+    No client within the protocol's limits reaches a default: a message of
+    1 MiB, 12 statements in a transaction, several hundred sessions.
+
+    :ivar sessions: open connections of callers
+    :ivar probes: open connections to each address of probes and metrics
+    :ivar total_bytes: bytes held for all connections; the ones that hold
+        most are closed above it, and are not read from 0.6 of it on
+    :ivar queued_statements: statements of a session that wait or run; no
+        further ones are read meanwhile
+    :ivar queued_bytes: likewise for their bytes
+    :ivar unsent_bytes: answers that a caller has not taken; above it none of
+        its statements is begun, and it is read from again at a quarter of it
+    :ivar values: session values and prepared statements of a session
+    :ivar value_bytes: likewise for their bytes
+    :ivar first_line: time from the start of a connection to its first line
+    :ivar line: time from the start of a line to its end
+    :ivar stalled: time for which a caller may take nothing of its answers
+    """
+
+    sessions: int = 700
+    probes: int = 32
+    total_bytes: int = 48 * 1024 * 1024
+    queued_statements: int = 16
+    queued_bytes: int = 256 * 1024
+    unsent_bytes: int = 256 * 1024
+    values: int = 256
+    value_bytes: int = 2 * 1024 * 1024
+    first_line: float = 5.0
+    line: float = 15.0
+    stalled: float = 5.0
+
+
+DEFAULT_CLIENT_OPTIONS = ClientOptions()
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/ports.py
@@ -71,7 +71,13 @@
 
 
 class Caller(abc.ABC):
-    """The connection of a caller."""
+    """The connection of a caller.
+
+    :ivar is_stalled: whether it has not taken earlier answers, so that no
+        further statement should be begun
+    """
+
+    is_stalled: bool = False
 
     @abc.abstractmethod
     def answer(self, outcome: messages.Outcome) -> None:
@@ -81,6 +87,10 @@
     def close(self) -> None:
         """Close the connection after pending answers are sent."""
 
+    async def wait_writable(self) -> None:
+        """Wait until it is not stalled any more, or has ended."""
+        return
+
 
 class Promoter(abc.ABC):
     """Requests promotions under a lease of one daemon at a time."""
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -11,9 +11,11 @@
 from fescuestile import routes
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
 from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.statements import state_size
 
 Kind = messages.Kind
 State = messages.State
@@ -127,9 +129,13 @@
         executor: Executor,
         boot_clock: clock.Clock,
         key_hash: bytes = b"",
+        limits: options.ClientOptions = options.DEFAULT_CLIENT_OPTIONS,
     ) -> None:
         """Start without session state or transaction."""
         self.key_hash = key_hash
+        self._state_size = state_size.StateSize(
+            limits.values, limits.value_bytes
+        )
         self.tenant = tenants.ANONYMOUS
         self.database = database
         self.values: dict[str, str] = {}
@@ -149,6 +155,11 @@
         """Whether a statement waits for its answer."""
         return self._task is not None
 
+    @property
+    def state_bytes(self) -> int:
+        """Size of the session values and prepared statements."""
+        return self._state_size.total
+
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
@@ -186,6 +197,9 @@
     async def _run(self) -> None:
         try:
             while self._queue and not self._disconnected:
+                if self._caller.is_stalled:
+                    await self._caller.wait_writable()
+                    continue
                 arrival = self._queue.popleft()
                 outcome = self._answer_locally(arrival)
                 if outcome is None:
@@ -220,6 +234,10 @@
                 Kind.MALFORMED, detail="the transaction has failed"
             )
         match statement.verb:
+            case Verb.SET | Verb.PREPARE if not self._state_size.put(
+                statement.verb, statement.name, statement.argument
+            ):
+                return self._refuse_state()
             case Verb.SET:
                 self.values = {
                     **self.values,
@@ -230,6 +248,7 @@
                     statement.argument, statement.writes
                 )
             case Verb.DEALLOCATE:
+                self._state_size.remove(Verb.PREPARE, statement.name)
                 if self.prepared.pop(statement.name, None) is None:
                     return messages.Outcome(
                         Kind.UNPREPARED, detail=statement.name
@@ -275,6 +294,11 @@
     def _refuse(self, detail: str) -> messages.Outcome:
         return messages.Outcome(Kind.MALFORMED, detail=detail)
 
+    def _refuse_state(self) -> messages.Outcome:
+        """Refuse a value over the limits and close the connection."""
+        asyncio.get_running_loop().call_soon(self.close)
+        return self._refuse("too many session values or prepared statements")
+
     def _refuse_database(self) -> messages.Outcome:
         return messages.Outcome(Kind.UNKNOWN_DATABASE, detail=self.database)
 
