Bound what callers of the product's own border can hold

Cause: a stream's answers and failures waited in a queue without a bound, streams above the session limit stayed open, and so did connections that opened no session.

Change: caller_budget counts the bytes of requests in flight and unsent answers for each stream and for all. Above limits.session_bytes no further request of a stream is read; near limits.total_bytes none of the streams that hold much; above it the ones that hold most are ended. A stream opens a session within limits.open_timeout, a connection without a stream is closed after it, a caller that takes nothing for limits.write_timeout is ended, and streams far above limits.sessions are refused.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/daemon.py
@@ -13,6 +13,7 @@
 from fescuestile import plans
 from fescuestile import sessions
 from fescuestile_daemon import caller_server
+from fescuestile_daemon import caller_stream
 from fescuestile_daemon import configuration_actor
 from fescuestile_daemon import dispatch
 from fescuestile_daemon import endpoint_adapter
@@ -209,7 +210,7 @@
             step_timeout=self.options.timing.failover_step_timeout,
         )
 
-    def _make_caller_parts(self) -> caller_server.CallerParts:
+    def _make_caller_parts(self) -> caller_stream.CallerParts:
         chain = filters.create_chain(
             (
                 metrics_filter.MetricsFilter(self.metrics, self.time_source),
@@ -223,7 +224,7 @@
                 ),
             )
         )
-        return caller_server.CallerParts(
+        return caller_stream.CallerParts(
             run=chain,
             group_snapshots=self.group_snapshots,
             keys=self.keys,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/settings.py
@@ -82,6 +82,14 @@
     :ivar in_flight: maximum number of requests in flight per session
     :ivar default_deadline: seconds, for a request without a deadline
     :ivar maximum_deadline: upper limit of a request's deadline, in seconds
+    :ivar session_bytes: requests and unsent answers of a session above which
+        no further request of it is read
+    :ivar total_bytes: the same for all sessions; the ones that hold most are
+        closed above it
+    :ivar open_timeout: time in seconds within which a stream has to open a
+        session, and for which a connection may be without a stream
+    :ivar write_timeout: time in seconds for which a caller may take nothing
+        of its answers
     """
 
     request_bytes: units.Size = 256 * 1024
@@ -91,6 +99,10 @@
     in_flight: int = pydantic.Field(default=64, gt=0)
     default_deadline: units.Duration = 5.0
     maximum_deadline: units.Duration = 60.0
+    session_bytes: units.Size = 32 * 1024 * 1024
+    total_bytes: units.Size = 256 * 1024 * 1024
+    open_timeout: units.Duration = 10.0
+    write_timeout: units.Duration = 30.0
 
     @pydantic.model_validator(mode="after")
     def check_deadlines(self) -> "LimitsOptions":
