--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -67,6 +67,7 @@
         name: str = "",
         restored: restorations.RestorationStore | None = None,
         read_configuration: suspensions.Read | None = None,
+        client_options: options.ClientOptions = options.DEFAULT_CLIENT_OPTIONS,
     ) -> None:
         """Create the components; ``start`` runs them.
 
@@ -76,7 +77,9 @@
             they are not known
         :param read_configuration: reads the configuration again, None
             without a store of it
+        :param client_options: limits on clients
         """
+        self.client_options = client_options
         boot_clock = clock.BootClock()
         self.recorder = events.Recorder()
         self.connections = open_connections.OpenConnections(dialer)
@@ -272,7 +275,12 @@
                 messages.Kind.UNKNOWN_KEY, detail="unknown key"
             )
         session = sessions.Session(
-            database, caller, self._execution, self._clock, key_hash
+            database,
+            caller,
+            self._execution,
+            self._clock,
+            key_hash,
+            self.client_options,
         )
         self.sessions.add(session)
         return session
