--- a/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/endpoint_pool.py
@@ -12,6 +12,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import concurrency
 from fescuestile import errors
 from fescuestile import plans
 from fescuestile import ports
@@ -308,5 +309,5 @@
         options,
         slots=max(1, endpoint.connections - endpoint.slots),
         initial_service=INITIAL_TRANSACTION_SECONDS,
-        follows_latency=False,
+        way=concurrency.Way.DECLARED,
     )
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -19,9 +19,9 @@
 from fescuestile import errors
 from fescuestile import fair_queue
 from fescuestile import rank_shares
-from fescuestile import requests
 from fescuestile import results
 from fescuestile import service_times
+from fescuestile import tenant_queue
 from fescuestile import waits
 
 STEP = "admit"
@@ -35,17 +35,7 @@
 Ticket = fair_queue.Ticket
 AdmissionOptions = admission_options.AdmissionOptions
 create_options = admission_options.create_options
-
-
-def describe_work(request: requests.Request) -> Work:
-    """Return the part of a request that admission decides by."""
-    return Work(
-        level=request.level,
-        kind=request.kind,
-        caller=request.caller,
-        deadline=request.deadline,
-        continues=bool(request.transaction),
-    )
+describe_work = tenant_queue.describe_work
 
 
 _EMPTY_BATCH = Batch((), ())
@@ -70,7 +60,9 @@
         self._factors = options.make_safety_factors()
         self._peer = peer
         self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
-        self._concurrency = concurrency.ConcurrencyLimit(options.slots)
+        self._concurrency = concurrency.create_limit(
+            options.way, options.slots
+        )
         self.times = service_times.ServiceTimes(
             options.initial_service, options.service_weight
         )
@@ -178,13 +170,18 @@
         return Batch(tuple(started), dropped)
 
     def release(
-        self, ticket: Ticket, now: float, measured: bool = True
+        self,
+        ticket: Ticket,
+        now: float,
+        measured: bool = True,
+        ok: bool = True,
     ) -> None:
         """Release the slot of work that ended.
 
         :param ticket: started ticket
         :param now: monotonic seconds
         :param measured: False for work that did not reach the endpoint
+        :param ok: False for work that failed or got no answer
         """
         if ticket.started_at is None:
             raise ValueError("the work holds no slot")
@@ -200,8 +197,7 @@
             return
         if self.times.record(kind, seconds):
             self.drop_late(now)
-        if self._options.follows_latency:
-            self._concurrency.observe(kind, seconds)
+        self._concurrency.observe(kind, seconds, self._running + 1, ok)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove work from the queue; return whether it still waited."""
@@ -257,6 +253,18 @@
         self._options = dataclasses.replace(self._options, slots=slots)
         self._concurrency.set_cap(slots)
 
+    def set_way(self, way: concurrency.Way) -> None:
+        """Change how the limit is found; it starts at the slots again."""
+        if way is not self._options.way:
+            self._options = dataclasses.replace(self._options, way=way)
+            self._concurrency = concurrency.create_limit(
+                way, self._options.slots
+            )
+
+    def record_congestion(self) -> bool:
+        """Record that the endpoint is overloaded; return if the limit fell."""
+        return self._concurrency.record_congestion()
+
     def configure(self, options: AdmissionOptions) -> None:
         """Apply new limits; queued work keeps its order.
 
@@ -266,6 +274,7 @@
             entry for entry in self._expiries if self.withdraw(entry[2])
         ]
         waiting.sort(key=lambda entry: entry[1])
+        self.set_way(options.way)
         self._options = options
         self._factors = options.make_safety_factors()
         self._ranks = [rank_shares.Rank(floor) for floor in options.floors]
--- a/packages/fescuestile/src/fescuestile/admission_options.py
+++ b/packages/fescuestile/src/fescuestile/admission_options.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fescuestile import concurrency
 from fescuestile import plans
 from fescuestile import waits
 
@@ -25,8 +26,7 @@
         compared with a deadline
     :ivar service_weight: weight of a new sample in the mean service time
     :ivar load_window: seconds over which a rank's load is averaged
-    :ivar follows_latency: whether the concurrency limit is lowered while
-        work takes longer than its baseline
+    :ivar way: how the number of statements that run at a time is found
     """
 
     slots: int
@@ -38,7 +38,7 @@
     service_factor: float = 2.0
     service_weight: float = 0.05
     load_window: float = 1.0
-    follows_latency: bool = True
+    way: concurrency.Way = concurrency.Way.TRIALS
 
     def make_safety_factors(self) -> waits.SafetyFactors:
         """Return the safety factors of wait estimates."""
--- a/packages/fescuestile/src/fescuestile/tenant_queue.py
+++ b/packages/fescuestile/src/fescuestile/tenant_queue.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+from fescuestile import requests
+
 # Returns the mean service time of a kind, in seconds.
 GetService: typing.TypeAlias = collections.abc.Callable[[str], float]
 
@@ -130,6 +132,17 @@
             self._longest = after
 
 
+def describe_work(request: requests.Request) -> Work:
+    """Return the part of a request that admission decides by."""
+    return Work(
+        level=request.level,
+        kind=request.kind,
+        caller=request.caller,
+        deadline=request.deadline,
+        continues=bool(request.transaction),
+    )
+
+
 class TenantQueue:
     """Work of one tenant: kinds share by service time.
 
--- a/tests/unit/test_tenant_shares.py
+++ b/tests/unit/test_tenant_shares.py
@@ -7,6 +7,7 @@
 import random
 
 from fescuestile import admission
+from fescuestile import concurrency
 
 SLOTS = 4
 SERVICE_SECONDS = 0.01
@@ -14,7 +15,7 @@
     slots=SLOTS,
     floors=(0.1, 0.1, 0.1),
     initial_service=SERVICE_SECONDS,
-    follows_latency=False,
+    way=concurrency.Way.DECLARED,
 )
 # Statements that the slots run in a second.
 CAPACITY = SLOTS / SERVICE_SECONDS
