Compare each change of the concurrency limit with the former one

By Little's law alone an endpoint that is slow whatever runs gets one statement at a time, and one that was full since its first statement keeps all. Each change is now kept only if service times follow it.

--- a/packages/fescuestile/src/fescuestile/concurrency_queueing.py
+++ b/packages/fescuestile/src/fescuestile/concurrency_queueing.py
@@ -1,7 +1,7 @@
 """Concurrency limits by Little's law."""
 
 import dataclasses
-import math
+import enum
 
 from fescuestile import concurrency_limits
 from fescuestile import slowdowns
@@ -11,7 +11,16 @@
 # Slowdown below which none is taken to wait: statements of one kind vary.
 TOLERANCE = 1.7
 # Rounds between two probes of a limit that was too high, at most.
-MAX_PROBE_ROUNDS = 32
+MAX_PROBE_ROUNDS = 16
+# Service times that change by less than this power of the change of the
+# limit show no queueing, and throughput that changes with the limit.
+QUEUEING_POWER = 0.75
+# Share of the limit in flight above which a round counts as full.
+FULL_SHARE = 0.85
+# Full rounds after which one less is tried; doubled after each trial that
+# made nothing faster.
+MIN_TRIAL_ROUNDS = 8
+MAX_TRIAL_ROUNDS = 128
 
 
 class LittleLimit(concurrency_limits.ConcurrencyLimit):
@@ -40,7 +49,8 @@
         """Lower the limit by one."""
         if self.limit == 1:
             return False
-        self._lower(self.limit - 1)
+        self._probes.record_failure()
+        self._set(self.limit - 1)
         return True
 
     def reset(self) -> None:
@@ -50,86 +60,134 @@
 
     def _apply(self, ended: slowdowns.Round) -> None:
         if _is_queueing(ended):
-            # Where throughput falls with queueing, it gives too low a limit.
-            least = self.limit // 2
-            if self._probes.is_probing:
-                least = self.limit - 1
-            lower = max(1, least, round(ended.served))
-            if lower < self.limit:
-                self._lower(lower)
-        elif ended.peak >= self.limit < self._cap and self._probes.is_due():
-            self._probes.is_probing = True
-            self._limit = float(self.limit + 1)
-            self._meter.restart(self._cap)
-        else:
-            self._probes.is_probing = False
+            self._probes.record_failure()
+            self._set(max(1, round(ended.served)))
+        elif self._may_probe(ended):
+            self._set(self.limit + 1)
 
-    def _lower(self, limit: int) -> None:
-        self._probes.record_queueing(self.limit)
+    def _may_probe(self, ended: slowdowns.Round) -> bool:
+        return ended.peak >= self.limit < self._cap and self._probes.is_due()
+
+    def _set(self, limit: int) -> None:
         self._limit = float(limit)
         # Those already in flight started under the former limit.
         self._meter.restart(self._cap)
 
 
+class _Change(enum.Enum):
+    """Why the limit was changed."""
+
+    LOWERED = enum.auto()
+    PROBE = enum.auto()
+    TRIAL = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Former:
+    """Limit before a change, and the slowdown under it."""
+
+    change: _Change
+    limit: int
+    slowdown: float
+
+
 class QueueingLimit(LittleLimit):
-    """As by Little's law, checked after it was lowered.
+    """By Little's law, with each change compared with the limit before it.
+
+    Statements that only wait for each other take less time under a lower
+    limit, and throughput stays. If they don't, the endpoint is slow for
+    another reason: the former limit is restored, and the least service times
+    are raised to the present. A probe is kept if throughput grows with it.
 
-    Statements that only waited for each other take less time under a lower
-    limit. If they don't, the endpoint is slow for another reason: the former
-    limit is restored and the least service times are raised to the present.
+    An endpoint that was full since the first statement has never shown its
+    least service time, so one less is tried from time to time while it is.
     """
 
     def __init__(self, cap: int) -> None:
         """Initialize with the limit at the cap."""
         super().__init__(cap)
         self._former: _Former | None = None
+        self._full_rounds = 0
+        self._trial_rounds = MIN_TRIAL_ROUNDS
 
     def record_congestion(self) -> bool:
-        """Lower the limit by one, without a check."""
-        self._former = None
+        """Lower the limit by one, without a comparison."""
+        self._compare(None)
         return super().record_congestion()
 
     def reset(self) -> None:
-        """Forget the check in progress."""
+        """Forget the comparison in progress."""
         super().reset()
-        self._former = None
+        self._compare(None)
 
     def _apply(self, ended: slowdowns.Round) -> None:
         former = self._former
-        self._former = None
-        if former is not None and (
-            ended.slowdown
-            > former.slowdown * math.sqrt(self.limit / former.limit)
-        ):
-            self._meter.scale(ended.slowdown)
-            self._limit = float(min(former.limit, self._cap))
-            self._probes = _Probes()
+        self._compare(None)
+        if former is not None:
+            if ended.slowdown < 1:
+                self._meter.scale(ended.slowdown)
+            if not self._is_kept(former, ended):
+                self._restore(former, ended)
+            elif former.change is _Change.PROBE:
+                self._probes = _Probes()
+            elif former.change is _Change.TRIAL:
+                self._trial_rounds = MIN_TRIAL_ROUNDS
+        elif _is_queueing(ended):
+            self._probes.record_failure()
+            # Where throughput falls with queueing, Little's law gives too
+            # low a limit.
+            lower = max(1, self.limit // 2, round(ended.served))
+            if lower < self.limit:
+                self._change(_Change.LOWERED, lower, ended)
+        elif self._may_probe(ended):
+            self._change(_Change.PROBE, self.limit + 1, ended)
+        elif self._may_try_less(ended):
+            self._change(_Change.TRIAL, self.limit - 1, ended)
+
+    def _may_try_less(self, ended: slowdowns.Round) -> bool:
+        if self.limit == 1 or ended.in_flight < FULL_SHARE * self.limit:
+            self._full_rounds = 0
+            return False
+        self._full_rounds += 1
+        return self._full_rounds >= self._trial_rounds
+
+    def _is_kept(self, former: _Former, ended: slowdowns.Round) -> bool:
+        ratio = (self.limit / former.limit) ** QUEUEING_POWER
+        if ended.slowdown <= former.slowdown * ratio:
+            return True
+        return (
+            former.change is _Change.LOWERED and ended.slowdown <= TOLERANCE
+        )
+
+    def _restore(self, former: _Former, ended: slowdowns.Round) -> None:
+        self._set(min(former.limit, self._cap))
+        if former.change is _Change.PROBE:
+            self._probes.record_failure()
             return
-        before = self.limit
-        super()._apply(ended)
-        if self.limit < before:
-            self._former = _Former(before, ended.slowdown)
-
+        self._probes = _Probes()
+        if former.change is _Change.LOWERED:
+            self._meter.scale(ended.slowdown)
+        else:
+            self._trial_rounds = min(2 * self._trial_rounds, MAX_TRIAL_ROUNDS)
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Former:
-    """Limit before it was lowered, and the slowdown under it."""
+    def _change(
+        self, change: _Change, limit: int, ended: slowdowns.Round
+    ) -> None:
+        self._full_rounds = 0
+        self._compare(_Former(change, self.limit, ended.slowdown))
+        self._set(limit)
 
-    limit: int
-    slowdown: float
+    def _compare(self, former: _Former | None) -> None:
+        self._former = former
+        self._meter.is_comparing = former is not None
 
 
 class _Probes:
-    """Counts the rounds to the next probe of a higher limit.
-
-    :ivar is_probing: whether the limit in force is a probe
-    """
+    """Counts the rounds to the next probe of a higher limit."""
 
     def __init__(self) -> None:
-        self.is_probing = False
         self._pause = 1
         self._left = 0
-        self._failed = 0
 
     def is_due(self) -> bool:
         """Return whether to probe in this round."""
@@ -138,15 +196,10 @@
             return False
         return True
 
-    def record_queueing(self, limit: int) -> None:
+    def record_failure(self) -> None:
         """Record that a limit led to queueing."""
-        if limit == self._failed:
-            self._pause = min(2 * self._pause, MAX_PROBE_ROUNDS)
-        else:
-            self._pause = 1
-        self._failed = limit
-        self.is_probing = False
         self._left = self._pause
+        self._pause = min(2 * self._pause, MAX_PROBE_ROUNDS)
 
 
 def _is_queueing(ended: slowdowns.Round) -> bool:
--- a/packages/fescuestile/src/fescuestile/slowdowns.py
+++ b/packages/fescuestile/src/fescuestile/slowdowns.py
@@ -14,7 +14,7 @@
 MIN_ROUND_SAMPLES = 8
 # Statements that wait in the endpoint make all of them slow; a slow network
 # path or a slow kind, only a part.
-QUANTILE = 0.3
+QUANTILE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
     @property
     def served(self) -> float:
         """Throughput times least service time."""
-        return self.in_flight / self.slowdown
+        return self.in_flight / max(1.0, self.slowdown)
 
 
 class SlowdownMeter:
@@ -46,10 +46,14 @@
 
     Quick failures count neither as samples nor for the least service time;
     slow ones, such as statements without an answer, count as slow samples.
+
+    :ivar is_comparing: whether least service times stay as they are, so that
+        two rounds are compared with the same ones
     """
 
     def __init__(self) -> None:
         """Initialize without samples."""
+        self.is_comparing = False
         self._least: dict[str, float] = {}
         self._slowdowns: list[float] = []
         self._in_flight = 0
@@ -83,16 +87,16 @@
         if not ok and (least is None or seconds <= least):
             return None
         if least is None:
-            least = seconds
+            least = self._least[kind] = seconds
         slowdown = seconds / least
-        if ok:
+        if ok and not self.is_comparing:
             weight = FALL_WEIGHT if slowdown < 1 else RISE_WEIGHT
             bounded = min(slowdown, MAX_RISE_FACTOR)
             self._least[kind] = least * (1 + weight * (bounded - 1))
         if self._skip:
             self._skip -= 1
             return None
-        self._slowdowns.append(max(1.0, slowdown))
+        self._slowdowns.append(slowdown)
         self._in_flight += in_flight
         self._peak = max(self._peak, in_flight)
         count = len(self._slowdowns)
