Use the queueing limit and recovery probes at a gateway's endpoints

A gateway sees nearly all work of its endpoint, but ran the declared slots or lowered them by trials. It now uses the queueing limit. The endpoint's refusals and delayed reports lower the same limit, and lengthen the pauses only once it is at one.

--- a/measurements/concurrency_limits.py
+++ b/measurements/concurrency_limits.py
@@ -59,9 +59,11 @@
     """Run one load with one way."""
     ended = endpoint_model.Simulation(load, way, seed).run()
     return LimitRow(
-        load.name,
-        way.value,
-        *(round(ended.compute_share({rank}), 4) for rank in range(3)),
+        load=load.name,
+        way=way.value,
+        urgent=round(ended.compute_share({0}), 4),
+        usual=round(ended.compute_share({1}), 4),
+        late=round(ended.compute_share({2}), 4),
         all=round(ended.compute_share({0, 1, 2}), 4),
         limit=round(ended.mean_limit, 2),
         last=round(ended.last_limit, 2),
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/events.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/core/events.py
@@ -34,6 +34,10 @@
 )
 # One in so many statements that succeeded at once and in time is logged.
 SAMPLE_EVERY = 200
+# Probes change a concurrency limit by one all the time; only larger changes
+# are logged, at most one in this time.
+LIMIT_STEP = 1
+LIMIT_LOG_SECONDS = 1.0
 
 
 class Histogram:
@@ -154,6 +158,38 @@
         )
 
 
+class LimitEvents:
+    """Logs changes of an endpoint's concurrency limit."""
+
+    def __init__(self, endpoint: str) -> None:
+        """Initialize with the endpoint's name."""
+        self._endpoint = endpoint
+        self._logged: int | None = None
+        self._logged_at = float("-inf")
+
+    def record(self, limit: int, slots: int, now: float) -> None:
+        """Log a limit that differs by more than one from the last one logged.
+
+        :param limit: limit in force
+        :param slots: declared slots, the limit before the first change
+        :param now: monotonic seconds
+        """
+        before = slots if self._logged is None else self._logged
+        if abs(limit - before) <= LIMIT_STEP:
+            return
+        if now - self._logged_at < LIMIT_LOG_SECONDS:
+            return
+        self._logged = limit
+        self._logged_at = now
+        log.info(
+            "concurrency limit changed",
+            endpoint=self._endpoint,
+            limit=limit,
+            before=before,
+            slots=slots,
+        )
+
+
 class GroupEvents:
     """Logs what endpoints of one group report around a takeover."""
 
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/admission_controller.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/admission_controller.py
@@ -12,6 +12,7 @@
 from fescuestile import admission
 from fescuestile import errors
 from fescuestile import pacing
+from fescuestile_daemon.relay.core import events
 
 Work = admission.Work
 Ticket = admission.Ticket
@@ -41,16 +42,21 @@
     """
 
     def __init__(
-        self, queue: admission.AdmissionQueue, source: random.Random
+        self,
+        queue: admission.AdmissionQueue,
+        source: random.Random,
+        endpoint: str = "",
     ) -> None:
         """Initialize with an admission queue.
 
         :param source: random source of the pauses between two starts
+        :param endpoint: name of the endpoint, for the log
         """
         self.queue = queue
         self.pacer = pacing.Pacer(source)
         self._waiting: dict[Ticket, asyncio.Future[Ticket]] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._limits = events.LimitEvents(endpoint)
 
     @property
     def is_pacing_work(self) -> bool:
@@ -108,13 +114,18 @@
         return self.pacer.find_start(work.level, ahead, now) - now
 
     def release(
-        self, ticket: Ticket, measured: bool = True, refused: bool = False
+        self,
+        ticket: Ticket,
+        measured: bool = True,
+        refused: bool = False,
+        ok: bool = True,
     ) -> None:
         """Release a slot.
 
         :param measured: whether the time that the slot was held counts as a
             sample of the service time; False for work that did not run
         :param refused: whether the endpoint refused the work at capacity
+        :param ok: False for work that failed or got no answer
         """
         now = time.monotonic()
         if refused:
@@ -123,13 +134,16 @@
             self.pacer.record_success(now)
         if ticket.started_at is None:
             return
-        self.queue.release(ticket, now, measured)
+        self.queue.release(ticket, now, measured, ok)
+        self._limits.record(self.queue.limit, self.queue.slots, now)
         self._dispatch(now)
 
     def record_round_trip(self, seconds: float) -> None:
         """Record the round-trip time of a status report, in seconds."""
         slower = self.pacer.mean_pause
         now = time.monotonic()
+        if self.pacer.is_delayed(seconds) and self._lower_limit(now):
+            return
         self.pacer.record_round_trip(seconds, now)
         if self.pacer.mean_pause > slower:
             self._drop_late(now)
@@ -138,6 +152,8 @@
     def record_refusal(self) -> None:
         """Record that the endpoint refused work at capacity."""
         now = time.monotonic()
+        if self._lower_limit(now):
+            return
         self.pacer.record_refusal(now)
         self._drop_late(now)
         self._dispatch(now)
@@ -155,6 +171,21 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _lower_limit(self, now: float) -> bool:
+        """Lower the limit of an overloaded endpoint.
+
+        Where several daemons use one, each may be at one statement at a time
+        and their sum still be too much, which only pauses reduce.
+
+        :returns: False if the limit can't be lowered
+        """
+        if not self.queue.record_congestion():
+            return False
+        self._limits.record(self.queue.limit, self.queue.slots, now)
+        self.queue.drop_late(now)
+        self._dispatch(now)
+        return True
+
     def _refuse(self, tickets: list[Ticket], message: str) -> None:
         for ticket in tickets:
             self.queue.withdraw(ticket)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
@@ -7,6 +7,7 @@
 
 from fescuestile import admission
 from fescuestile import clock
+from fescuestile import concurrency
 from fescuestile import endpoint_choice
 from fescuestile import positions
 from fescuestile import routes
@@ -16,19 +17,12 @@
 from fescuestile_daemon.relay.endpoints import admission_controller
 from fescuestile_daemon.relay.endpoints import endpoint_runs
 from fescuestile_daemon.relay.endpoints import pool
+from fescuestile_daemon.relay.endpoints import service_records
 
 log = structlog.get_logger()
 
 # Guaranteed minimum share of the slots of each of the three ranks.
 FLOORS = (0.1, 0.1, 0.1)
-# Weight of a new sample in the mean service time.
-SERVICE_WEIGHT = 0.1
-# An abandoned statement counts as a sample of this multiple of its timeout,
-# with this weight; each one raises the next timeout some two and a half times.
-ABANDONED_FACTOR = 1.5
-ABANDONED_WEIGHT = 0.3
-# Service time assumed of an endpoint before its first answer.
-INITIAL_SERVICE_SECONDS = 0.01
 # A statement that takes this many times the mean is abandoned.
 RESPONSE_TIMEOUT_FACTOR = 5.0
 # Share of its target latency for which work may wait for a slot.
@@ -36,8 +30,6 @@
 # Work may wait this many times its least service time if that is longer, so
 # that an endpoint that is late with every statement still serves some of them.
 QUEUE_TIMEOUT_FACTOR = 8.0
-# Half-life of the count of recent failures.
-FAILURE_HALF_LIFE_SECONDS = 1.0
 # An endpoint that lacked a position is tried for it again after the first of
 # these times, as replicas usually lag by some ten milliseconds, and after
 # twice the last one, up to the second, each time that it still lacks it.
@@ -98,12 +90,12 @@
             admission.AdmissionOptions(
                 slots=max(1, entry.slots),
                 floors=FLOORS,
-                initial_service=INITIAL_SERVICE_SECONDS,
+                initial_service=service_records.INITIAL_SERVICE_SECONDS,
             ),
             entry.id,
         )
         self.admission = admission_controller.AdmissionController(
-            queue, random.Random()
+            queue, random.Random(), entry.id
         )
         self.report: messages.Report | None = None
         self.reported_at = 0.0
@@ -115,9 +107,7 @@
         self.refused_since: float | None = None
         self.is_displaced = False
         self.dropped_at: float | None = None
-        self._mean_service = INITIAL_SERVICE_SECONDS
-        self._failures = 0.0
-        self._failed_at = 0.0
+        self._services = service_records.ServiceRecord()
         self._missing_until = 0.0
         self._missing_seconds = 0.0
         self._missing_position = positions.START
@@ -235,9 +225,11 @@
         self.has_answered = True
         self.unanswered_since = self.refused_since = None
         if seconds is not None:
-            self._mean_service += SERVICE_WEIGHT * (
-                seconds - self._mean_service
-            )
+            self._services.record_answer(seconds, self.pool.is_retaining)
+
+    def record_choice(self) -> None:
+        """Record that it was chosen for a read."""
+        self._services.probes.record_choice(time.monotonic())
 
     def record_connection_usage(self, usage: float) -> None:
         """Record which share of the endpoint's connections is in use.
@@ -250,6 +242,12 @@
         is_short = self.pool.is_scarce and not self.pool.is_retaining
         slots = 1 if is_short else max(1, self.entry.slots)
         self.admission.queue.set_slots(slots)
+        # Elsewhere a daemon sees too small a part of the endpoint's work.
+        self.admission.queue.set_way(
+            concurrency.Way.QUEUEING
+            if self.pool.is_retaining
+            else concurrency.Way.TRIALS
+        )
 
     def record_round_trip(self, seconds: float, reported: bool) -> None:
         """Record the round-trip time of a report, or its refusal.
@@ -264,20 +262,13 @@
             self.admission.record_refusal()
 
     def record_abandoned(self, seconds: float) -> None:
-        """Record that a statement was abandoned after so many seconds.
-
-        It would have taken longer, so the mean must grow; otherwise an
-        endpoint that has become slow would time out every statement.
-        """
-        sample = seconds * ABANDONED_FACTOR
-        self._mean_service += ABANDONED_WEIGHT * (sample - self._mean_service)
+        """Record that a statement was abandoned after so many seconds."""
+        self._services.record_abandoned(seconds)
         self.record_failure()
 
     def record_failure(self) -> None:
         """Record a failed or unanswered statement or connection."""
-        now = time.monotonic()
-        self._failures = self._decay(now) + 1.0
-        self._failed_at = now
+        self._services.record_failure()
 
     def record_missing_position(self, wanted: positions.Position) -> None:
         """Record that its log lacked a position."""
@@ -317,7 +308,7 @@
         :param target_latency: seconds within which the work should end
         """
         return max(
-            target_latency / 2, RESPONSE_TIMEOUT_FACTOR * self._mean_service
+            target_latency / 2, RESPONSE_TIMEOUT_FACTOR * self._services.mean
         )
 
     def get_queue_timeout(self, route: routes.Route) -> float:
@@ -351,13 +342,26 @@
         """
         now = time.monotonic()
         expected = self.admission.estimate_start(work, now)
+        service = self._services.mean
+        failures = self._services.count_failures(now)
+        # Reads are kept away from the primary, so it isn't probed.
+        if (
+            self.pool.is_retaining
+            and not is_primary
+            and self._services.is_probe_due(
+                now,
+                self.admission.queue.times.get_minimum(work.kind),
+                work.level == admission_controller.MOST_URGENT,
+            )
+        ):
+            service, failures = 0.0, 0.0
         return endpoint_choice.Candidate(
             name=self.name,
-            service=self._mean_service,
+            service=service,
             wait=expected.wait,
             in_time=expected.in_time,
             unanswered_seconds=self.measure_unanswered(now),
-            failures=self._decay(now) + (now < self.pool.failed_until),
+            failures=failures + (now < self.pool.failed_until),
             is_primary=is_primary,
             is_same_zone=self.entry.zone == zone,
             lags=self.lacks_position(wanted),
@@ -366,13 +370,9 @@
 
     def estimate_failures(self) -> float:
         """Return the count of recent failures, decayed over time."""
-        return self._decay(time.monotonic())
+        return self._services.count_failures(time.monotonic())
 
     def close(self) -> None:
         """Close its connections and refuse waiting work."""
         self.pool.close()
         self.admission.close()
-
-    def _decay(self, now: float) -> float:
-        age = now - self._failed_at
-        return float(self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -150,7 +150,7 @@
             )
         except errors.NotRun as error:
             return messages.Outcome(Kind.OVERLOADED, detail=error.message)
-        measured = refused = False
+        measured = refused = ok = False
         try:
             connection = await self.acquire_connection(
                 pending, endpoint, minimum
@@ -162,9 +162,10 @@
             )
             measured = outcome.kind in (Kind.DONE, Kind.LOST)
             refused = outcome.kind is Kind.BUSY
+            ok = outcome.kind is Kind.DONE
             return outcome
         finally:
-            endpoint.admission.release(ticket, measured, refused)
+            endpoint.admission.release(ticket, measured, refused, ok)
 
     async def acquire_connection(
         self,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/choice.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/choice.py
@@ -58,7 +58,10 @@
         )
         fresh = [c for c in in_time if c.name not in pending.tried]
         name = endpoint_choice.choose(fresh or in_time)
-        return group.endpoints[name] if name else None
+        if name is None:
+            return None
+        group.endpoints[name].record_choice()
+        return group.endpoints[name]
 
     async def find_primary(
         self, pending: attempts.PendingStatement
--- a/packages/fescuestile/src/fescuestile/admission.py
+++ b/packages/fescuestile/src/fescuestile/admission.py
@@ -93,6 +93,11 @@
         """Number of work items that may hold a slot now."""
         return self._concurrency.limit
 
+    @property
+    def slots(self) -> int:
+        """Highest limit."""
+        return self._options.slots
+
     def offer(
         self, work: Work, now: float
     ) -> expression.Result[Ticket, errors.NotRun]:
@@ -130,9 +135,8 @@
         :param wait: expected seconds in the queue
         :returns: lateness with the safety factors; negative if in time
         """
-        return (
-            now + self._factors.pad(wait, self.times.get_mean(kind)) - deadline
-        )
+        needed = self._factors.pad(wait, self.times.get_mean(kind))
+        return now + needed - deadline
 
     def count_waiting(self, level: int) -> int:
         """Return how many work items of a rank wait."""
@@ -270,9 +274,7 @@
 
         :param options: limits
         """
-        waiting = [
-            entry for entry in self._expiries if self.withdraw(entry[2])
-        ]
+        waiting = [each for each in self._expiries if self.withdraw(each[2])]
         waiting.sort(key=lambda entry: entry[1])
         self.set_way(options.way)
         self._options = options
--- a/packages/fescuestile/src/fescuestile/concurrency_queueing.py
+++ b/packages/fescuestile/src/fescuestile/concurrency_queueing.py
@@ -155,9 +155,7 @@
         ratio = (self.limit / former.limit) ** QUEUEING_POWER
         if ended.slowdown <= former.slowdown * ratio:
             return True
-        return (
-            former.change is _Change.LOWERED and ended.slowdown <= TOLERANCE
-        )
+        return former.change is _Change.LOWERED and ended.slowdown <= TOLERANCE
 
     def _restore(self, former: _Former, ended: slowdowns.Round) -> None:
         self._set(min(former.limit, self._cap))
--- a/packages/fescuestile/src/fescuestile/pacing.py
+++ b/packages/fescuestile/src/fescuestile/pacing.py
@@ -99,9 +99,7 @@
         :param now: monotonic seconds
         """
         self._min_round_trip = min(self._min_round_trip, seconds)
-        excess = (
-            seconds - self._min_round_trip
-        ) / self.options.delay_threshold
+        excess = self._measure_excess(seconds)
         if excess > 1:
             self._delayed_until = now + self.options.report_lifetime
             self._lengthen(min(excess, self.options.delayed_factor))
@@ -109,6 +107,10 @@
             self._delayed_until = 0.0
             self._shorten(max(excess, self.options.uncongested_factor))
 
+    def is_delayed(self, seconds: float) -> bool:
+        """Return whether a report with this round trip counts as delayed."""
+        return self._measure_excess(seconds) > 1
+
     def record_start(self, level: int, now: float) -> None:
         """Schedule the next start of a rank after work of it started."""
         clamped = self._clamp_level(level)
@@ -145,6 +147,10 @@
             for level in range(len(self._next_starts))
         ]
 
+    def _measure_excess(self, seconds: float) -> float:
+        least = min(self._min_round_trip, seconds)
+        return (seconds - least) / self.options.delay_threshold
+
     def _clamp_level(self, level: int) -> int:
         return min(level, len(self._next_starts) - 1)
 
