Probe endpoints that are slower than others of their group

An endpoint that was slow since its first statement has no shorter service time of its own to compare with, so it was never probed. The choice now compares it with the others.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/endpoint_states.py
@@ -342,30 +342,25 @@
         """
         now = time.monotonic()
         expected = self.admission.estimate_start(work, now)
-        service = self._services.mean
-        failures = self._services.count_failures(now)
-        # Reads are kept away from the primary, so it isn't probed.
-        if (
-            self.pool.is_retaining
-            and not is_primary
-            and self._services.is_probe_due(
-                now,
-                self.admission.queue.times.get_minimum(work.kind),
-                work.level == admission_controller.MOST_URGENT,
-            )
-        ):
-            service, failures = 0.0, 0.0
         return endpoint_choice.Candidate(
             name=self.name,
-            service=service,
+            service=self._services.mean,
             wait=expected.wait,
             in_time=expected.in_time,
             unanswered_seconds=self.measure_unanswered(now),
-            failures=failures + (now < self.pool.failed_until),
+            failures=self._services.count_failures(now)
+            + (now < self.pool.failed_until),
             is_primary=is_primary,
             is_same_zone=self.entry.zone == zone,
             lags=self.lacks_position(wanted),
             is_connected=self.pool.has_idle_for(work.tenant),
+            # Reads are kept away from the primary, so it isn't probed.
+            is_probe_due=self.pool.is_retaining
+            and not is_primary
+            and now >= self.pool.failed_until
+            and self._services.probes.is_due(
+                now, work.level == admission_controller.MOST_URGENT
+            ),
         )
 
     def estimate_failures(self) -> float:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/service_records.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/service_records.py
@@ -62,13 +62,3 @@
         """Return the count of recent failures, decayed over time."""
         age = now - self._failed_at
         return float(self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
-
-    def is_probe_due(self, now: float, least: float, urgent: bool) -> bool:
-        """Return whether a read may be sent to it, however it did before.
-
-        :param least: service time without contention, 0 if not known
-        :param urgent: whether the read is of the most urgent rank
-        """
-        return self.probes.is_due(now, urgent) and recovery_probes.is_avoided(
-            self.mean, least, self.count_failures(now)
-        )
--- a/packages/fescuestile/src/fescuestile/endpoint_choice.py
+++ b/packages/fescuestile/src/fescuestile/endpoint_choice.py
@@ -17,6 +17,11 @@
 # Round-trip time to another availability zone.
 ZONE_ROUND_TRIP_SECONDS = 0.003
 
+# Recent failures, and the multiple of the least service time in the group,
+# above which an endpoint gets no reads although it may have recovered.
+MAX_FAILURES = 0.02
+MAX_SLOWDOWN = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -35,6 +40,8 @@
     :ivar lags: whether it is known to lack the position that the read must
         see
     :ivar is_connected: whether a connection to it is free at this daemon
+    :ivar is_probe_due: whether it got no statement for so long that what is
+        known of it may be out of date
     """
 
     name: str
@@ -47,6 +54,7 @@
     in_time: bool = True
     lags: bool = False
     is_connected: bool = True
+    is_probe_due: bool = False
 
 
 def estimate_cost(candidate: Candidate) -> float:
@@ -66,14 +74,27 @@
 def choose(candidates: typing.Iterable[Candidate]) -> str | None:
     """Return the name of the endpoint with the least cost.
 
-    An endpoint that lags is returned only if all of them lag.
+    An endpoint that lags is returned only if all of them lag. One that was
+    slow or failed and is due for a probe costs nothing but its wait.
 
     :param candidates: endpoints that may serve the read
     :returns: None without candidates
     """
+    known = list(candidates)
+    least = min((each.service for each in known), default=0.0)
     best = min(
-        candidates,
+        (_forget_past(each, least) for each in known),
         key=lambda candidate: (candidate.lags, estimate_cost(candidate)),
         default=None,
     )
     return best.name if best else None
+
+
+def _forget_past(candidate: Candidate, least: float) -> Candidate:
+    avoided = (
+        candidate.failures > MAX_FAILURES
+        or candidate.service > MAX_SLOWDOWN * least
+    )
+    if not (candidate.is_probe_due and avoided):
+        return candidate
+    return dataclasses.replace(candidate, service=0.0, failures=0.0)
--- a/packages/fescuestile/src/fescuestile/recovery_probes.py
+++ b/packages/fescuestile/src/fescuestile/recovery_probes.py
@@ -7,10 +7,6 @@
 # Weight of a quicker answer to a probe in the mean service time, and share of
 # the recent failures that it cancels: both are out of date by then.
 PROBE_WEIGHT = 0.5
-# Recent failures, and the multiple of the least service time, above which an
-# endpoint is avoided.
-MAX_FAILURES = 0.02
-MAX_SLOWDOWN = 2.0
 
 
 class RecoveryProbes:
@@ -39,13 +35,3 @@
         is_probing = self._is_probing
         self._is_probing = False
         return is_probing
-
-
-def is_avoided(service: float, least: float, failures: float) -> bool:
-    """Return whether an endpoint gets fewer reads than it may take.
-
-    :param service: recent service time
-    :param least: service time without contention, 0 if not known
-    :param failures: decaying count of recent failures
-    """
-    return failures > MAX_FAILURES or service > MAX_SLOWDOWN * least > 0
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -182,6 +182,18 @@
     assert (event["tenants"], event["keys"], event["keys_added"]) == (2, 3, 3)
 
 
+async def test_the_operator_sees_the_limit_of_each_endpoint(world):
+    """Guards against an endpoint limited below its slots that nobody sees."""
+    await put(world, TENANTS, 2)
+    group = world.daemons[0].node.directory.groups["g0"]
+    lines = render_metrics(world).splitlines()
+    for name, endpoint in group.endpoints.items():
+        slots = float(endpoint.entry.slots)
+        for what in ("limit", "slots"):
+            line = f'fescuestile_endpoint_{what}{{endpoint="{name}"}} {slots}'
+            assert line in lines
+
+
 async def test_without_tenants_no_key_is_needed(world):
     """Guards against callers refused where the operator has no tenants."""
     client = await world.connect("primary", key="any")
