Check a configuration before it is sent

Faults of the operator's document were seen only once it was in force: daemons log the parts that they leave out, and say nothing of a route that another one of its database replaces, or of limits that contradict each other.

`python -m fescuestile_platform check FILE [--against FILE] [--json]` decodes a document as daemons do, adds checks of the decoded tables and lists what differs from the version in force. Without arguments the daemon starts as before: the command is imported only if there are any, and the test of a start's imports now also lists argparse and the new modules. The tenants' table counts keys by tenant, for which it had no public method; daemons do not call it.

--- a/packages/fescuestile/src/fescuestile/tenants.py
+++ b/packages/fescuestile/src/fescuestile/tenants.py
@@ -1,5 +1,6 @@
 """Tenants of the configuration and the keys by which callers show theirs."""
 
+import collections
 import collections.abc
 import dataclasses
 import hashlib
@@ -114,6 +115,12 @@
         """Number of keys in force."""
         return len(self._by_key)
 
+    def count_keys(self) -> collections.Counter[str]:
+        """Return the numbers of keys in force by tenant."""
+        return collections.Counter(
+            tenant.name for tenant in self._by_key.values()
+        )
+
     def find(self, key_hash: bytes) -> Tenant | None:
         """Return the tenant that holds a key, by its hash."""
         return self._by_key.get(key_hash)
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -6,10 +6,13 @@
 # Libraries and modules of other borders, or of pages that are seldom asked
 # for. A start on a small host takes as long as its imports.
 UNUSED = (
+    "argparse",
     "cbor2",
     "cryptography",
     "fescuestile.codec",
+    "fescuestile.configuration_checks",
     "fescuestile.gossip",
+    "fescuestile_platform.command",
     "grpc",
     "google.protobuf",
     "pykka",
