--- a/packages/fescuestile/src/fescuestile/configuration_checks.py
+++ b/packages/fescuestile/src/fescuestile/configuration_checks.py
@@ -14,7 +14,8 @@
 from fescuestile import routes
 from fescuestile import tenants
 
-# Smallest number that the tests of the platform's gateways run with.
+# A daemon that has work at an endpoint uses one connection for transactions,
+# one for single statements and one for status reports.
 MIN_CONNECTIONS = 3
 # Time over which the operations of a tenant are counted.
 _WINDOW_SECONDS = allowances.Quota().window
