End resting transactions for requests without a timer

A request that found no transaction at rest waited for a released connection only.

The periodic trim of the pool also ends them.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -278,7 +278,11 @@
         self._in_use.resting.remove(connection)
 
     def trim(self) -> None:
-        """Close connections that have been idle for too long."""
+        """Close connections and end transactions idle for too long."""
+        # A request that found no transaction at rest waits without a timer.
+        self._in_use.resting.expire(
+            self._requests.count_blocked(), time.monotonic()
+        )
         limit = self._options.retained_idle
         if not self.is_retaining:
             limit = idle_connections.find_idle_limit(self._options, self.usage)
--- a/tests/relay/endpoints/test_shared_pool.py
+++ b/tests/relay/endpoints/test_shared_pool.py
@@ -181,6 +181,25 @@
         assert [task.done() for task in resting] == [True, False, False]
 
 
+async def test_transactions_that_begin_to_rest_later_are_rolled_back():
+    """Guards against a wait for the idle limit after a wait for statements.
+
+    A request that finds no transaction at rest has no time to wait for.
+    """
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=1
+    )
+    connection = await tenant_endpoints.acquire(shared, "a", holds=True)
+    waiting = asyncio.create_task(tenant_endpoints.acquire(shared, "b"))
+    await asyncio.sleep(0.01)
+    shared.rest(connection, lambda: shared.release(connection))
+    shared.trim()
+    assert not waiting.done()
+    await asyncio.sleep(2 * RESTING_SECONDS)
+    shared.trim()
+    await waiting
+
+
 async def test_a_transaction_that_goes_on_is_not_rolled_back():
     shared = tenant_endpoints.make_pool(
         tenant_endpoints.TenantEndpoint(), cap=1
