Check the key again before a transaction's first statement

A gateway with a newer configuration refuses the first statement of a transaction, and the sender reads that configuration and tries again. It did not look up the key then, so a key that the gateway had already seen revoked began a transaction.

The tenant is found again, as for single statements. The route stays that of the BEGIN.

test_a_key_revoked_at_the_gateway_starts_nothing[True]: one statement ran before the change, none after it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
@@ -180,15 +180,23 @@
         route = self._local.find_route(session.database)
         if route is None:
             return self._record(work, Kind.UNKNOWN_DATABASE, session.database)
-        tenant = self._local.find_tenant(route, session.key_hash)
-        if tenant is None:
-            return self._record(work, Kind.UNKNOWN_KEY, "unknown key")
-        session.tenant = tenant.name
         work.route = route
         work.group = self._local.find_group(route)
         work.needs_primary = (
             work.writes or route.consistency is routes.Consistency.CURRENT
         )
+        return self._identify_tenant(work)
+
+    def _identify_tenant(
+        self, work: gateway_calls.Work
+    ) -> messages.Outcome | None:
+        """Find the tenant again; return the refusal of a revoked key."""
+        session = work.session
+        route = self._local.find_route(session.database) or work.route
+        tenant = self._local.find_tenant(route, session.key_hash)
+        if tenant is None:
+            return self._record(work, Kind.UNKNOWN_KEY, "unknown key")
+        session.tenant = tenant.name
         return None
 
     def _is_out_of_reach(
@@ -263,7 +271,11 @@
             else:
                 transaction.forwarded_to = None
                 if await self._wait_version(work, peer, answer):
-                    # It goes on under the route and the key of its start.
+                    # It goes on under the route of its start, but none of it
+                    # has run, so its key must be in force.
+                    refusal = self._identify_tenant(work)
+                    if refusal is not None:
+                        return refusal
                     continue
             if self._is_out_of_reach(work, answer):
                 return self._record(work, Kind.BUSY, "endpoints unreachable")
--- a/tests/relay/peers/test_forwarding.py
+++ b/tests/relay/peers/test_forwarding.py
@@ -252,8 +252,9 @@
     assert gateways[0].local.ran == [Verb.WRITE]
 
 
+@pytest.mark.parametrize("begins", [False, True])
 async def test_a_key_revoked_at_the_gateway_starts_nothing(
-    fleet, gateways, sender, run
+    fleet, gateways, sender, run, begins
 ):
     """Guards against a revoked key that a slow daemon still accepts."""
     for daemon in fleet.daemons.values():
@@ -266,6 +267,8 @@
             gateway_daemons.make_table(version, keys=("another",))
         )
     )
+    if begins:
+        await run(Verb.BEGIN)
     assert (await run(Verb.WRITE)).kind is Kind.UNKNOWN_KEY
     assert fleet.sum_ran() == 0
 
