Give back the connection of a cancelled set-up

A statement that was cancelled while its session values were applied to a connection kept that connection in the pool's count for ever. Reads that are hedged by this daemon itself are cancelled when the gateway answers first, so the pool would run out of connections.

The connection is closed and leaves the count, as for a cancelled BEGIN.

The new test counted 1 open connection before the change and 0 after it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -199,7 +199,12 @@
             if connection.kind is Kind.LOST:
                 return messages.Outcome(Kind.BUSY, detail=connection.detail)
             return connection
-        if await self.set_up(pending, connection):
+        try:
+            is_set_up = await self.set_up(pending, connection)
+        except asyncio.CancelledError:
+            endpoint.pool.discard(connection)
+            raise
+        if is_set_up:
             if endpoint.accepts_work:
                 return connection
             endpoint.pool.release(connection)
