Keep no count of lost links for each former peer

A gateway counted the lost links of each peer by name and never removed a count, so the table grew with each daemon that had ever been there. Only work that waits for a configuration needs to know of a loss.

That work is marked instead, while it waits.

The new test finds a table that is not empty after 100 lost links before the change, and none after it. The refusal of work whose link is lost while it waits had no test and has one now, which passes before the change, too.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
@@ -1,7 +1,6 @@
 """Runs the statements that other daemons forward to this one."""
 
 import asyncio
-import collections
 import dataclasses
 import time
 import typing
@@ -60,6 +59,17 @@
     timer: asyncio.TimerHandle | None = None
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Waiting:
+    """New work that waits for a configuration.
+
+    :ivar is_lost: whether its peer's link was lost meanwhile
+    """
+
+    peer: str
+    is_lost: bool = False
+
+
 class StatementServer(links.RequestHandler):
     """Runs forwarded statements with the local executor.
 
@@ -86,8 +96,7 @@
         self._clock = boot_clock
         self._recorder = recorder
         self._transactions: dict[tuple[str, str], _Served] = {}
-        # Links of each peer that were lost.
-        self._losses: collections.Counter[str] = collections.Counter()
+        self._waiting: set[_Waiting] = set()
         self._running = 0
         self._is_stopping = False
 
@@ -114,7 +123,8 @@
 
         A statement in progress runs to its end first, a COMMIT with effect.
         """
-        self._losses[peer] += 1
+        for waiting in self._waiting:
+            waiting.is_lost |= waiting.peer == peer
         for key in list(self._transactions):
             if key[0] == peer:
                 self._give_up(key)
@@ -207,12 +217,17 @@
             return Refusal.STOPPING
         if not self._directory.is_complete:
             return Refusal.STARTING
-        losses = self._losses[peer]
-        if not await self._versions.wait(
-            request.version, peer, VERSION_SECONDS
-        ):
+        waiting = _Waiting(peer)
+        self._waiting.add(waiting)
+        try:
+            is_current = await self._versions.wait(
+                request.version, peer, VERSION_SECONDS
+            )
+        finally:
+            self._waiting.discard(waiting)
+        if not is_current:
             return Refusal.OLDER
-        if self._losses[peer] != losses:
+        if waiting.is_lost:
             return Refusal.LINK_LOST
         if request.version < self._versions.current and not (
             self._versions.is_unchanged(
--- a/tests/relay/peers/test_forwarding.py
+++ b/tests/relay/peers/test_forwarding.py
@@ -1,6 +1,7 @@
 """Work reaches endpoints through gateways, which fail in many ways."""
 
 import asyncio
+import collections.abc
 import time
 
 import pytest
@@ -168,6 +169,35 @@
     assert (await run(Verb.COMMIT)).kind is Kind.ABORTED
 
 
+async def test_a_link_lost_before_the_first_statement_begins_nothing(
+    gateways, sender, run
+):
+    """Guards against a transaction that begins after its link is gone."""
+    sender.directory.put_routes(gateway_daemons.make_table(2))
+
+    def lose_link(version, peer):
+        gateways[0].server.disconnect(sender.peer.name)
+        gateways[0].directory.put_routes(gateway_daemons.make_table(version))
+
+    gateways[0].versions.refresh_configuration = lose_link
+    await run(Verb.BEGIN)
+    await run(Verb.READ)
+    assert gateways[0].local.ran == []
+    assert not gateways[0].server.is_busy
+
+
+def test_lost_links_of_many_peers_leave_nothing(gateways):
+    """Guards against a table that grows with each daemon that was there."""
+    server = gateways[0].server
+    for number in range(100):
+        server.disconnect(f"former-{number}")
+    assert not any(
+        len(table)
+        for table in vars(server).values()
+        if isinstance(table, collections.abc.Sized)
+    )
+
+
 async def test_a_restarted_gateway_has_lost_the_transaction(
     fleet, gateways, run
 ):
