Begin no request whose link is lost already

A request's task starts in the next iteration of the event loop. If its link is lost in between, the handler is told of the loss first and then begins a transaction that nothing rolls back before the idle limit.

Such a request is dropped; its answer could not be delivered anyway.

The new test saw the request run before the change; it does not after it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/incoming_links.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/incoming_links.py
@@ -185,7 +185,9 @@
     async def _serve(self, frame: link_frames.Frame) -> None:
         handler = self._owner.handler
         try:
-            if handler is not None:
+            # The handler was told of a loss before this request began, and
+            # would not learn that it is to be rolled back.
+            if handler is not None and self.is_open:
                 answer = await handler.handle(self.name, frame.body)
                 self._reply(
                     link_frames.encode(Kind.ANSWER, frame.number, answer)
--- a/tests/relay/peers/test_links.py
+++ b/tests/relay/peers/test_links.py
@@ -216,6 +216,18 @@
     await link_builders.wait_until(lambda: two.handler.lost == ["d1"])
 
 
+async def test_a_request_does_not_begin_after_its_link_was_lost(network, pair):
+    """Guards against a transaction that no loss of a link rolls back."""
+    one, two = pair
+    _, writer = await network.say_hello(one, two)
+    request = link_frames.encode(Kind.REQUEST, 1, {"text": "begin"})
+    writer.write(request + link_frames.encode(Kind.ANSWER, 1, {}))
+    await link_builders.wait_until(lambda: two.handler.lost == ["d1"])
+    await asyncio.sleep(0.01)
+    assert two.handler.requests == []
+    assert two.links._context.held.used == 0
+
+
 async def test_a_daemon_that_was_paused_runs_no_old_requests(pair):
     """Guards against a write that runs after its caller has given it up."""
     one, two = pair
