Let gateways watch idle groups as closely as few daemons do

A daemon infers from an endpoint's connections how many daemons watch it and asks less often for reports, four times less without work. Gateways hold most connections, but only one for each zone watches a group: with 62 connections an idle primary was asked every 2.8 s in place of 0.7 s, and a failed one noticed that much later.

A pool that retains its connections, as only those of gateways do, asks at the usual intervals.

The new test found no report due after 0.8 s before the change. Not measured: status reports of a deployment; by the intervals three gateways request at most 6 a second for an idle group of three endpoints.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/report_requests.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/report_requests.py
@@ -97,6 +97,10 @@
         Where connections are scarce, one that is opened for a report only is
         one less for work.
         """
+        if endpoint.pool.is_retaining:
+            # A gateway: the connections are those of few daemons, which are
+            # the only ones that notice a failure while there is no work.
+            return 1.0
         report = endpoint.report
         connections = report.connections if report is not None else 0
         factor = connections / self._options.few_connections
--- a/tests/relay/groups/test_report_intervals.py
+++ b/tests/relay/groups/test_report_intervals.py
@@ -69,6 +69,23 @@
     assert is_probe_due(group_monitor, group, "r2")
 
 
+async def test_a_gateway_of_an_idle_group_asks_as_one_of_few(
+    group, group_monitor
+):
+    """Guards against a failed primary that three gateways notice late.
+
+    Their connections to an endpoint are as many as those of many daemons.
+    """
+    add_report(group, "p", 7, ago=0.8, role=Role.PRIMARY)
+    add_report(group, "r1", 7, ago=1.7)
+    group.endpoints["p"].answered_at -= 0.8
+    for name in ("p", "r1"):
+        set_connections(group, name, 62)
+        assert not is_probe_due(group_monitor, group, name)
+        group.endpoints[name].pool.is_retaining = True
+        assert is_probe_due(group_monitor, group, name)
+
+
 async def test_an_idle_primary_is_asked_as_seldom_as_its_replicas(
     group, group_monitor
 ):
