Rate one waiting request of a kind for each released connection

Each release rated every waiting request, also those of transactions that wait for the bound of all transactions. The work for a statement grew with the sessions that wait to begin.

Of requests with the same tenant, rank and use the oldest stands for all.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/connection_requests.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/connection_requests.py
@@ -81,13 +81,31 @@
     ) -> bool:
         """Wake the request that is rated lowest.
 
-        :param rate: returns None for a request that could not proceed
+        Of requests that differ only in age, the oldest one stands for all.
+
+        :param rate: returns None for a request that could not proceed, and
+            then for none that differs only in being younger
         :returns: whether one was woken
         """
+        oldest: dict[
+            tuple[str, int, bool, bool], tuple[float, int, Request]
+        ] = {}
+        for number, (request, waiter) in enumerate(self._waiting.items()):
+            if waiter.done():
+                continue
+            key = (
+                request.tenant,
+                request.level,
+                request.inspects,
+                request.holds,
+            )
+            found = oldest.get(key)
+            if found is None or request.since < found[0]:
+                oldest[key] = request.since, number, request
         rated = [
             (rating, number, request)
-            for number, (request, waiter) in enumerate(self._waiting.items())
-            if not waiter.done() and (rating := rate(request)) is not None
+            for _, number, request in oldest.values()
+            if (rating := rate(request)) is not None
         ]
         if not rated:
             return False
