Close idle connections above a lowered cap

A daemon that is no longer a gateway kept the idle connections above its new cap for up to 5 s (idle_connection), as it asks for no reports any more that would tell it how scarce they are. The next gateway may open as many, together more than the endpoint accepts.

Each check closes those above the cap, except one, which may be there for status reports. This holds for a limit lowered in the configuration, too.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/endpoints/pool.py
@@ -26,7 +26,7 @@
     shared: connections are closed for other tenants by their worth, and
     transactions hold a bounded part of them.
 
-    :ivar cap: most connections that this daemon opens
+    :ivar cap: most connections that this daemon opens, and one for reports
     :ivar accepts_work: whether connections are given to work, and not only to
         status reports
     :ivar is_retaining: whether this daemon is to hold most of the endpoint's
@@ -279,14 +279,13 @@
 
     def trim(self) -> None:
         """Close connections and end transactions idle for too long."""
+        now = time.monotonic()
         # A request that found no transaction at rest waits without a timer.
-        self._in_use.resting.expire(
-            self._requests.count_blocked(), time.monotonic()
-        )
+        self._in_use.resting.expire(self._requests.count_blocked(), now)
         limit = self._options.retained_idle
         if not self.is_retaining:
             limit = idle_connections.find_idle_limit(self._options, self.usage)
-        ended = self._idle.pop_ended(time.monotonic() - limit)
+        ended = self._idle.pop_ended(now - limit)
         was_lost = any(connection.closed for connection in ended)
         for connection in ended:
             self.discard(connection)
@@ -298,6 +297,8 @@
             )
         if self.is_retaining and self.is_scarce and len(self._idle) > 1:
             self._evict_idle()
+        while self._idle and self._open > self.cap + 1:
+            self._evict_idle()
 
     def drop_idle(self) -> None:
         """Close all idle connections."""
--- a/tests/relay/peers/test_gateway_table.py
+++ b/tests/relay/peers/test_gateway_table.py
@@ -8,6 +8,7 @@
 from fescuestile_daemon.relay.takeovers import monitor
 from tests import gateway_daemons
 from tests import monitored_groups
+from tests import tenant_endpoints
 
 
 @pytest.mark.parametrize("daemons", [30, 100, 300])
@@ -111,3 +112,22 @@
     endpoint = gateway.group.endpoints["p"]
     endpoint.record_connection_usage(62 / 70)
     assert endpoint.admission.queue.limit == 4
+
+
+async def test_a_former_gateway_closes_what_it_may_not_hold():
+    """Guards against two gateways' connections at an endpoint for seconds.
+
+    The next gateway may open as many; one may stay for status reports.
+    """
+    shared = tenant_endpoints.make_pool(
+        tenant_endpoints.TenantEndpoint(), cap=10
+    )
+    shared.is_retaining = True
+    used = [await tenant_endpoints.acquire(shared, "") for _ in range(10)]
+    for connection in used[1:]:
+        shared.release(connection)
+    shared.is_retaining = False
+    shared.cap = 2
+    shared.trim()
+    assert shared.open == 3
+    assert not used[0].closed
