Count a restarted daemon at once only if all others listed it

Cause: an entry equal to the daemon's own counted as one that all others had listed. It may be seconds old: the process ended right after its registration, or the answer to the creation was lost and the same process found its own entry. Its share was then issued beside daemons that knew fewer. On the other hand a daemon with a new address, port or weight had to wait 14 s, although others count names. A daemon whose first call to the store failed twice waited up to 12 s for the next, without tokens. An entry that was removed while its daemon ran, or whose replacement failed, did not come back before the next era.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
@@ -138,9 +138,13 @@
         self._exchange = exchange
 
     def note_registered_before(self) -> None:
-        """Note that an earlier process registered this daemon."""
+        """Note that all others have listed an earlier process's entry."""
         self._lessor.note_registered_before()
 
+    def check_listed(self) -> bool:
+        """Return whether all others can have listed this daemon."""
+        return self._lessor.check_listed(self._clock.now())
+
     def set_peers(
         self, peers: collections.abc.Iterable[position_sharing.Peer]
     ) -> None:
--- a/packages/fescuestile/src/fescuestile/allowance_lessor.py
+++ b/packages/fescuestile/src/fescuestile/allowance_lessor.py
@@ -116,11 +116,7 @@
         self._search = None
 
     def note_registered_before(self) -> None:
-        """Note that an earlier process registered this daemon.
-
-        Others have listed its entry, so that it need not wait until they can
-        have done so.
-        """
+        """Note that all others have listed an earlier process's entry."""
         self._is_listed = True
 
     def make_ask(
@@ -140,12 +136,12 @@
             self._number,
             self._name,
             self._count_daemons(now),
-            self._check_listed(now),
+            self.check_listed(now),
             echo,
             demand or {},
         )
 
-    def _check_listed(self, now: float) -> bool:
+    def check_listed(self, now: float) -> bool:
         """Return whether all others can have listed this daemon."""
         if not self._is_listed and self._listed_at is not None:
             self._is_listed = now >= self._listed_at + LISTED_SECONDS
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -5,6 +5,8 @@
 import pytest
 import pytest_asyncio
 
+from fescuestile import allowance_lessor
+from fescuestile import errors
 from fescuestile import position_sharing
 from fescuestile_daemon.relay.peers import statement_messages
 from fescuestile_platform import peers as peers_adapter
@@ -126,6 +128,82 @@
     assert len([call for call in calls if "stale_ok" in call[1]]) > 2
 
 
+async def restart_process(world, number):
+    """Let a new process take the entry of a daemon over."""
+    name = world.daemons[number]._peers._peer.name
+    await world.daemons[number].abort()
+    started = await world.start_daemon(name)
+    async with asyncio.timeout(3.0):
+        while len(started.links.get_peers()) < 1:
+            await asyncio.sleep(0.01)
+    return started
+
+
+async def test_a_new_entry_that_is_found_again_does_not_count_at_once(peers):
+    """Guards against a share of which the other daemons do not know.
+
+    The answer to the creation was lost, or the process ended right after it,
+    so the others may not have listed the entry.
+    """
+    daemon = peers.daemons[0]
+    await daemon._peers._register()
+    assert not daemon.node.limiter.check_listed()
+
+
+async def test_a_restart_counts_at_once_when_all_have_listed_it(
+    peers, monkeypatch
+):
+    """Guards against seconds without tokens after a loss of power.
+
+    The address has changed: the others count daemons by their names.
+    """
+    daemon = peers.daemons[0]
+    with monkeypatch.context() as patched:
+        patched.setattr(allowance_lessor, "LISTED_SECONDS", 0.0)
+        for _ in range(3):
+            await daemon._peers.refresh()
+    started = await restart_process(peers, 0)
+    assert started.node.limiter.check_listed()
+    calls = [call for call in peers.store.calls if call[0] == "PUT"]
+    name = started._peers._peer.name
+    # One for the mark, one for the new address.
+    assert len([c for c in calls if c[1].endswith(f"peers/{name}")]) == 2
+
+
+async def test_a_daemon_whose_entry_was_removed_registers_again(
+    peers, monkeypatch
+):
+    """Guards against a daemon that others no longer reach or count."""
+    monkeypatch.setattr(peers_adapter, "FIRST_DELAY_SECONDS", (0.05, 0.05))
+    monkeypatch.setattr(peers_adapter, "LIST_DELAY_SECONDS", (0.05, 0.05))
+    daemon = peers.daemons[0]
+    await restart_peers(daemon)
+    await asyncio.sleep(0.3)
+    key = "peers", daemon._peers._peer.name
+    del peers.store.objects[key]
+    async with asyncio.timeout(3.0):
+        while key not in peers.store.objects:
+            await asyncio.sleep(0.02)
+
+
+async def test_the_first_list_is_repeated_soon(peers, monkeypatch):
+    """Guards against 12 s without tokens after a start beside the store."""
+    monkeypatch.setattr(peers_adapter, "FIRST_DELAY_SECONDS", (0.05, 0.05))
+    monkeypatch.setattr(peers_adapter, "LIST_DELAY_SECONDS", (60.0, 60.0))
+    daemon = peers.daemons[0]
+    tries = []
+
+    async def fail():
+        tries.append(1)
+        raise errors.PlatformUnavailable("no answer", step="send")
+
+    monkeypatch.setattr(daemon._peers, "_register", fail)
+    await restart_peers(daemon)
+    async with asyncio.timeout(3.0):
+        while len(tries) < 4:
+            await asyncio.sleep(0.02)
+
+
 async def test_daemons_open_links_to_each_other(peers):
     """Guards against peers that are not passed on, or cannot be reached."""
     one, two = peers.daemons
--- a/tests/relay/peers/test_allowance_bounds.py
+++ b/tests/relay/peers/test_allowance_bounds.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fescuestile import allowances
 from fescuestile import tenants
 from tests import allowance_worlds
 from tests import virtual_time
@@ -145,3 +146,40 @@
         world.check_bound(LIMIT)
 
     virtual_time.run(run(), monkeypatch)
+
+
+@pytest.mark.parametrize("daemons", [3, 9, 36])
+@pytest.mark.parametrize("missing", [0, 1])
+def test_a_daemon_that_stays_away_delays_no_others(
+    daemons, missing, monkeypatch
+):
+    """Guards against seconds without tokens after a loss of power.
+
+    The daemon that stays away may be the one that the others prefer.
+    """
+
+    async def run():
+        world = make_world(1, daemons)
+        await asyncio.sleep(20.0)
+        order = allowances.order_daemons(world.registered.values())
+        for name in order:
+            world.stop(name)
+        await asyncio.sleep(2.0)
+        for name in order[missing:]:
+            world.start(name)
+            world.daemons[name].note_registered_before()
+        checking = asyncio.create_task(check_shares(world))
+        await asyncio.sleep(1.3)
+        share = world.measure_shares()
+        await asyncio.sleep(20.0)
+        checking.cancel()
+        assert not checking.done()
+        later = world.measure_shares()
+        world.close()
+        return share, later
+
+    share, later = virtual_time.run(run(), monkeypatch)
+    expected = (daemons - missing) / daemons
+    # Shares are rounded down to steps.
+    assert expected - 0.01 <= share <= expected
+    assert expected - 0.01 <= later <= expected
