--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -396,6 +396,21 @@
     assert not caller.is_idle(now)
 
 
+async def test_a_caller_is_not_idle_right_after_a_long_statement(caller):
+    """Guards against closing a caller that is about to send the next one."""
+    session = await open_session(caller)
+    caller.data_received(b"QUERY f READ k\r\n")
+    now = caller._used_at
+    for _ in range(12):
+        now += 0.25
+        caller.find_fault(now)
+    session.answer()
+    assert not caller.is_idle(now)
+    caller.find_fault(now)
+    assert not caller.is_idle(now + 0.9)
+    assert caller.is_idle(now + 1.1)
+
+
 async def test_a_malformed_line_ends_the_connection(caller, recorder):
     await open_session(caller)
     caller.data_received(b"x" * (codec.MAX_LINE_BYTES + 1))
