Refuse an operation whose token comes at its time limit

Cause: an answer at the moment of the time limit took the cancelled waiter out of the queue; the operation then failed with a ValueError, and its caller got no answer to it. It takes a daemon that coordinates and another operation in the same turn of the event loop, so rather a loaded one. Change: the waiter is removed if it is still there, also if the operation is cancelled.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
@@ -180,7 +180,9 @@
                 await waiter
         except TimeoutError:
             # The answer may have arrived at the same moment.
-            if waiter.cancelled():
+            pass
+        finally:
+            if waiter.cancelled() and waiter in demand.waiters:
                 demand.waiters.remove(waiter)
         if waiter.cancelled() or not waiter.result():
             return self._refuse(tenant)
--- a/tests/relay/peers/test_allowance_admission.py
+++ b/tests/relay/peers/test_allowance_admission.py
@@ -6,6 +6,7 @@
 
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.peers import allowance_exchange
 from tests import allowance_worlds
 from tests import virtual_time
 
@@ -192,3 +193,30 @@
         assert any(await asyncio.gather(*tasks))
 
     run_world(work, monkeypatch, tenants.Tenant("t", rate=30.0, burst=30.0))
+
+
+def test_an_answer_at_the_moment_of_the_time_limit(monkeypatch):
+    """Guards against an operation that fails and is never answered.
+
+    Its waiter was cancelled by the time limit, and then taken out by the
+    answer before the operation went on.
+    """
+
+    async def run():
+        limit = tenants.Tenant("t", rate=10.0, burst=1.0)
+        world = allowance_worlds.World(2, 1, 0.001, 1, limit)
+        exchange = world.daemons["0"]
+        # No daemon leases yet, so there are no tokens.
+        admission = asyncio.create_task(exchange.admit("t"))
+        await asyncio.sleep(0)
+        asyncio.get_running_loop().call_later(
+            allowance_exchange.WAIT_SECONDS + 5e-7,
+            allowance_exchange._refuse_waiters,
+            exchange._demands["t"],
+        )
+        outcome = await admission
+        world.close()
+        return outcome
+
+    outcome = virtual_time.run(run(), monkeypatch)
+    assert outcome.kind is messages.Kind.OVERLOADED
