Check a key again after the wait for a token

Cause: an operation looks its key up, then waits up to 0.05 s for a token of its tenant's limit. One whose key was revoked meanwhile began. Change: the key is checked again once the operation is admitted. Measured: with a key revoked during the wait a statement and a transaction ran before the change, neither after it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -386,9 +386,16 @@
             return self._refuse_database()
         if not self._identify(route):
             return self._refuse_key()
-        refusal = await self._executor.admit(self)
+        refusal = await self._admit()
         return refusal or await self._executor.run_single(self, route, arrival)
 
+    async def _admit(self) -> messages.Outcome | None:
+        """Count an operation; its key may be revoked while it waits."""
+        refusal = await self._executor.admit(self)
+        if refusal is None and self._is_revoked():
+            return self._refuse_key()
+        return refusal
+
     def _identify(self, route: routes.Route) -> bool:
         """Find the tenant of an operation that begins.
 
@@ -415,7 +422,7 @@
         if not self._identify(route or transaction.route):
             return self._refuse_key()
         transaction.is_admitted = True
-        return await self._executor.admit(self)
+        return await self._admit()
 
     def _abandon(self) -> None:
         transaction, self._transaction = self._transaction, None
--- a/tests/relay/statements/test_revoked_keys.py
+++ b/tests/relay/statements/test_revoked_keys.py
@@ -189,3 +189,18 @@
     await send(session, Verb.COMMIT, Verb.READ)
     assert executor.tenants == ["north", "south", "south", "west"]
     assert None not in caller.seen
+
+
+@pytest.mark.parametrize("verbs", [[Verb.READ], [Verb.BEGIN, Verb.READ]])
+async def test_a_key_revoked_while_a_token_is_awaited_starts_nothing(
+    session, caller, executor, verbs
+):
+    """Guards against an operation that begins under a revoked key."""
+
+    async def revoke(session):
+        executor.keys.clear()
+
+    executor.admit = revoke
+    await send(session, *verbs)
+    assert executor.tenants == []
+    assert caller.seen[-2:] == [Kind.UNKNOWN_KEY, None]
