Count the time that a process has run towards its former lease

Cause: a restarted daemon leased its share of the limits 0.7 s after its code had started, though its process had run for some 0.4 s before; after a loss of power of all daemons no operation was admitted meanwhile. Change: the processor time used so far, which is at most the time since the start, counts.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -100,6 +100,9 @@
             self.directory,
             boot_clock,
             self.recorder,
+            # The processor time that a process has used is a lower bound of
+            # the time since its start, without a clock that may have jumped.
+            running=time.process_time(),
         )
         local = execution.StatementExecutor(
             self.directory,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/allowance_exchange.py
@@ -88,11 +88,13 @@
         source: LimitSource,
         boot_clock: clock.Clock,
         recorder: events.Recorder,
+        running: float = 0.0,
     ) -> None:
         """Limit nothing until it is started.
 
         :param name: name of this daemon
         :param source: tells the limits in force
+        :param running: seconds for which this process has run at least
         """
         now = boot_clock.now()
         self._name = name
@@ -106,7 +108,7 @@
             quota, secrets.randbits(_INSTANCE_BITS)
         )
         self._lessor = allowance_lessor.Lessor(
-            name, secrets.randbits(_NUMBER_BITS), now
+            name, secrets.randbits(_NUMBER_BITS), now, running
         )
         self._exchange: sampling.Exchange | None = None
         self._addresses: dict[str, str] = {}
--- a/packages/fescuestile/src/fescuestile/allowance_lessor.py
+++ b/packages/fescuestile/src/fescuestile/allowance_lessor.py
@@ -77,10 +77,14 @@
         it is unknown
     """
 
-    def __init__(self, name: str, number: int, now: float) -> None:
+    def __init__(
+        self, name: str, number: int, now: float, running: float = 0.0
+    ) -> None:
         """Initialize without peers.
 
         :param number: number of the first request, not to be guessed
+        :param running: seconds for which this process has run at least, since
+            when no earlier one of the same daemon has leased anything
         """
         self.coordinator: str | None = None
         self._name = name
@@ -88,7 +92,7 @@
         self._order: tuple[str, ...] = ()
         self._candidates: dict[str, _Candidate] = {}
         self._target: str | None = None
-        self._lease_from = now + FORMER_LEASE_SECONDS
+        self._lease_from = now + max(0.0, FORMER_LEASE_SECONDS - running)
         self._lease_until = now
         self._listed_at: float | None = None
         self._is_listed = False
--- a/tests/unit/test_allowances.py
+++ b/tests/unit/test_allowances.py
@@ -235,9 +235,9 @@
 )
 
 
-def make_lessor():
+def make_lessor(running=0.0):
     """Return a lessor of ``a`` that prefers ``b``, then ``c``."""
-    lessor = allowance_lessor.Lessor("a", 1, 0.0)
+    lessor = allowance_lessor.Lessor("a", 1, 0.0, running)
     lessor.put_order(("b", "c", "a"), 0.0)
     return lessor
 
@@ -302,6 +302,10 @@
     """Guards against a share that counts for a process that has ended."""
     first = run_lessor(make_lessor(), 0.0, 3.0, "bc")[0]
     assert first[1] >= allowances.LEASE_SECONDS
+    # The time for which the process has already run counts.
+    sooner = run_lessor(make_lessor(running=0.4), 0.0, 3.0, "bc")[0]
+    assert sooner[1] < first[1]
+    assert sooner[1] + 0.4 >= allowances.LEASE_SECONDS
 
 
 def test_a_repeated_answer_gives_no_tokens():
