Send the configuration version in which a key was looked up

A forwarded request named the version in force when it was sent. After a failed first attempt that could be newer than the one in which its key and route were looked up, so the next gateway compared nothing and ran the work of a key that both daemons knew as revoked.

The version is noted with the key. A gateway that has a newer one compares route and keys, and refuses if they changed.

The new test: the write of a key revoked during the first attempt ran before the change and is answered with an unknown key after it.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
@@ -51,9 +51,7 @@
         self._local = local
         self._versions = known_versions
         self._recorder = recorder
-        self._calls = gateway_calls.GatewayCalls(
-            local, table, known_versions, recorder, name
-        )
+        self._calls = gateway_calls.GatewayCalls(local, table, recorder, name)
         # Another run of this daemon must not use the same transaction ids.
         self._prefix = secrets.token_hex(6)
         self._numbers = itertools.count(1)
@@ -112,6 +110,7 @@
             group=self._local.find_group(route),
             arrival=arrival,
             writes=writes,
+            version=self._versions.current,
             needs_primary=writes
             or route.consistency is routes.Consistency.CURRENT,
         )
@@ -197,6 +196,7 @@
         if tenant is None:
             return self._record(work, Kind.UNKNOWN_KEY, "unknown key")
         session.tenant = tenant.name
+        work.version = self._versions.current
         return None
 
     def _is_out_of_reach(
@@ -232,6 +232,7 @@
             group=transaction.group,
             arrival=arrival,
             writes=attempts.may_write(session, arrival.statement),
+            version=self._versions.current,
             needs_primary=not transaction.read_only
             or transaction.route.consistency is routes.Consistency.CURRENT,
             step=Step.FIRST if place is None else Step.LATER,
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
@@ -11,7 +11,6 @@
 from fescuestile_daemon.relay.peers import gateway_table
 from fescuestile_daemon.relay.peers import links
 from fescuestile_daemon.relay.peers import statement_messages
-from fescuestile_daemon.relay.peers import versions
 from fescuestile_daemon.relay.statements import replay
 from fescuestile_daemon.relay.statements import sessions
 
@@ -40,6 +39,7 @@
     """A statement that is to be run here or at a gateway.
 
     :ivar writes: whether it may change data
+    :ivar version: configuration in which its key was looked up
     :ivar needs_primary: whether only the primary can do it
     :ivar step: its place in ``transaction``
     :ivar tried: gateways that did not run it, or did not answer
@@ -54,6 +54,7 @@
     arrival: sessions.Arrival
     writes: bool
     needs_primary: bool
+    version: int
     step: Step = Step.SINGLE
     transaction: sessions.Transaction | None = None
     number: str = ""
@@ -80,7 +81,6 @@
         self,
         local: sessions.Executor,
         table: gateway_table.GatewayTable,
-        known_versions: versions.ConfigurationVersions,
         recorder: events.Recorder,
         name: str,
     ) -> None:
@@ -92,7 +92,6 @@
         """
         self._local = local
         self._table = table
-        self._versions = known_versions
         self._recorder = recorder
         self._name = name
         self._links: links.PeerLinks | None = None
@@ -146,7 +145,7 @@
             step=work.step,
             number=work.number,
             read_only=transaction is not None and transaction.read_only,
-            version=self._versions.current,
+            version=work.version,
             route=work.route,
             tenant=session.tenant,
             values=session.values,
--- a/tests/relay/peers/test_forwarding.py
+++ b/tests/relay/peers/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from fescuestile import positions
 from fescuestile_daemon.relay.core import messages
+from fescuestile_daemon.relay.peers import links
 from tests import gateway_daemons
 
 Kind = messages.Kind
@@ -303,6 +304,27 @@
     assert fleet.sum_ran() == 0
 
 
+async def test_a_retry_is_checked_under_the_version_of_its_key(
+    fleet, gateways, sender, run, monkeypatch
+):
+    """Guards against a request that claims a version it was not checked in.
+
+    The key is revoked while the first gateway does not answer.
+    """
+
+    async def fail(peer, request, timeout):
+        monkeypatch.undo()
+        for daemon in fleet.daemons.values():
+            daemon.directory.put_routes(
+                gateway_daemons.make_table(2, keys=("another",))
+            )
+        return links.LinkFailure(False, "no hello in time")
+
+    monkeypatch.setattr(sender.links, "call", fail)
+    assert (await run(Verb.WRITE)).kind is Kind.UNKNOWN_KEY
+    assert fleet.sum_ran() == 0
+
+
 # Leaving and disagreement
 
 
