--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/forwarding.py
@@ -15,6 +15,7 @@
 from fescuestile_daemon.relay.peers import statement_messages
 from fescuestile_daemon.relay.peers import versions
 from fescuestile_daemon.relay.statements import attempts
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import sessions
 
 Answer = statement_messages.Answer
@@ -100,7 +101,7 @@
         self,
         session: sessions.Session,
         route: routes.Route,
-        arrival: sessions.Arrival,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement outside a transaction."""
         writes = attempts.may_write(session, arrival.statement)
@@ -215,8 +216,8 @@
     async def run_in_transaction(
         self,
         session: sessions.Session,
-        transaction: sessions.Transaction,
-        arrival: sessions.Arrival,
+        transaction: operations.Transaction,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement or the commit of an open transaction."""
         place = transaction.forwarded_to
@@ -243,7 +244,7 @@
         return await self._run_later(work, transaction, place)
 
     async def _run_first(
-        self, work: gateway_calls.Work, transaction: sessions.Transaction
+        self, work: gateway_calls.Work, transaction: operations.Transaction
     ) -> messages.Outcome:
         """Open a transaction with its first statement."""
         while True:
@@ -255,7 +256,7 @@
             if work.remaining < attempts.MIN_REMAINING_SECONDS:
                 return self._record(work, Kind.ABORTED, "no gateway answered")
             work.number = f"{self._prefix}-{next(self._numbers)}"
-            place = sessions.ForwardedTo(peer, work.number)
+            place = operations.ForwardedTo(peer, work.number)
             transaction.forwarded_to = place
             try:
                 answer = await self._calls.call(work, peer)
@@ -285,8 +286,8 @@
     async def _run_later(
         self,
         work: gateway_calls.Work,
-        transaction: sessions.Transaction,
-        place: sessions.ForwardedTo,
+        transaction: operations.Transaction,
+        place: operations.ForwardedTo,
     ) -> messages.Outcome:
         """Run a further statement where the transaction is open."""
         work.number = place.number
@@ -309,7 +310,7 @@
     def _finish(
         self,
         work: gateway_calls.Work,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
         answer: Answer,
         outcome: messages.Outcome,
     ) -> messages.Outcome:
@@ -327,7 +328,7 @@
             transaction.forwarded_to = None
         return outcome
 
-    def abandon(self, transaction: sessions.Transaction) -> None:
+    def abandon(self, transaction: operations.Transaction) -> None:
         """Roll a transaction back in the background."""
         place, transaction.forwarded_to = transaction.forwarded_to, None
         if place is None:
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/gateway_calls.py
@@ -11,6 +11,7 @@
 from fescuestile_daemon.relay.peers import gateway_table
 from fescuestile_daemon.relay.peers import links
 from fescuestile_daemon.relay.peers import statement_messages
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import replay
 from fescuestile_daemon.relay.statements import sessions
 
@@ -51,12 +52,12 @@
     session: sessions.Session
     route: routes.Route
     group: groups.Group
-    arrival: sessions.Arrival
+    arrival: operations.Arrival
     writes: bool
     needs_primary: bool
     version: int
     step: Step = Step.SINGLE
-    transaction: sessions.Transaction | None = None
+    transaction: operations.Transaction | None = None
     number: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
@@ -196,7 +197,7 @@
         )
         return Answer(outcome, work.session.last_write)
 
-    async def abandon(self, place: sessions.ForwardedTo) -> None:
+    async def abandon(self, place: operations.ForwardedTo) -> None:
         """Let a gateway roll a transaction back.
 
         Without an answer the lost link or the idle limit ends it there.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/peers/serving.py
@@ -16,6 +16,7 @@
 from fescuestile_daemon.relay.peers import links
 from fescuestile_daemon.relay.peers import statement_messages
 from fescuestile_daemon.relay.peers import versions
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import sessions
 
 log = structlog.get_logger()
@@ -53,7 +54,7 @@
     """
 
     session: sessions.Session
-    transaction: sessions.Transaction
+    transaction: operations.Transaction
     running: bool = False
     is_lost: bool = False
     timer: asyncio.TimerHandle | None = None
@@ -195,7 +196,7 @@
             return self._make_answer(session, request, outcome)
         served = _Served(
             session,
-            sessions.Transaction(
+            operations.Transaction(
                 route=request.route,
                 group=self._local.find_group(request.route),
                 read_only=request.read_only,
@@ -254,7 +255,7 @@
         self,
         served: _Served,
         key: tuple[str, str],
-        arrival: sessions.Arrival,
+        arrival: operations.Arrival,
     ) -> Answer:
         """Run a statement or the commit of an open transaction."""
         if served.running:
@@ -342,11 +343,13 @@
 
 def _make_arrival(
     request: statement_messages.RunRequest, boot_at: float, monotonic_at: float
-) -> sessions.Arrival:
+) -> operations.Arrival:
     """Return the arrival of a statement by the clock of this daemon.
 
     The route's timeout counts from its monotonic time, so that it ends
     before the sender gives up.
     """
     elapsed = max(request.age, request.route.timeout - request.left, 0.0)
-    return sessions.Arrival(request.statement, boot_at, monotonic_at - elapsed)
+    return operations.Arrival(
+        request.statement, boot_at, monotonic_at - elapsed
+    )
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/attempts.py
@@ -14,6 +14,7 @@
 from fescuestile_daemon.relay.endpoints import admission_controller
 from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import replay
 from fescuestile_daemon.relay.statements import sessions
 
@@ -40,7 +41,7 @@
     session: sessions.Session
     route: routes.Route
     group: groups.Group
-    arrival: sessions.Arrival
+    arrival: operations.Arrival
     writes: bool
     deadline: float
     weight: int = 1
@@ -104,7 +105,7 @@
     session: sessions.Session,
     route: routes.Route,
     group: groups.Group,
-    arrival: sessions.Arrival,
+    arrival: operations.Arrival,
     weight: int = 1,
 ) -> PendingStatement:
     """Return a statement that is about to be attempted.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/execution.py
@@ -15,6 +15,7 @@
 from fescuestile_daemon.relay.statements import attempts
 from fescuestile_daemon.relay.statements import choice
 from fescuestile_daemon.relay.statements import limits
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import sessions
 from fescuestile_daemon.relay.statements import transactions
 
@@ -128,7 +129,7 @@
         self,
         session: sessions.Session,
         route: routes.Route,
-        arrival: sessions.Arrival,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement outside a transaction, retrying where it is safe."""
         pending = attempts.make_pending(
@@ -283,8 +284,8 @@
     async def run_in_transaction(
         self,
         session: sessions.Session,
-        transaction: sessions.Transaction,
-        arrival: sessions.Arrival,
+        transaction: operations.Transaction,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement or the commit of an open transaction."""
         weight = self._directory.find_weight(session.tenant)
@@ -293,6 +294,6 @@
         )
         return self._count_refusal(session, outcome)
 
-    def abandon(self, transaction: sessions.Transaction) -> None:
+    def abandon(self, transaction: operations.Transaction) -> None:
         """Roll a transaction back in the background."""
         self._transactions.abandon(transaction)
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/replay.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/replay.py
@@ -8,6 +8,7 @@
 from fescuestile import positions
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import ports
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import sessions
 
 Verb = messages.Verb
@@ -57,7 +58,7 @@
 
 
 def plan_full(
-    session: sessions.Session, arrival: sessions.Arrival
+    session: sessions.Session, arrival: operations.Arrival
 ) -> list[messages.Command]:
     """Return commands that replace whatever state a connection has."""
     commands: list[messages.Command] = [messages.Clear()]
@@ -70,7 +71,7 @@
 
 def plan_set_up(
     session: sessions.Session,
-    arrival: sessions.Arrival,
+    arrival: operations.Arrival,
     connection: ports.EndpointConnection,
 ) -> list[messages.Command]:
     """Return commands that give a connection the session's state.
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/sessions.py
@@ -2,20 +2,18 @@
 
 import asyncio
 import collections
-import dataclasses
 import time
 
 from fescuestile import clock
 from fescuestile import positions
-from fescuestile import read_confirmation
 from fescuestile import routes
 from fescuestile import tenants
 from fescuestile_daemon.relay.core import messages
 from fescuestile_daemon.relay.core import options
 from fescuestile_daemon.relay.core import ports
-from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.endpoints import pool
 from fescuestile_daemon.relay.groups import groups
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import state_size
 
 Kind = messages.Kind
@@ -24,68 +22,6 @@
 ENDINGS = (Verb.COMMIT, Verb.ROLLBACK)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardedTo:
-    """Where a transaction is open at another daemon.
-
-    :ivar peer: name of that daemon
-    :ivar number: id of the transaction there
-    """
-
-    peer: str
-    number: str
-
-
-@dataclasses.dataclass(slots=True)
-class Transaction:
-    """An open transaction.
-
-    :ivar route: route in force at its start, used until its end
-    :ivar begun_at: boot-time seconds at which its BEGIN arrived
-    :ivar connection: connection that it holds, None before the first
-        statement
-    :ivar endpoint: endpoint of that connection
-    :ivar leadership_ticket: leadership round that its reads wait for, None
-        when none is needed
-    :ivar answered: whether one of its statements has succeeded
-    :ivar wrote: whether one of its writes was sent
-    :ivar failed: whether only COMMIT and ROLLBACK are accepted
-    :ivar is_admitted: whether it was counted against its tenant's limit
-    :ivar forwarded_to: where it is open at another daemon, None if it is not
-    """
-
-    route: routes.Route
-    group: groups.Group
-    read_only: bool
-    begun_at: float
-    connection: ports.EndpointConnection | None = None
-    endpoint: endpoint_states.EndpointState | None = None
-    leadership_ticket: read_confirmation.ReadTicket | None = None
-    answered: bool = False
-    wrote: bool = False
-    failed: bool = False
-    is_admitted: bool = False
-    forwarded_to: ForwardedTo | None = None
-
-    @property
-    def holds_connection(self) -> bool:
-        """Whether it holds a connection, here or at another daemon."""
-        return self.connection is not None or self.forwarded_to is not None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrival:
-    """A statement and when it arrived.
-
-    :ivar boot_at: seconds since boot, a suspension of the host included
-    :ivar monotonic_at: monotonic seconds
-    """
-
-    statement: messages.Statement
-    boot_at: float
-    monotonic_at: float
-
-
 class Executor:
     """Runs statements that need an endpoint; see ``execution``."""
 
@@ -122,18 +58,24 @@
         raise NotImplementedError
 
     async def run_single(
-        self, session: "Session", route: routes.Route, arrival: Arrival
+        self,
+        session: "Session",
+        route: routes.Route,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement outside a transaction."""
         raise NotImplementedError
 
     async def run_in_transaction(
-        self, session: "Session", transaction: Transaction, arrival: Arrival
+        self,
+        session: "Session",
+        transaction: operations.Transaction,
+        arrival: operations.Arrival,
     ) -> messages.Outcome:
         """Run a statement or the commit of an open transaction."""
         raise NotImplementedError
 
-    def abandon(self, transaction: Transaction) -> None:
+    def abandon(self, transaction: operations.Transaction) -> None:
         """Roll a transaction back in the background."""
         raise NotImplementedError
 
@@ -170,8 +112,10 @@
         self._caller = caller
         self._executor = executor
         self._clock = boot_clock
-        self._transaction: Transaction | None = None
-        self._queue: collections.deque[Arrival] = collections.deque()
+        self._transaction: operations.Transaction | None = None
+        self._queue: collections.deque[operations.Arrival] = (
+            collections.deque()
+        )
         self._task: asyncio.Task[None] | None = None
         self._disconnected = False
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -196,7 +140,9 @@
 
     def receive(self, statement: messages.Statement) -> None:
         """Answer the next statement, or queue it behind those in progress."""
-        arrival = Arrival(statement, self._clock.now(), time.monotonic())
+        arrival = operations.Arrival(
+            statement, self._clock.now(), time.monotonic()
+        )
         if self._task is None:
             outcome = self._answer_locally(arrival)
             if outcome is not None:
@@ -288,7 +234,9 @@
         if transaction is not None and not transaction.failed:
             self._start_idle_timer()
 
-    def _answer_locally(self, arrival: Arrival) -> messages.Outcome | None:
+    def _answer_locally(
+        self, arrival: operations.Arrival
+    ) -> messages.Outcome | None:
         """Answer a statement that needs no endpoint; None for the others."""
         statement = arrival.statement
         transaction = self._transaction
@@ -336,14 +284,14 @@
                 return None
         return messages.Outcome(Kind.DONE)
 
-    def _begin(self, arrival: Arrival) -> messages.Outcome:
+    def _begin(self, arrival: operations.Arrival) -> messages.Outcome:
         if self._transaction is not None:
             return self._refuse("a transaction is open")
         route = self._executor.find_route(self.database)
         if route is None:
             return self._refuse_database()
         # Its tenant is that of its first statement, which begins its work.
-        self._transaction = Transaction(
+        self._transaction = operations.Transaction(
             route=route,
             group=self._executor.find_group(route),
             read_only=arrival.statement.read_only,
@@ -368,7 +316,7 @@
     def _refuse_database(self) -> messages.Outcome:
         return messages.Outcome(Kind.UNKNOWN_DATABASE, detail=self.database)
 
-    async def _execute(self, arrival: Arrival) -> messages.Outcome:
+    async def _execute(self, arrival: operations.Arrival) -> messages.Outcome:
         transaction = self._transaction
         if transaction is not None:
             refusal = await self._admit_transaction(transaction)
@@ -413,7 +361,7 @@
         return messages.Outcome(Kind.UNKNOWN_KEY, detail="unknown key")
 
     async def _admit_transaction(
-        self, transaction: Transaction
+        self, transaction: operations.Transaction
     ) -> messages.Outcome | None:
         if transaction.is_admitted:
             return None
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/transactions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/statements/transactions.py
@@ -15,6 +15,7 @@
 from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.statements import attempts
 from fescuestile_daemon.relay.statements import choice
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import replay
 from fescuestile_daemon.relay.statements import sessions
 
@@ -46,8 +47,8 @@
     async def run(
         self,
         session: sessions.Session,
-        transaction: sessions.Transaction,
-        arrival: sessions.Arrival,
+        transaction: operations.Transaction,
+        arrival: operations.Arrival,
         weight: int = 1,
     ) -> messages.Outcome:
         """Run a statement or the commit of a transaction.
@@ -107,14 +108,14 @@
     def _commits_writes(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
     ) -> bool:
         return (
             transaction.wrote and pending.arrival.statement.verb is Verb.COMMIT
         )
 
     def _may_retry(
-        self, transaction: sessions.Transaction, outcome: messages.Outcome
+        self, transaction: operations.Transaction, outcome: messages.Outcome
     ) -> bool:
         """Return whether a refused statement may be retried on its connection.
 
@@ -132,7 +133,7 @@
     async def _wait_before_retry(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
         outcome: messages.Outcome,
     ) -> None:
         primary = pending.group.find_primary()
@@ -146,7 +147,7 @@
     def _make_final_outcome(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
         outcome: messages.Outcome,
     ) -> messages.Outcome:
         """Return the caller's outcome and end the transaction if it is over.
@@ -173,7 +174,7 @@
     async def _attempt(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
     ) -> messages.Outcome:
         if transaction.connection is None:
             outcome = await self._begin(pending, transaction)
@@ -209,7 +210,7 @@
     async def _begin(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
     ) -> messages.Outcome:
         """Begin the transaction on a connection to an endpoint."""
         endpoint, minimum = await self._choose_endpoint(pending, transaction)
@@ -249,7 +250,7 @@
     async def _choose_endpoint(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
     ) -> tuple[
         endpoint_states.EndpointState | messages.Outcome,
         positions.Position | None,
@@ -286,7 +287,7 @@
     async def _run_statement(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
         endpoint: endpoint_states.EndpointState,
         connection: ports.EndpointConnection,
     ) -> messages.Outcome:
@@ -340,7 +341,7 @@
     def _find_answer_timeout(
         self,
         pending: attempts.PendingStatement,
-        transaction: sessions.Transaction,
+        transaction: operations.Transaction,
         endpoint: endpoint_states.EndpointState,
     ) -> float:
         """Return how long to wait for a statement's answer, in seconds."""
@@ -354,14 +355,14 @@
         longest = endpoint.get_response_timeout(pending.route.target_latency)
         return min(left, longest)
 
-    def _release(self, transaction: sessions.Transaction) -> None:
+    def _release(self, transaction: operations.Transaction) -> None:
         """Release the connection of a transaction that has ended."""
         connection, endpoint = transaction.connection, transaction.endpoint
         transaction.connection = transaction.endpoint = None
         if connection is not None and endpoint is not None:
             endpoint.pool.release(connection)
 
-    def abandon(self, transaction: sessions.Transaction) -> None:
+    def abandon(self, transaction: operations.Transaction) -> None:
         """Roll a transaction back in the background."""
         connection, endpoint = transaction.connection, transaction.endpoint
         transaction.connection = transaction.endpoint = None
--- a/tests/relay/statements/test_cancelled_attempts.py
+++ b/tests/relay/statements/test_cancelled_attempts.py
@@ -14,6 +14,7 @@
 from fescuestile_daemon.relay.endpoints import endpoint_states
 from fescuestile_daemon.relay.groups import groups
 from fescuestile_daemon.relay.statements import attempts
+from fescuestile_daemon.relay.statements import operations
 from fescuestile_daemon.relay.statements import sessions
 from tests.relay.endpoints import test_channel_pool
 
@@ -67,7 +68,7 @@
         session,
         ROUTE,
         groups.Group("g", dialer, relay_options, boot_clock),
-        sessions.Arrival(
+        operations.Arrival(
             messages.Statement("1", messages.Verb.READ, ""),
             boot_clock.now(),
             time.monotonic(),
