Refuse nothing after a stall where there are no tenants

Cause: after a pause of more than a second a daemon refused new callers until it had read the store, also on deployments without keys, whose loaded daemons may stall that long: test_hundreds_of_sessions_stay_open failed once beside load 18 with BUSY waking. Change: the pause counts only while the configuration has tenants.

--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/assembly/node.py
@@ -88,7 +88,9 @@
         )
         self.directory.add_listener(self._close_revoked)
         self._guard = suspensions.SuspensionGuard(
-            boot_clock, read_configuration
+            boot_clock,
+            read_configuration,
+            lambda: bool(self.directory.table.tenant_table),
         )
         self.sessions: set[sessions.Session] = set()
         self._options = relay_options
--- a/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/suspensions.py
+++ b/packages/fescuestile-daemon/src/fescuestile_daemon/relay/groups/suspensions.py
@@ -28,15 +28,23 @@
     loop after it, requests of callers come before all timers.
     """
 
-    def __init__(self, boot_clock: clock.Clock, read: Read | None) -> None:
+    def __init__(
+        self,
+        boot_clock: clock.Clock,
+        read: Read | None,
+        applies: collections.abc.Callable[[], bool] = lambda: True,
+    ) -> None:
         """Initialize; ``start`` begins to look for suspensions.
 
         :param boot_clock: advances while the host is suspended
         :param read: reads the configuration again and returns whether the
             store answered, None where there is no store
+        :param applies: tells whether work depends on the configuration being
+            current, as it does where keys may be revoked
         """
         self._clock = boot_clock
         self._read = read
+        self._applies = applies
         self._seen_at: float | None = None
         self._reading: asyncio.Task[None] | None = None
         self._ticking: asyncio.Task[None] | None = None
@@ -59,7 +67,7 @@
             return True
         now = self._clock.now()
         paused, self._seen_at = now - self._seen_at, now
-        if paused > SUSPENSION_SECONDS:
+        if paused > SUSPENSION_SECONDS and self._applies():
             if self._reading is not None:
                 # Its answer may be from before this suspension.
                 self._reading.cancel()
--- a/tests/relay/groups/test_suspensions.py
+++ b/tests/relay/groups/test_suspensions.py
@@ -87,3 +87,15 @@
     boot_clock.advance(0.9)
     assert guard.is_current()
     assert reader.calls == 0
+
+
+async def test_nothing_waits_where_no_key_can_be_revoked(boot_clock, reader):
+    """Guards against callers refused after a stall of a loaded daemon."""
+    made = suspensions.SuspensionGuard(
+        boot_clock, reader.read, applies=lambda: False
+    )
+    await made.start()
+    boot_clock.advance(6.0)
+    assert made.is_current()
+    assert reader.calls == 0
+    made.close()
