Require all fields of an endpoint's entry

Cause: the entry's model listed only the fields that the relay uses and took 0 for a missing start. The entries named endpoints, which were recorded as members of the group; a daemon that starts waits for answers of all members but one, here four of five, of which three exist. Likewise a recorded member whose entry lost its start looked like another run of the endpoint.

An odd entry counts as missing, so that it adds no member and takes none away. The error names the field, what was expected and what was found.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -45,9 +45,17 @@
     {"born": -1},
     {"born": LARGE},
     {"born": 1.5},
+    {"born": 0},
     {"zone": None},
+    {"version": 7},
+    {"warmup_left_ms": "0"},
+    {"warmup_left_ms": -1},
+    {"seq": 1.5},
+    {"seq": True},
     {"state": "odd"},
 ]
+# Fields that the relay does not use, or once took a default for.
+UNUSED_FIELDS = ("version", "warmup_left_ms", "seq", "born")
 
 
 def name_case(value):
@@ -62,6 +70,24 @@
         documents.decode_endpoint("odd", make_spec(**fields))
 
 
+@pytest.mark.parametrize("field", make_spec())
+def test_an_entry_without_a_field_names_no_endpoint(field):
+    """Guards against RECOVER: entries of strangers count as members."""
+    spec = make_spec()
+    del spec[field]
+    with pytest.raises(ValueError, match=f"{field}: expected a value, got"):
+        documents.decode_endpoint("odd", spec)
+
+
+def test_the_error_of_an_odd_entry_says_what_was_expected():
+    with pytest.raises(ValueError, match=r"slots: expected .*int.*, got 'x'"):
+        documents.decode_endpoint("odd", make_spec(slots="x"))
+
+
+def test_fields_that_are_not_known_yet_are_ignored():
+    assert documents.decode_endpoint("new", make_spec(load=0.5)).slots == 2
+
+
 @pytest.fixture
 def world_size():
     return 1, 1
@@ -118,3 +144,90 @@
         while not known[replica.name].entry.leaving:
             await asyncio.sleep(0.02)
     await check_failover(world)
+
+
+def omit(spec, *fields):
+    """Return an entry without some of its fields."""
+    return {name: spec[name] for name in spec if name not in fields}
+
+
+async def restart_daemon(world):
+    """Kill the daemon and start it again, without what it knew."""
+    await world.daemons.pop().abort()
+    world.caller_addresses.clear()
+    world.ready_addresses.clear()
+    await world.start_daemon("daemon-0")
+
+
+async def wait_served(world, database, text, seconds=6.0):
+    """Wait until a daemon is ready and serves a statement."""
+    async with asyncio.timeout(seconds):
+        await world.wait_ready()
+        while True:
+            client = await world.connect(database)
+            answer = await client.query(text)
+            client.close()
+            if line_server.get_error(answer) is None:
+                return
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("starts", [False, True], ids=["runs", "starts"])
+async def test_entries_with_missing_fields_stop_no_reads(world, starts):
+    """Guards against RECOVER: a read waits for answers of strangers."""
+    for number in range(2):
+        spec = omit(make_spec(), *UNUSED_FIELDS)
+        world.store.put("servers", f"odd-{number}", spec)
+    # The daemon that runs records new members within this time.
+    await asyncio.sleep(4.5)
+    if starts:
+        await restart_daemon(world)
+    await wait_served(world, "primary", "READ item", 4.0)
+    await wait_served(world, "bounded_staleness", "READ item", 4.0)
+    recorded = world.store.objects["members", "g0"]["spec"]["members"]
+    assert len(recorded) == len(world.groups["g0"].endpoints)
+
+
+@pytest.mark.parametrize("starts", [False, True], ids=["runs", "starts"])
+async def test_a_spoiled_entry_of_a_member_loses_no_write(world, starts):
+    """Guards against LOST: the member seems to be gone, or started again."""
+    group = world.groups["g0"]
+    primary, deaf, holder = group.endpoints.values()
+    deaf.faults.deaf = True
+    for number in range(5):
+        await wait_served(world, "primary", f"WRITE item-{number} kept")
+    spec = world.store.objects["servers", holder.name]["spec"]
+    world.store.put("servers", holder.name, omit(spec, "born"))
+    if starts:
+        await restart_daemon(world)
+    # Longer than an endpoint is used without an entry.
+    await asyncio.sleep(4.0)
+    primary.faults.dark = True
+    await asyncio.sleep(3.0)
+    assert group.successions == []
+    world.store.register(holder)
+    async with asyncio.timeout(8.0):
+        while group.primary is primary:
+            await asyncio.sleep(0.02)
+    deaf.faults.deaf = False
+    await wait_served(world, "primary", "WRITE after value")
+    assert group.primary is holder
+    assert group.lost == []
+
+
+async def test_strangers_in_a_record_are_released(world):
+    """Guards against RECOVER: an older version has recorded strangers."""
+    record = world.store.objects["members", "g0"]["spec"]
+    strangers = [{"id": f"odd-{number}", "born": 0} for number in range(2)]
+    members = [*record["members"], *strangers]
+    world.store.put("members", "g0", {**record, "members": members})
+    for stranger in strangers:
+        spec = omit(make_spec(), *UNUSED_FIELDS)
+        world.store.put("servers", stranger["id"], spec)
+    await restart_daemon(world)
+    await wait_served(world, "primary", "READ item", 4.0)
+    await wait_served(world, "bounded_staleness", "READ item", 4.0)
+    # Members that are missing, and the longest delay of a change.
+    async with asyncio.timeout(30.0):
+        while len(world.store.objects["members", "g0"]["spec"]["members"]) > 3:
+            await asyncio.sleep(0.05)
