--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -125,7 +125,12 @@
 
     def record_lease(self) -> None:
         """Write the lease of a store that has been served for a while."""
-        record = {"holder": "", "token": 0, "era": self.store.era or 0}
+        record = {
+            "holder": "",
+            "token": 0,
+            "claim": "",
+            "era": self.store.era or 0,
+        }
         self.store.put("leases", "promotion", record)
 
     async def start_daemon(
--- a/tests/platform/test_restarted_replicas.py
+++ b/tests/platform/test_restarted_replicas.py
@@ -149,7 +149,12 @@
 
     It holds the lease, but the record names no promotion yet.
     """
-    record = {"holder": "driver", "token": 1, "era": world.store.era or 0}
+    record = {
+        "holder": "driver",
+        "token": 1,
+        "claim": "driver-1",
+        "era": world.store.era or 0,
+    }
     world.store.put("leases", "promotion", record)
     primary = group.primary
     chosen, other = (e for e in group.endpoints.values() if e is not primary)
--- a/tests/relay/records/test_token_bounds.py
+++ b/tests/relay/records/test_token_bounds.py
@@ -67,26 +67,62 @@
 
 
 class LeaseClient(http.HttpClient):
-    """Answers with a lease object that has this token."""
+    """Answers with a lease object of this content."""
 
-    def __init__(self, token):
+    def __init__(self, spec):
         super().__init__("127.0.0.1:1")
-        self.token = token
+        self._spec = spec
 
     async def call(self, method, path, seconds, body=None, headers=None):
-        spec = {"holder": "", "token": self.token, "claim": "x", "era": 3}
         meta = {"name": "promotion", "revision": 7}
         return http.Response(
-            200, {"meta": meta, "spec": spec}, {"store-era": "3"}
+            200, {"meta": meta, "spec": self._spec}, {"store-era": "3"}
         )
 
 
+def make_lease(**fields):
+    """Return a free lease."""
+    return {"holder": "", "token": 5, "claim": "x", "era": 3, **fields}
+
+
+async def read_lease(spec):
+    client = store.StoreClient(LeaseClient(spec))
+    return (await promotions.PlatformLeaseStore(client).read()).record
+
+
 @pytest.mark.parametrize("token", [-1, LIMIT - 1, LIMIT, 10**30])
 async def test_a_lease_object_with_an_odd_token_counts_as_held(token):
-    client = store.StoreClient(LeaseClient(token))
     with structlog.testing.capture_logs() as logs:
-        found = await promotions.PlatformLeaseStore(client).read()
-    assert found.record == leases.make_unknown(7)
+        found = await read_lease(make_lease(token=token))
+    assert found == leases.make_unknown(7)
     assert [each["event"] for each in logs] == [
         "malformed lease object treated as held"
     ]
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        None,
+        {},
+        {"holder": "", "claim": "x"},
+        {"token": 5, "claim": "x"},
+        {"holder": "", "token": 5},
+        make_lease(token=True),
+        make_lease(token="5"),
+        make_lease(token=5.0),
+        make_lease(holder=None),
+        make_lease(claim=7),
+        make_lease(era="3"),
+        make_lease(era=-1),
+    ],
+    ids=str,
+)
+async def test_a_lease_object_with_an_odd_field_counts_as_held(spec):
+    """Guards against ONE: tokens start anew after a spoiled lease."""
+    assert await read_lease(spec) == leases.make_unknown(7)
+
+
+async def test_a_lease_of_an_earlier_version_is_read():
+    spec = {"holder": "d", "token": 5, "claim": "x"}
+    assert await read_lease(spec) == leases.Record("d", 5, "x")
