Report an odd object once, with its kind and in a metric

What operators saw: a line with each new revision of an odd entry, so one for each heartbeat of its writer that changes it, without the kind of the object; nothing for odd entries of daemons; and no metric.

Cause: lines were kept apart by the object's revision.

Evidence: test_an_odd_entry_is_reported_once; three odd heartbeats, a sound one and an odd one are two lines and a count of 2.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import structlog
 
 from fescuestile_platform import documents
 from tests.platform.standins import line_server
@@ -240,3 +241,29 @@
     async with asyncio.timeout(30.0):
         while len(world.store.objects["members", "g0"]["spec"]["members"]) > 3:
             await asyncio.sleep(0.05)
+
+
+async def test_an_odd_entry_is_reported_once(world):
+    """Guards against a log line for each heartbeat of its writer."""
+    daemon = world.daemons[0]
+    known = daemon.node.directory.groups["g0"].endpoints
+    counters = daemon.node.recorder.counters
+
+    async def put(**fields):
+        world.store.put("servers", "odd", make_spec(**fields))
+        async with asyncio.timeout(2.0):
+            while ("odd" in known) == bool(fields):
+                await asyncio.sleep(0.02)
+
+    with structlog.testing.capture_logs() as logs:
+        for number in range(3):
+            await put(seq=str(number))
+            await asyncio.sleep(0.6)
+        await put()
+        await asyncio.sleep(0.6)
+        world.store.put("servers", "odd", make_spec(seq="3"))
+        await asyncio.sleep(0.6)
+    lines = [e for e in logs if e["event"].startswith("malformed object")]
+    assert [(e["kind"], e["name"]) for e in lines] == [("servers", "odd")] * 2
+    assert lines[0]["detail"] == "field seq: expected a valid integer, got '0'"
+    assert counters["malformed_objects", "servers"] == 2
