Look for the end of a list beyond brackets that do not belong to it

Cause: json_parts took the first bracket between two objects for the end of the list.

Change: a bracket ends the list only if what is left of the text can be read.

--- a/packages/fescuestile/src/fescuestile/json_parts.py
+++ b/packages/fescuestile/src/fescuestile/json_parts.py
@@ -85,9 +85,10 @@
     position = opening.end()
     while True:
         position = _find_end(_SEPARATORS, text, position)
-        if position >= len(text) or text[position] == "]":
-            break
         try:
+            if text[position : position + 1] in ("", "]"):
+                around = _decode_around(text, opening, position)
+                break
             part, end = json_values.decode_part(text, position)
             if not _END.match(text, end):
                 raise json.JSONDecodeError("Expecting ','", text, end)
@@ -95,7 +96,7 @@
             position = end
             continue
         except json.JSONDecodeError as error:
-            waste += error.pos - position
+            waste += max(0, error.pos - position)
         except (RecursionError, ValueError):
             waste += len(text) - position
         parts.append(_decode_members(text, position))
@@ -106,20 +107,36 @@
         ):
             # Parts may have been lost that begin with other keys.
             parts.append(json_values.Unreadable(position))
-            position = max(opening.end(), text.rfind("]"))
+            around = _decode_around(text, opening, text.rfind("]"))
             break
         position = following
-    around = text[: opening.end()] + text[position:]
-    value = json_values.decode_sound(around)
+    around[opening[1]] = parts
+    return around
+
+
+def _decode_around(
+    text: str, opening: re.Match[str], end: int
+) -> dict[str, typing.Any]:
+    """Decode an object without the content of its list.
+
+    :param end: where the list ends
+    :raises ValueError: it cannot be read
+    """
+    try:
+        value = json_values.decode_sound(
+            text[: opening.end()] + text[max(end, opening.end()) :]
+        )
+    except ValueError as error:
+        # Positions are those of another text.
+        raise ValueError(str(error)) from None
     if not isinstance(value, dict):
         raise ValueError(f"expected an object, got {type(value).__name__}")
-    value[opening[1]] = parts
     return value
 
 
 def _decode_members(text: str, start: int) -> typing.Any:
     """Decode the members of an object before the one that is unreadable."""
-    if text[start] != "{":
+    if text[start : start + 1] != "{":
         return json_values.Unreadable(start)
     members: dict[str, typing.Any] = {}
     position = start + 1
--- a/tests/unit/test_json_parts.py
+++ b/tests/unit/test_json_parts.py
@@ -3,6 +3,8 @@
 import json
 import time
 
+import hypothesis
+import hypothesis.strategies
 import pytest
 
 from fescuestile import json_parts
@@ -33,6 +35,8 @@
     "{" * 50,
     '{"zone":' + "[" * 9000,
     '"',
+    "]]}}",
+    "",
 ]
 SOUND = ['{"zone":"a"}', '{"zone":"\\ud83d\\ude00"}', '{"zone":"\u00e4"}']
 
@@ -131,3 +135,22 @@
     value = decode(make_object(1, spec).encode()).value
     assert "items" not in value
     assert value["meta"]["name"] == "i-1"
+
+
+@hypothesis.example("0}]", 1)
+@hypothesis.example('0}],"as_of":1}', 2)
+@hypothesis.example('0}],"as_of":1},{"meta":1},', 0)
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(
+    hypothesis.strategies.text('"\\{}[],:0ntu \x00\x01\udcff', max_size=40),
+    hypothesis.strategies.integers(0, 2),
+)
+def test_any_content_leaves_the_other_objects_as_they_are(spec, place):
+    sound = make_object(7, SOUND[0])
+    objects = [sound, sound]
+    objects.insert(place, make_object(1, spec))
+    text = make_listing(objects).decode("utf-8", "surrogateescape")
+    decoded = decode(text.encode("utf-8", "surrogateescape"))
+    assert decoded.value["as_of"] == 7
+    items = decoded.value["items"]
+    assert items.count(json.loads(sound)) == 2
