Give up no list for a few objects that cannot be read

What callers would see: a daemon that starts beside several odd objects, one of them without the end of a text, misses sound ones after them.

Cause: an object with half a surrogate pair, a number that JSON lacks or a nesting beyond the decoder's limit was counted as if the whole rest had been read in vain, so that the third one used up the bound. A value that the decoder just manages was too deep for the search of unreadable parts.

Change: such numbers are marked like in other texts, the other two count for what was read, and the search ends at the depth that is kept elsewhere.

Evidence: test_many_unreadable_objects_leave_the_others_readable fails before and passes now, as do two further texts that take much time to read.

--- a/packages/fescuestile/src/fescuestile/json_parts.py
+++ b/packages/fescuestile/src/fescuestile/json_parts.py
@@ -97,7 +97,9 @@
             continue
         except json.JSONDecodeError as error:
             waste += max(0, error.pos - position)
-        except (RecursionError, ValueError):
+        except RecursionError:
+            waste += json_values.find_too_deep(text, position) - position
+        except ValueError:
             waste += len(text) - position
         parts.append(_decode_members(text, position))
         unreadable += 1
--- a/packages/fescuestile/src/fescuestile/json_values.py
+++ b/packages/fescuestile/src/fescuestile/json_values.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import re
+import sys
 import typing
 
 # Deeper values are replaced by null; those in use have a few levels.
@@ -34,13 +35,16 @@
 class Unreadable:
     """Stands for a part of a text that cannot be read.
 
-    :ivar position: its first character in the text, from 0
+    :ivar position: its first character in the text, from 0; None if that is
+        not known
     """
 
-    position: int
+    position: int | None = None
 
     def __str__(self) -> str:
         """Return what was found, without its content."""
+        if self.position is None:
+            return "text that cannot be read"
         return f"text that cannot be read, at character {self.position}"
 
 
@@ -84,22 +88,40 @@
     :raises RecursionError: it is nested too deep
     """
     value = _DECODER.decode(text)
-    check_surrogates(value, text, 0, len(text))
+    _check_surrogates(value, text, 0, len(text))
     return value
 
 
 def decode_part(text: str, start: int) -> tuple[typing.Any, int]:
-    """Return the sound value that begins at an index, and its end.
+    """Return the value that begins at an index, and its end.
 
-    :raises ValueError: it cannot be read as it is
+    Numbers that JSON lacks are ``Unreadable``.
+
+    :raises JSONDecodeError: it cannot be read; its position is the last one
+        that was looked at
     :raises RecursionError: it is nested too deep
     """
     value, end = _PART_DECODER.raw_decode(text, start)
-    check_surrogates(value, text, start, end)
+    try:
+        _check_surrogates(value, text, start, end)
+    except ValueError:
+        raise json.JSONDecodeError(
+            "Expecting whole characters", text, end
+        ) from None
     return value, end
 
 
-def check_surrogates(
+def find_too_deep(text: str, start: int) -> int:
+    """Return the index at which a value is too deep to be decoded at all."""
+    depth, limit = 0, sys.getrecursionlimit()
+    for found in _TOKEN.finditer(text, start):
+        depth += (found[0] in ("[", "{")) - (found[0] in ("]", "}"))
+        if depth > limit:
+            return found.start()
+    return len(text)
+
+
+def _check_surrogates(
     value: typing.Any, text: str, start: int, end: int
 ) -> None:
     """Check that a value has whole characters only.
@@ -107,22 +129,30 @@
     :raises ValueError: it has half a surrogate pair
     """
     if not text.isascii() or _SURROGATE_ESCAPE.search(text, start, end):
-        json.dumps(value, ensure_ascii=False).encode()
+        json.dumps(value, ensure_ascii=False, default=str).encode()
 
 
 def take_unreadable(
-    value: typing.Any,
+    value: typing.Any, depth: int = 0
 ) -> tuple[typing.Any, Unreadable | None]:
-    """Return a value with null for what is unreadable, and its first part."""
+    """Return a value with null for what is unreadable, and its first part.
+
+    :param depth: of the value in another one
+    """
     if isinstance(value, Unreadable):
         return None, value
+    if depth > MAX_DEPTH:
+        return None, None
     found: list[Unreadable | None]
     if isinstance(value, dict):
-        taken = {name: take_unreadable(part) for name, part in value.items()}
+        taken = {
+            name: take_unreadable(part, depth + 1)
+            for name, part in value.items()
+        }
         plain: typing.Any = {name: part for name, (part, _) in taken.items()}
         found = [unreadable for _, unreadable in taken.values()]
     elif isinstance(value, list):
-        parts = [take_unreadable(part) for part in value]
+        parts = [take_unreadable(part, depth + 1) for part in value]
         plain = [part for part, _ in parts]
         found = [unreadable for _, unreadable in parts]
     else:
@@ -140,7 +170,7 @@
 
 _DECODER = json.JSONDecoder(parse_constant=_refuse_constant)
 _PART_DECODER = json.JSONDecoder(
-    parse_int=_parse_int, parse_constant=_refuse_constant
+    parse_int=_parse_int, parse_constant=lambda _: Unreadable()
 )
 
 
--- a/tests/unit/test_json_parts.py
+++ b/tests/unit/test_json_parts.py
@@ -80,6 +80,24 @@
     assert names == ["i-0", "i-1", "i-2"]
 
 
+def test_many_unreadable_objects_leave_the_others_readable():
+    """Guards against a list that is given up for a few odd objects."""
+    deep = [
+        '{"zone":' + "[" * depth + "]" * depth + "}" for depth in (400, 9000)
+    ]
+    odd = [*READABLE_BORDERS, *LOST_BORDERS, *deep] * 5
+    objects = []
+    for number, spec in enumerate(odd):
+        objects.append(make_object(number, SOUND[0]))
+        objects.append(make_object(number + len(odd), spec))
+    found = []
+    for part in decode(make_listing(objects)).value["items"]:
+        plain, unreadable = json_values.take_unreadable(part)
+        if unreadable is None and plain["spec"] == {"zone": "a"}:
+            found.append(plain["meta"]["name"])
+    assert found == [f"i-{number}" for number in range(len(odd))]
+
+
 @pytest.mark.parametrize("spec", LOST_BORDERS, ids=name_case)
 def test_an_unreadable_object_keeps_its_name_and_revision(spec):
     """Guards against an object that can't be replaced on its revision."""
@@ -112,6 +130,8 @@
         '{"zone":"' + '\\"' * 200_000,
         '{"meta":[' * 50_000,
         ('{"meta":[0,' + "1," * 200) * 500,
+        '{"meta":[0,' * 500 + "1," * 100_000,
+        '{"meta":["NaN",' * 500 + "1," * 100_000 + "NaN",
         make_object(1, '{"zone":"open}') * 2000,
     ],
     ids=name_case,
