Refuse an answer whose end is nested too deep as one that is not JSON

What operators would see: a call to the store that times out after 1 s in place of an error, and a traceback.

Cause: what is around a list was decoded without regard to its depth, so that an answer that is cut within a deep value raised RecursionError in the connection's callback.

Change: it is a ValueError like other answers that cannot be read.

--- a/packages/fescuestile/src/fescuestile/json_parts.py
+++ b/packages/fescuestile/src/fescuestile/json_parts.py
@@ -128,9 +128,11 @@
         value = json_values.decode_sound(
             text[: opening.end()] + text[max(end, opening.end()) :]
         )
-    except ValueError as error:
-        # Positions are those of another text.
-        raise ValueError(str(error)) from None
+    except RecursionError:
+        raise ValueError("expected a flat object, got a deep one") from None
+    except json.JSONDecodeError as error:
+        # Its position is one of another text.
+        raise ValueError(error.msg) from None
     if not isinstance(value, dict):
         raise ValueError(f"expected an object, got {type(value).__name__}")
     return value
--- a/tests/unit/test_json_parts.py
+++ b/tests/unit/test_json_parts.py
@@ -1,5 +1,6 @@
 """Answers of the store in which one object cannot be read."""
 
+import contextlib
 import json
 import time
 
@@ -174,3 +175,22 @@
     assert decoded.value["as_of"] == 7
     items = decoded.value["items"]
     assert items.count(json.loads(sound)) == 2
+
+
+PIECES = hypothesis.strategies.sampled_from(
+    (
+        *('{"items":[', '{"meta":', '"name":', "]", "}", '"', ",", "1", "\\"),
+        *("[" * 2000, "]" * 2000, "9" * 5000, "NaN", "-Infinity"),
+        '"\\ud800"',
+    )
+)
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(
+    hypothesis.strategies.lists(PIECES).map("".join).map(str.encode)
+    | hypothesis.strategies.binary()
+)
+def test_any_bytes_are_decoded_or_refused(body):
+    with contextlib.suppress(ValueError):
+        json_values.take_unreadable(decode(body).value)
