Write odd entries of all kinds in the soak

The soak's malformed entry had a state of another type and nothing else. It now lacks fields, has a text that cannot be read or one without its end, and stands beside the endpoints' own entries or, until the next heartbeat, in the place of one.

--- a/soak/world.py
+++ b/soak/world.py
@@ -12,6 +12,7 @@
 from soak import history as histories
 from soak import keys
 from soak import leaving
+from soak import odd_entries
 from soak import processes
 from soak import proxies
 from soak import store_faults
@@ -240,7 +241,9 @@
                 await asyncio.sleep(1.5)
                 self._register(endpoint)
             case ["malformed", _]:
-                self._store.put("servers", f"i-odd-{pick}", {"state": pick})
+                await odd_entries.write(
+                    self._store, endpoint, pick, self._register
+                )
 
     async def _restart(
         self,
