--- a/tests/unit/test_odd_answers.py
+++ b/tests/unit/test_odd_answers.py
@@ -28,13 +28,18 @@
 
 
 class FakeClient(http.HttpClient):
-    """Answers each call with the same body."""
+    """Answers each call with the same body.
+
+    :ivar paths: paths of the calls
+    """
 
     def __init__(self, body):
         super().__init__("127.0.0.1:1")
         self._body = body
+        self.paths: list[str] = []
 
     async def call(self, method, path, timeout, body=None, headers=None):
+        self.paths.append(path)
         return http.Response(200, self._body)
 
 
@@ -60,3 +65,19 @@
     assert changes is not None
     assert [stored.name for stored, _ in changes.events] == ["a"]
     assert changes.is_partial
+
+
+@pytest.mark.parametrize(
+    ("name", "expected"),
+    [
+        ("i-7f3a", "i-7f3a"),
+        ("a/b?c", "a%2Fb%3Fc"),
+        ("a b\r\nX: y", "a%20b%0D%0AX%3A%20y"),
+    ],
+)
+async def test_a_name_stays_within_its_path(name, expected):
+    """Guards against a name of another writer that is a call of its own."""
+    client = FakeClient(SOUND)
+    await store.StoreClient(client).read("servers", name)
+    await store.StoreClient(client).replace("servers", name, {}, 3)
+    assert client.paths == [f"/v1/objects/servers/{expected}"] * 2
