--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -47,6 +47,10 @@
     {"born": LARGE},
     {"born": 1.5},
     {"born": 0},
+    {"service": ""},
+    {"service": "g0 other"},
+    {"service": "g0\r\nQUERY - DEMOTE 9"},
+    {"service": "g\u20280"},
     {"zone": None},
     {"version": 7},
     {"warmup_left_ms": "0"},
@@ -80,6 +84,13 @@
         documents.decode_endpoint("odd", spec)
 
 
+@pytest.mark.parametrize("name", ["i 7", "i\r\nQUERY - PAUSE 9", "i" * 257])
+def test_an_entry_with_an_odd_name_names_no_endpoint(name):
+    """Guards against a line of another writer on a connection."""
+    with pytest.raises(ValueError, match="expected a printable word"):
+        documents.decode_endpoint(name, make_spec())
+
+
 def test_the_error_of_an_odd_entry_says_what_was_expected():
     with pytest.raises(ValueError, match=r"slots: expected .*int.*, got 'x'"):
         documents.decode_endpoint("odd", make_spec(slots="x"))
