Limit a daemon's descriptors in the tests without a fork

Its log held one line of gRPC, which the platform's daemon does not use.

Cause: the test set the limit in preexec_fn, so that the child was forked from a process in which gRPC's threads run since earlier tests; gRPC ends such a child now and then before it runs the daemon.

Change: the limit is set from outside right after the start, before any connection; the bound and the checks are the same.

--- a/tests/clients/daemons.py
+++ b/tests/clients/daemons.py
@@ -76,8 +76,11 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "FESCUESTILE_BOOT": str(path)},
-                preexec_fn=_limit_descriptors,
             )
+        # Set from here, as a child that gRPC's threads are forked with may
+        # end before it runs the daemon.
+        limits = MAX_DESCRIPTORS, MAX_DESCRIPTORS
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, limits)
         await self.request()
 
     def _make_settings(self):
@@ -140,9 +143,3 @@
                 await self._process.wait()
         await self._group.close()
         await self._store.close()
-
-
-def _limit_descriptors() -> None:
-    resource.setrlimit(
-        resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
-    )
