--- a/tests/platform/standins/world.py
+++ b/tests/platform/standins/world.py
@@ -165,6 +165,13 @@
         self.ready_addresses.append(ready)
         return started
 
+    async def restart_daemon(self) -> None:
+        """Kill the only daemon and start it again, without what it knew."""
+        await self.daemons.pop().abort()
+        self.caller_addresses.clear()
+        self.ready_addresses.clear()
+        await self.start_daemon("daemon-0")
+
     async def wait_ready(self) -> None:
         """Wait until every daemon is ready and knows all groups."""
         async with asyncio.timeout(10):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -172,14 +172,6 @@
     return {name: spec[name] for name in spec if name not in fields}
 
 
-async def restart_daemon(world):
-    """Kill the daemon and start it again, without what it knew."""
-    await world.daemons.pop().abort()
-    world.caller_addresses.clear()
-    world.ready_addresses.clear()
-    await world.start_daemon("daemon-0")
-
-
 async def wait_served(world, database, text, seconds=6.0):
     """Wait until a daemon is ready and serves a statement."""
     async with asyncio.timeout(seconds):
@@ -202,7 +194,7 @@
     # The daemon that runs records new members within this time.
     await asyncio.sleep(4.5)
     if starts:
-        await restart_daemon(world)
+        await world.restart_daemon()
     await wait_served(world, "primary", "READ item", 4.0)
     await wait_served(world, "bounded_staleness", "READ item", 4.0)
     recorded = world.store.objects["members", "g0"]["spec"]["members"]
@@ -220,7 +212,7 @@
     spec = world.store.objects["servers", holder.name]["spec"]
     world.store.put("servers", holder.name, omit(spec, "born"))
     if starts:
-        await restart_daemon(world)
+        await world.restart_daemon()
     # Longer than an endpoint is used without an entry.
     await asyncio.sleep(4.0)
     primary.faults.dark = True
@@ -245,7 +237,7 @@
     for stranger in strangers:
         spec = omit(make_spec(), *UNUSED_FIELDS)
         world.store.put("servers", stranger["id"], spec)
-    await restart_daemon(world)
+    await world.restart_daemon()
     await wait_served(world, "primary", "READ item", 4.0)
     await wait_served(world, "bounded_staleness", "READ item", 4.0)
     # Members that are missing, and the longest delay of a change.
--- a/tests/platform/test_partial_views.py
+++ b/tests/platform/test_partial_views.py
@@ -30,14 +30,6 @@
         assert line_server.get_error(answer) is None
 
 
-async def restart_daemon(world):
-    """Kill the daemon and start it again, without what it knew."""
-    await world.daemons.pop().abort()
-    world.caller_addresses.clear()
-    world.ready_addresses.clear()
-    await world.start_daemon("daemon-0")
-
-
 def is_leased(world):
     """Return whether a daemon holds the lease."""
     lease = world.store.objects.get(("leases", "promotion"))
@@ -82,7 +74,7 @@
     """
     failed = await fail_over(world, replicas[0])
     world.store.remove("servers", failed.name)
-    await restart_daemon(world)
+    await world.restart_daemon()
     await asyncio.sleep(SUSPICION_SECONDS)
     assert group.lost == []
     assert group.primary is replicas[1]
@@ -98,7 +90,7 @@
     """
     failed = await fail_over(world, replicas[0])
     world.store.remove("servers", failed.name)
-    await restart_daemon(world)
+    await world.restart_daemon()
     await world.wait_ready()
     replicas[1].faults.dark = True
     await asyncio.sleep(SUSPICION_SECONDS)
@@ -123,7 +115,7 @@
     replicas[0].faults.deaf = True
     await write_items(world, 5)
     world.store.remove("servers", replicas[1].name)
-    await restart_daemon(world)
+    await world.restart_daemon()
     await world.wait_ready()
     primary.faults.dark = fails
     await asyncio.sleep(LAST_ENTRY_SECONDS)
@@ -145,7 +137,7 @@
     replicas[0].faults.deaf = True
     await write_items(world, 5)
     world.store.remove("servers", replicas[1].name)
-    await restart_daemon(world)
+    await world.restart_daemon()
     known = world.daemons[0].node.directory.groups
     async with asyncio.timeout(2.0):
         while (
@@ -185,7 +177,7 @@
     replicas[0].faults.deaf = True
     await write_items(world, 5)
     world.store.remove("servers", replicas[1].name)
-    await restart_daemon(world)
+    await world.restart_daemon()
     await asyncio.sleep(1.5)
     group.primary.faults.dark = True
     loop = asyncio.get_running_loop()
